Rename the store's client crate to comfreyramp-store

The word platform is needed for the adapter to the users' platform; the crate holds the client of a key-value service. Names only, no behaviour changed.

--- a/crates/daemon/src/callers/lot_answers.rs
+++ b/crates/daemon/src/callers/lot_answers.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_http::{ErrorAnswer, HeaderMap, RunState, StatusCode};
 use comfreyramp_lots::{LineFinding, LotError};
-use comfreyramp_platform::StoreError;
+use comfreyramp_store::StoreError;
 
 /// The header that makes a resent request the same one.
 const JOB_KEY_HEADER: &str = "idempotency-key";
--- a/crates/daemon/src/callers/upload.rs
+++ b/crates/daemon/src/callers/upload.rs
@@ -10,7 +10,7 @@
 
 use comfreyramp_http::{Bytes, ErrorAnswer, StatusCode};
 use comfreyramp_lots::{FileRecord, FileStore, FileUpload, WallClock};
-use comfreyramp_platform::PlatformStore;
+use comfreyramp_store::PlatformStore;
 use futures::{Stream, StreamExt as _, stream};
 use multer::{Field, Multipart};
 use tokio::time::Instant;
--- a/crates/daemon/src/claims/claim_records.rs
+++ b/crates/daemon/src/claims/claim_records.rs
@@ -1,13 +1,13 @@
 //! Claims as the platform keeps them.
 
 use comfreyramp_http::Bytes;
-use comfreyramp_platform::{
-    Comparison, KeyRange, KeyValue, LeaseId, PlatformStore, Revision, StoreError,
-    TransactionAnswer, Write, WriteBatch,
-};
 use comfreyramp_policy::{
     ClaimGroup, ClaimKey, ClaimRecord, ClaimState, ClaimTicket, GroupAnswer, Timestamp,
 };
+use comfreyramp_store::{
+    Comparison, KeyRange, KeyValue, LeaseId, PlatformStore, Revision, StoreError,
+    TransactionAnswer, Write, WriteBatch,
+};
 
 use super::StoredAnswer;
 use crate::record_lease::RecordLease;
--- a/crates/daemon/src/claims/claim_writer.rs
+++ b/crates/daemon/src/claims/claim_writer.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_platform::{PlatformStore, StoreError};
 use comfreyramp_policy::{ClaimChange, ClaimGroup, ClaimRecord, GroupAnswer};
+use comfreyramp_store::{PlatformStore, StoreError};
 use tokio_util::sync::CancellationToken;
 
 use super::{ClaimKeeper, ClaimRecords};
--- a/crates/daemon/src/lot_work/mod.rs
+++ b/crates/daemon/src/lot_work/mod.rs
@@ -9,8 +9,8 @@
 
 use comfreyramp_http::{MessageBody, Request};
 use comfreyramp_lots::{LotStore, LotSweeper, LotWorker, SystemClock};
-use comfreyramp_platform::GatewayStore;
 use comfreyramp_policy::ServerId;
+use comfreyramp_store::GatewayStore;
 use tokio_util::sync::CancellationToken;
 
 pub use bulk_gate::{BulkSlot, GateServer, ServerGates, SlotView};
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{CallCounts, CallEnd, StoreCall};
 use comfreyramp_policy::rates::ShareLevel;
+use comfreyramp_store::{CallCounts, CallEnd, StoreCall};
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
     TextEncoder,
--- a/crates/daemon/src/operators/settings_routes.rs
+++ b/crates/daemon/src/operators/settings_routes.rs
@@ -5,8 +5,8 @@
 use comfreyramp_http::{
     Bytes, ErrorAnswer, HeaderMap, Incoming, Method, Request, RunState, StatusCode, collect_limited,
 };
-use comfreyramp_platform::{KeyRange, KeyValue, PlatformStore, Revision, StoreError};
 use comfreyramp_settings::TeamSettings;
+use comfreyramp_store::{KeyRange, KeyValue, PlatformStore, Revision, StoreError};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
--- a/crates/daemon/src/operators/team_history.rs
+++ b/crates/daemon/src/operators/team_history.rs
@@ -1,8 +1,8 @@
 //! Who changed a team's subtree, when and what. See docs/SETTINGS.md.
 
 use comfreyramp_http::{ErrorAnswer, StatusCode};
-use comfreyramp_platform::{KeyRange, KeyValue, PlatformStore, Revision};
 use comfreyramp_settings::{ChangeHistory, SettingsDifference};
+use comfreyramp_store::{KeyRange, KeyValue, PlatformStore, Revision};
 use serde::Serialize;
 
 use super::settings_routes::unread;
--- a/crates/daemon/src/operators/team_writer.rs
+++ b/crates/daemon/src/operators/team_writer.rs
@@ -2,10 +2,10 @@
 
 use comfreyramp_http::{Bytes, ErrorAnswer, RunState, StatusCode};
 use comfreyramp_lots::{SystemClock, WallClock};
-use comfreyramp_platform::{
+use comfreyramp_settings::{SettingsChange, TeamSettings};
+use comfreyramp_store::{
     Comparison, OnceOutcome, RetryPace, Revision, StoreError, Write, WriteBatch, write_once,
 };
-use comfreyramp_settings::{SettingsChange, TeamSettings};
 use serde_json::{Value, json};
 
 use super::{
@@ -155,7 +155,7 @@
 
 /// A stored subtree with its defaults filled in, so that a default that is
 /// written out is no difference.
-fn shown_settings(pair: &comfreyramp_platform::KeyValue) -> Value {
+fn shown_settings(pair: &comfreyramp_store::KeyValue) -> Value {
     match TeamSettings::check(&pair.value) {
         Ok(settings) => json!(settings),
         Err(_) => serde_json::from_slice(&pair.value).unwrap_or_default(),
--- a/crates/daemon/src/platform_link.rs
+++ b/crates/daemon/src/platform_link.rs
@@ -3,8 +3,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_platform::{ListedVm, PlatformStore, RangeAnswer, VmList, VmState};
 use comfreyramp_policy::{Timestamp, member_score};
+use comfreyramp_store::{ListedVm, PlatformStore, RangeAnswer, VmList, VmState};
 use tokio_util::sync::CancellationToken;
 use xtra::Address;
 
--- a/crates/daemon/src/rates/peer_desk.rs
+++ b/crates/daemon/src/rates/peer_desk.rs
@@ -5,11 +5,11 @@
 use comfreyramp_peers::{
     LiveNotice, PeerBeat, PeerHandler, SettingsAnswer, SettingsAsk, SettingsPair,
 };
-use comfreyramp_platform::PlatformStore;
 use comfreyramp_policy::{
     NoticeAck, SuspectNotice,
     rates::{RateAnswer, RateAsk},
 };
+use comfreyramp_store::PlatformStore;
 
 use crate::{
     settings_link::{PeerSource, SettingsLink},
--- a/crates/daemon/src/rates/roster_keeper.rs
+++ b/crates/daemon/src/rates/roster_keeper.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_platform::{PlatformStore, TransactionAnswer};
 use comfreyramp_policy::{DaemonId, Timestamp, member_score};
+use comfreyramp_store::{PlatformStore, TransactionAnswer};
 use futures::future::join_all;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
--- a/crates/daemon/src/rates/roster_view.rs
+++ b/crates/daemon/src/rates/roster_view.rs
@@ -1,10 +1,8 @@
 //! The rosters of all zones as they stand in the platform.
 
 use bytes::Bytes;
-use comfreyramp_platform::{
-    Comparison, KeyRange, KeyValue, RangeAnswer, Revision, Write, WriteBatch,
-};
 use comfreyramp_policy::rates::ZoneRoster;
+use comfreyramp_store::{Comparison, KeyRange, KeyValue, RangeAnswer, Revision, Write, WriteBatch};
 
 /// Where everything about rates stands in the platform's store.
 const RATES_PREFIX: &str = "/comfreyramp/rates/";
--- a/crates/daemon/src/rates/settings_peers.rs
+++ b/crates/daemon/src/rates/settings_peers.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyramp_peers::SettingsAsk;
-use comfreyramp_platform::{KeyValue, Revision};
 use comfreyramp_policy::{DaemonId, FleetMember, member_score};
+use comfreyramp_store::{KeyValue, Revision};
 
 use crate::settings_link::{PeerAnswer, PeerSilence, PeerSource, ViewChanges};
 
--- a/crates/daemon/src/record_lease.rs
+++ b/crates/daemon/src/record_lease.rs
@@ -5,8 +5,8 @@
     time::Duration,
 };
 
-use comfreyramp_platform::{LeaseId, PlatformStore, StoreError};
 use comfreyramp_policy::Timestamp;
+use comfreyramp_store::{LeaseId, PlatformStore, StoreError};
 
 /// How long a record is kept at least.
 pub(crate) const KEPT: Duration = Duration::from_secs(24 * 3600);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,8 +10,8 @@
 use anyhow::Context as _;
 use comfreyramp_http::{ServeLimits, bind, serve};
 use comfreyramp_peers::{LinkTiming, PeerLink};
-use comfreyramp_platform::{GatewaySettings, GatewayStore, GatewayVmList, PlatformStore};
 use comfreyramp_settings::DaemonSettings;
+use comfreyramp_store::{GatewaySettings, GatewayStore, GatewayVmList, PlatformStore};
 use serde::Serialize;
 use tokio::{net::TcpListener, sync::watch};
 use tokio_util::sync::CancellationToken;
--- a/crates/daemon/src/server_pool.rs
+++ b/crates/daemon/src/server_pool.rs
@@ -7,12 +7,12 @@
 };
 
 use comfreyramp_http::HeaderMap;
-use comfreyramp_platform::{ListedVm, VmState};
 use comfreyramp_policy::{
     GroupId, ListedServer, LoadReport, RouteQuery, ServerId, ServerKey, ServerOutcome, ServerState,
     ServerTable, Timestamp, ZoneId, lots::home_daemon,
 };
 use comfreyramp_settings::DaemonSettings;
+use comfreyramp_store::{ListedVm, VmState};
 use serde::Serialize;
 use tokio::sync::Notify;
 
--- a/crates/daemon/src/settings_keeper.rs
+++ b/crates/daemon/src/settings_keeper.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use comfreyramp_platform::{KeyValue, RangeAnswer, Revision};
 use comfreyramp_settings::TeamSettings;
+use comfreyramp_store::{KeyValue, RangeAnswer, Revision};
 use tokio::sync::watch;
 use xtra::{Actor, Context, Handler};
 
--- a/crates/daemon/src/settings_link/ask.rs
+++ b/crates/daemon/src/settings_link/ask.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{PlatformStore, Revision};
 use comfreyramp_policy::{DaemonId, OfferVerdict, Timestamp};
+use comfreyramp_store::{PlatformStore, Revision};
 
 use super::{PeerAnswer, PeerSilence, PeerSource, SettingsLink};
 
--- a/crates/daemon/src/settings_link/follow.rs
+++ b/crates/daemon/src/settings_link/follow.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{PlatformStore, RangeAnswer, Revision, StoreError, WatchStream};
 use comfreyramp_policy::Timestamp;
+use comfreyramp_store::{PlatformStore, RangeAnswer, Revision, StoreError, WatchStream};
 use rand::Rng;
 use tokio::time::{Instant, MissedTickBehavior};
 
--- a/crates/daemon/src/settings_link/link.rs
+++ b/crates/daemon/src/settings_link/link.rs
@@ -5,8 +5,8 @@
     time::Duration,
 };
 
-use comfreyramp_platform::{KeyRange, PlatformStore, Revision};
 use comfreyramp_policy::{FreshnessSettings, Timestamp, ViewOffer, WatchPlan};
+use comfreyramp_store::{KeyRange, PlatformStore, Revision};
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
--- a/crates/daemon/src/settings_link/peer_source.rs
+++ b/crates/daemon/src/settings_link/peer_source.rs
@@ -2,8 +2,8 @@
 
 use std::{future::Future, time::Duration};
 
-use comfreyramp_platform::Revision;
 use comfreyramp_policy::{DaemonId, FleetMember, ViewOffer};
+use comfreyramp_store::Revision;
 
 use super::ViewChanges;
 
--- a/crates/daemon/src/settings_link/settings_view.rs
+++ b/crates/daemon/src/settings_link/settings_view.rs
@@ -1,6 +1,6 @@
 //! The settings as of one revision.
 
-use comfreyramp_platform::{KeyValue, RangeAnswer, Revision, WatchBatch};
+use comfreyramp_store::{KeyValue, RangeAnswer, Revision, WatchBatch};
 
 /// How many deletions are remembered for peers that are behind.
 const REMEMBERED_DELETIONS: usize = 256;
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -7,9 +7,9 @@
 
 use comfreyramp_http::HttpClient;
 use comfreyramp_lots::SystemClock;
-use comfreyramp_platform::{GatewayStore, GatewayVmList};
 use comfreyramp_policy::{Incarnation, RetryBudget};
 use comfreyramp_settings::DaemonSettings;
+use comfreyramp_store::{GatewayStore, GatewayVmList};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
--- a/crates/daemon/src/suspects/suspect_records.rs
+++ b/crates/daemon/src/suspects/suspect_records.rs
@@ -2,14 +2,14 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use comfreyramp_platform::{
-    Comparison, KeyRange, KeyValue, LeaseId, PlatformStore, Revision, StoreError,
-    TransactionAnswer, Write, WriteBatch,
-};
 use comfreyramp_policy::{
     Fingerprint, Incarnation, ServerKey, SuspectFact, Timestamp, TrialAnswer, TrialAsk, TrialEnd,
     TrialRecord, TrialSettlement,
 };
+use comfreyramp_store::{
+    Comparison, KeyRange, KeyValue, LeaseId, PlatformStore, Revision, StoreError,
+    TransactionAnswer, Write, WriteBatch,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::record_lease::{KEPT, RecordLease};
--- a/crates/daemon/src/suspects/suspect_sync.rs
+++ b/crates/daemon/src/suspects/suspect_sync.rs
@@ -2,8 +2,8 @@
 
 use std::{future::Future, sync::Arc, time::Duration};
 
-use comfreyramp_platform::{KeyRange, PlatformStore, StoreError, WatchStream};
 use comfreyramp_policy::{DaemonId, NoticeAck, SuspectNotice};
+use comfreyramp_store::{KeyRange, PlatformStore, StoreError, WatchStream};
 use tokio_util::sync::CancellationToken;
 
 use super::{
--- a/crates/daemon/tests/bulk_gate.rs
+++ b/crates/daemon/tests/bulk_gate.rs
@@ -9,9 +9,9 @@
     lot_work::{BulkSlot, ServerGates},
     server_pool::ServerPool,
 };
-use comfreyramp_platform::{ListedVm, VmState};
 use comfreyramp_policy::{LoadReport, ServerId, Timestamp};
 use comfreyramp_settings::{DaemonSettings, LogSettings, PlatformSettings};
+use comfreyramp_store::{ListedVm, VmState};
 
 /// The size of each engine's batch.
 const BATCH: u32 = 8;
--- a/crates/daemon/tests/link_fleet/mod.rs
+++ b/crates/daemon/tests/link_fleet/mod.rs
@@ -14,9 +14,9 @@
         LinkSettings, PeerAnswer, PeerSilence, PeerSource, SettingsAge, SettingsLink, SettingsView,
     },
 };
-use comfreyramp_platform::{PlatformStore, Revision, Write, WriteBatch};
 use comfreyramp_policy::{DaemonId, FleetMember, member_score};
 use comfreyramp_standins::platform::{FaultChange, MemoryStore, SharedPlatform};
+use comfreyramp_store::{PlatformStore, Revision, Write, WriteBatch};
 use tokio::{sync::watch, time::Instant};
 use tokio_util::sync::CancellationToken;
 
--- a/crates/daemon/tests/run_once.rs
+++ b/crates/daemon/tests/run_once.rs
@@ -10,11 +10,11 @@
 use comfreyramp_http::{
     CallError, HttpClient, Incoming, MessageBody, Method, Request, Response, StatusCode,
 };
-use comfreyramp_platform::{KeyRange, PlatformStore};
 use comfreyramp_standins::{
     engine::FaultSwitches,
     platform::{FaultChange, LostAnswers, MemoryStore},
 };
+use comfreyramp_store::{KeyRange, PlatformStore};
 use support::{
     FleetPlan, KEY, PATIENCE, SECOND_KEY, TestFleet, answers::WholeAnswer, chat,
     daemon_process::DaemonProcess, quick_engine,
--- a/crates/daemon/tests/settings_link.rs
+++ b/crates/daemon/tests/settings_link.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use comfreyramp_daemon::settings_link::{SettingsView, ViewChanges};
-use comfreyramp_platform::{KeyValue, RangeAnswer, WatchBatch};
 use comfreyramp_standins::platform::FaultChange;
+use comfreyramp_store::{KeyValue, RangeAnswer, WatchBatch};
 use link_fleet::{LinkFleet, outage};
 
 /// How soon a change is in force everywhere.
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -14,7 +14,6 @@
     HttpClient, Incoming, MessageBody, Method, Request, Response, StatusCode, collect_limited,
     header,
 };
-use comfreyramp_platform::{ListedVm, VmState};
 use comfreyramp_settings::{
     CustomerSettings, CutPolicy, DaemonSettings, KeySettings, LogSettings, PlatformSettings,
     ServiceKind, ServiceSettings, TeamSettings,
@@ -24,6 +23,7 @@
     platform::{SharedPlatform, serve_platform},
     service::{ServiceOptions, ServiceServer},
 };
+use comfreyramp_store::{ListedVm, VmState};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
 use tokio::{net::TcpListener, task::JoinHandle};
--- a/crates/lots/src/codec.rs
+++ b/crates/lots/src/codec.rs
@@ -3,7 +3,7 @@
 use std::fmt::Display;
 
 use bytes::Bytes;
-use comfreyramp_platform::KeyValue;
+use comfreyramp_store::KeyValue;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use serde::{Serialize, de::DeserializeOwned};
 use sha2::{Digest, Sha256};
--- a/crates/lots/src/content_stream.rs
+++ b/crates/lots/src/content_stream.rs
@@ -3,7 +3,7 @@
 use std::vec::IntoIter;
 
 use bytes::Bytes;
-use comfreyramp_platform::PlatformStore;
+use comfreyramp_store::PlatformStore;
 
 use crate::{
     FileRecord, LotError, LotKeys, LotOutcome, RecordedResult, RetryPlan,
--- a/crates/lots/src/error.rs
+++ b/crates/lots/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use comfreyramp_platform::StoreError;
+use comfreyramp_store::StoreError;
 use serde::Serialize;
 
 /// One fault of an uploaded file, with its place and what would be right.
--- a/crates/lots/src/file_store.rs
+++ b/crates/lots/src/file_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{
+use comfreyramp_store::{
     Comparison, KeyRange, PlatformStore, Revision, TransactionAnswer, Write, WriteBatch,
 };
 
@@ -218,7 +218,7 @@
         &self,
         customer: &str,
         id: &str,
-    ) -> Result<comfreyramp_platform::KeyValue, LotError> {
+    ) -> Result<comfreyramp_store::KeyValue, LotError> {
         check_id(id)?;
         let key = LotKeys.file(customer, id);
         let pair = self.retry.one(&self.store, key).await?;
--- a/crates/lots/src/file_upload.rs
+++ b/crates/lots/src/file_upload.rs
@@ -1,7 +1,7 @@
 //! Taking an upload line by line, with bounded memory.
 
 use bytes::Bytes;
-use comfreyramp_platform::{Comparison, PlatformStore, TransactionAnswer, Write, WriteBatch};
+use comfreyramp_store::{Comparison, PlatformStore, TransactionAnswer, Write, WriteBatch};
 use sha2::{Digest, Sha256};
 
 use crate::{
--- a/crates/lots/src/held_segment.rs
+++ b/crates/lots/src/held_segment.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use comfreyramp_platform::Revision;
 use comfreyramp_policy::{
     CustomerId, Timestamp,
     lots::{ItemTries, ResultGrouping},
 };
+use comfreyramp_store::Revision;
 use tokio_util::sync::CancellationToken;
 
 use crate::{
--- a/crates/lots/src/keys.rs
+++ b/crates/lots/src/keys.rs
@@ -1,6 +1,6 @@
 //! The keys under which the platform keeps files and lots.
 
-use comfreyramp_platform::KeyRange;
+use comfreyramp_store::KeyRange;
 
 use crate::WallTime;
 
--- a/crates/lots/src/lease_keeper.rs
+++ b/crates/lots/src/lease_keeper.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{LeaseId, PlatformStore, StoreError};
+use comfreyramp_store::{LeaseId, PlatformStore, StoreError};
 use tokio::{
     sync::watch,
     time::{Instant, sleep, sleep_until, timeout_at},
--- a/crates/lots/src/lot_finisher.rs
+++ b/crates/lots/src/lot_finisher.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use comfreyramp_platform::{Comparison, PlatformStore, TransactionAnswer, Write, WriteBatch};
+use comfreyramp_store::{Comparison, PlatformStore, TransactionAnswer, Write, WriteBatch};
 
 use crate::{
     LotCounts, LotError, LotKeys, LotOutcome, LotRecord, LotStore, SegmentProgress, WallClock,
--- a/crates/lots/src/lot_store.rs
+++ b/crates/lots/src/lot_store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use comfreyramp_platform::{
+use comfreyramp_store::{
     Comparison, KeyRange, KeyValue, PlatformStore, Revision, TransactionAnswer, Write, WriteBatch,
 };
 
--- a/crates/lots/src/lot_view.rs
+++ b/crates/lots/src/lot_view.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use comfreyramp_platform::{KeyValue, WatchBatch};
 use comfreyramp_policy::{
     Timestamp,
     lots::{LotForecast, PaceMeter},
 };
+use comfreyramp_store::{KeyValue, WatchBatch};
 
 use crate::{
     LotError, LotKeys, SegmentProgress, WallTime,
--- a/crates/lots/src/lot_watch.rs
+++ b/crates/lots/src/lot_watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{
+use comfreyramp_store::{
     KeyRange, KeyValue, PlatformStore, Revision, StoreError, WatchBatch, WatchStream,
 };
 use tokio::{sync::mpsc, time::sleep};
--- a/crates/lots/src/open_lot.rs
+++ b/crates/lots/src/open_lot.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{KeyRange, KeyValue, PlatformStore};
 use comfreyramp_policy::{Timestamp, lots::LotForecast};
+use comfreyramp_store::{KeyRange, KeyValue, PlatformStore};
 use serde::{Deserialize, Serialize};
 
 use crate::{
--- a/crates/lots/src/retry.rs
+++ b/crates/lots/src/retry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{
+use comfreyramp_store::{
     KeyRange, KeyValue, PlatformStore, RangeAnswer, StoreError, TransactionAnswer, WriteBatch,
 };
 
--- a/crates/lots/src/segment_store.rs
+++ b/crates/lots/src/segment_store.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_platform::{
+use comfreyramp_store::{
     Comparison, KeyValue, PlatformStore, Revision, StoreError, TransactionAnswer, Write, WriteBatch,
 };
 use tokio::time::sleep;
--- a/crates/lots/src/sweeper.rs
+++ b/crates/lots/src/sweeper.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyramp_platform::{
+use comfreyramp_store::{
     Comparison, KeyRange, KeyValue, LeaseId, PlatformStore, TransactionAnswer, Write, WriteBatch,
 };
 use tokio::time::sleep;
--- a/crates/lots/src/worker/events.rs
+++ b/crates/lots/src/worker/events.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use comfreyramp_platform::PlatformStore;
 use comfreyramp_policy::{
     CustomerId, Timestamp,
     lots::{GiveUpReason, TryVerdict},
 };
+use comfreyramp_store::PlatformStore;
 
 use super::{RescuedResults, WorkerState};
 use crate::{
--- a/crates/lots/src/worker/mod.rs
+++ b/crates/lots/src/worker/mod.rs
@@ -6,11 +6,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_platform::PlatformStore;
 use comfreyramp_policy::{
     CustomerId, Timestamp,
     lots::{LotRanking, ResultGrouping, TryPolicy},
 };
+use comfreyramp_store::PlatformStore;
 use rand::{SeedableRng, rngs::StdRng};
 use tokio::{
     sync::{mpsc, watch},
--- a/crates/lots/src/worker/picking.rs
+++ b/crates/lots/src/worker/picking.rs
@@ -3,11 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_platform::PlatformStore;
 use comfreyramp_policy::{
     CustomerId, Timestamp,
     lots::{LotForecast, LotKey, RankedLot, SegmentChoice},
 };
+use comfreyramp_store::PlatformStore;
 
 use super::{
     MAX_HELD, WorkerState,
--- a/crates/lots/src/worker/recording.rs
+++ b/crates/lots/src/worker/recording.rs
@@ -2,8 +2,8 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_platform::PlatformStore;
 use comfreyramp_policy::Timestamp;
+use comfreyramp_store::PlatformStore;
 use rand::Rng;
 
 use super::{WorkerState, events::WorkerEvent};
--- a/crates/lots/tests/retention.rs
+++ b/crates/lots/tests/retention.rs
@@ -8,8 +8,8 @@
 
 use assert_matches::assert_matches;
 use comfreyramp_lots::{BatchStatus, LotError, LotSweeper};
-use comfreyramp_platform::{KeyRange, PlatformStore};
 use comfreyramp_standins::platform::MemoryStore;
+use comfreyramp_store::{KeyRange, PlatformStore};
 use support::{upload as send, *};
 use tokio::time::sleep;
 
--- a/crates/lots/tests/support/mod.rs
+++ b/crates/lots/tests/support/mod.rs
@@ -15,11 +15,11 @@
     BatchObject, BatchStatus, ItemOrder, ItemOutcome, ItemRunner, LotError, LotStore, LotWorker,
     NewLot, SlotSource, WallClock, WallTime,
 };
-use comfreyramp_platform::{
+use comfreyramp_standins::platform::{MemoryStore, MemoryWatch};
+use comfreyramp_store::{
     KeyRange, LeaseId, PlatformStore, RangeAnswer, Revision, StoreError, TransactionAnswer,
     WatchBatch, WatchStream, Write, WriteBatch,
 };
-use comfreyramp_standins::platform::{MemoryStore, MemoryWatch};
 use serde_json::value::RawValue;
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
--- a/crates/standins/src/platform/memory_store.rs
+++ b/crates/standins/src/platform/memory_store.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::{
+use comfreyramp_store::{
     KeyRange, LeaseId, ListedVm, PlatformStore, RangeAnswer, Revision, StoreError,
     TransactionAnswer, VmList, WatchBatch, WatchStream, WriteBatch,
     wire::{LeaseMessage, RangeRequest, TransactionRequest, WatchCreateRequest, WatchResponse},
@@ -14,8 +14,8 @@
 ///
 /// ```
 /// # #[tokio::main(flavor = "current_thread")]
-/// # async fn main() -> Result<(), comfreyramp_platform::StoreError> {
-/// use comfreyramp_platform::{KeyRange, PlatformStore};
+/// # async fn main() -> Result<(), comfreyramp_store::StoreError> {
+/// use comfreyramp_store::{KeyRange, PlatformStore};
 /// use comfreyramp_standins::platform::MemoryStore;
 ///
 /// let store = MemoryStore::default();
--- a/crates/standins/src/platform/model.rs
+++ b/crates/standins/src/platform/model.rs
@@ -7,7 +7,8 @@
 };
 
 use bytes::Bytes;
-use comfreyramp_platform::{
+use comfreyramp_policy::Timestamp;
+use comfreyramp_store::{
     STEP_LIMIT, VALUE_LIMIT,
     wire::{
         CompareMessage, CompareResult, CompareTarget, DeleteRangeResponse, EventKind, EventMessage,
@@ -15,7 +16,6 @@
         RequestStep, ResponseHeader, ResponseStep, TransactionRequest, TransactionResponse,
     },
 };
-use comfreyramp_policy::Timestamp;
 
 use super::{LeaseTable, ModelError};
 
--- a/crates/standins/src/platform/model_error.rs
+++ b/crates/standins/src/platform/model_error.rs
@@ -1,7 +1,7 @@
 //! Why the key-value service refuses a call, in the words of etcd.
 
 use comfreyramp_http::StatusCode;
-use comfreyramp_platform::{StoreError, wire::ErrorMessage};
+use comfreyramp_store::{StoreError, wire::ErrorMessage};
 
 /// A call that the service answers with an error.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/standins/src/platform/open_watch.rs
+++ b/crates/standins/src/platform/open_watch.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::wire::EventMessage;
+use comfreyramp_store::wire::EventMessage;
 use tokio::sync::watch;
 
 use super::{SharedPlatform, WatchCursor};
--- a/crates/standins/src/platform/server.rs
+++ b/crates/standins/src/platform/server.rs
@@ -6,7 +6,7 @@
     BodySender, Bytes, HeaderValue, Incoming, MessageBody, Method, Request, Response, StatusCode,
     collect_limited, header, json_body, serve,
 };
-use comfreyramp_platform::{
+use comfreyramp_store::{
     ListedVm,
     wire::{
         CompactionRequest, DeleteRangeRequest, LeaseMessage, PutRequest, RangeRequest, RequestStep,
--- a/crates/standins/src/platform/shared_platform.rs
+++ b/crates/standins/src/platform/shared_platform.rs
@@ -5,11 +5,11 @@
     time::Duration,
 };
 
-use comfreyramp_platform::{
+use comfreyramp_policy::Timestamp;
+use comfreyramp_store::{
     ListedVm,
     wire::{HeaderResponse, ResponseHeader},
 };
-use comfreyramp_policy::Timestamp;
 use tokio::{sync::watch, time::Instant};
 
 use super::{
--- a/crates/standins/src/platform/vm_history.rs
+++ b/crates/standins/src/platform/vm_history.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use comfreyramp_platform::ListedVm;
 use comfreyramp_policy::Timestamp;
+use comfreyramp_store::ListedVm;
 
 /// The list after one change.
 #[derive(Clone, Debug)]
--- a/crates/standins/src/platform/watch_cursor.rs
+++ b/crates/standins/src/platform/watch_cursor.rs
@@ -1,7 +1,7 @@
 //! Where a watch stands in the history.
 
 use bytes::Bytes;
-use comfreyramp_platform::wire::{EventMessage, WatchCreateRequest};
+use comfreyramp_store::wire::{EventMessage, WatchCreateRequest};
 
 use super::{KeyValueModel, ModelError};
 
--- a/crates/platform/src/lease_term.rs
+++ b/crates/store/src/lease_term.rs
@@ -20,7 +20,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use comfreyramp_platform::LeaseTerm;
+/// use comfreyramp_store::LeaseTerm;
 /// use comfreyramp_policy::Timestamp;
 ///
 /// let sent = Timestamp::ZERO;
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/store/tests/common/mod.rs
@@ -10,13 +10,13 @@
 
 use bytes::Bytes;
 use comfreyramp_http::bind;
-use comfreyramp_platform::{
-    Comparison, GatewaySettings, GatewayStore, GatewayVmList, KeyRange, NoCounts, PlatformStore,
-    RetryPace, TransactionAnswer, Write, WriteBatch,
-};
 use comfreyramp_standins::platform::{
     FaultChange, LostAnswers, MemoryStore, SharedPlatform, serve_platform,
 };
+use comfreyramp_store::{
+    Comparison, GatewaySettings, GatewayStore, GatewayVmList, KeyRange, NoCounts, PlatformStore,
+    RetryPace, TransactionAnswer, Write, WriteBatch,
+};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// How long a call may take that shall get its answer, on a busy machine too.
--- a/crates/platform/tests/fenced_lease.rs
+++ b/crates/store/tests/fenced_lease.rs
@@ -11,12 +11,12 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use comfreyramp_platform::{
+use comfreyramp_policy::Timestamp;
+use comfreyramp_standins::platform::LostAnswers;
+use comfreyramp_store::{
     AcquireOutcome, FencedLease, LeaseRequest, LeaseTerm, PlatformStore, StoreError,
     TransactionAnswer, WriteBatch,
 };
-use comfreyramp_policy::Timestamp;
-use comfreyramp_standins::platform::LostAnswers;
 
 use common::{TestBed, batch, lose, outage, prefix, put, quick_pace, value_of};
 
--- a/crates/platform/tests/store_contract.rs
+++ b/crates/store/tests/store_contract.rs
@@ -12,7 +12,7 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
-use comfreyramp_platform::{
+use comfreyramp_store::{
     Comparison, KeyRange, PlatformStore, STEP_LIMIT, StoreError, TransactionAnswer, VALUE_LIMIT,
     Write,
 };
--- a/crates/platform/tests/store_faults.rs
+++ b/crates/store/tests/store_faults.rs
@@ -15,11 +15,11 @@
 
 use assert_matches::assert_matches;
 use comfreyramp_http::{MessageBody, Response, ServeLimits, StatusCode, bind, serve};
-use comfreyramp_platform::{
+use comfreyramp_standins::platform::{FaultChange, LostAnswers, SharedPlatform};
+use comfreyramp_store::{
     CallCounts, CallEnd, GatewaySettings, GatewayStore, ListedVm, NoCounts, PlatformStore,
     StoreCall, StoreError, VmList, VmState,
 };
-use comfreyramp_standins::platform::{FaultChange, LostAnswers, SharedPlatform};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 use common::{
@@ -174,7 +174,7 @@
 async fn errors_inside_a_stream_are_read() {
     let body = r#"{"error":{"grpc_code":14,"http_code":503,"message":"no leader"}}"#;
     let (store, _stop) = answering(200, body).await;
-    let lease = comfreyramp_platform::LeaseId(1);
+    let lease = comfreyramp_store::LeaseId(1);
     assert_matches!(store.renew(lease).await, Err(StoreError::AnswerLost(_)));
     let result = store.watch(prefix(""), 0).await;
     assert_matches!(result, Err(StoreError::AnswerLost(_)));
--- a/crates/platform/tests/watch_contract.rs
+++ b/crates/store/tests/watch_contract.rs
@@ -12,10 +12,10 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
-use comfreyramp_platform::{
+use comfreyramp_standins::platform::FaultChange;
+use comfreyramp_store::{
     PlatformStore, StoreError, WatchBatch, WatchStream, Write, wire::WatchResponse,
 };
-use comfreyramp_standins::platform::FaultChange;
 
 use common::{TestBed, outage, prefix, put, write};
 
--- a/crates/platform/tests/write_once.rs
+++ b/crates/store/tests/write_once.rs
@@ -11,11 +11,11 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use comfreyramp_platform::{
+use comfreyramp_standins::platform::LostAnswers;
+use comfreyramp_store::{
     Comparison, KeyValue, OnceOutcome, OnceProgress, OnceStep, PlatformStore, RetryPace,
     StoreError, TransactionAnswer, Write, WriteBatch, write_once,
 };
-use comfreyramp_standins::platform::LostAnswers;
 
 use common::{
     SLOW, TestBed, absent, batch, gateway_bed, impatient, lose, one, outage, put, quick_pace, slow,
--- a/crates/tool/tests/fleet_commands.rs
+++ b/crates/tool/tests/fleet_commands.rs
@@ -11,8 +11,8 @@
 };
 
 use comfreyramp_http::StatusCode;
-use comfreyramp_platform::VmState;
 use comfreyramp_standins::{engine::EngineOptions, platform::FaultChange};
+use comfreyramp_store::VmState;
 use serde_json::{Value, json};
 use support::{FleetPlan, KEY, PATIENCE, TOKEN, TestFleet, chat, usual_settings, vm};
 use tokio::process::Command;
