--- a/crates/daemon/src/callers/engine_stream.rs
+++ b/crates/daemon/src/callers/engine_stream.rs
@@ -2,7 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_http::{BodySender, Bytes, ErrorAnswer, Incoming, MessageBody, Response, RunState};
+use comfreyramp_http::{
+    BodySender, Bytes, ErrorAnswer, EventSplitter, Incoming, MessageBody, Response, RunState,
+};
 use comfreyramp_policy::{ServerOutcome, Timestamp};
 use http_body_util::BodyExt;
 
@@ -15,7 +17,7 @@
 use crate::{
     attempts::{AttemptFailure, AttemptLog},
     claims::AnswerCopy,
-    event_stream::{EventKind, EventSplitter, classify_event},
+    event_stream::{EventKind, classify_event},
     metrics::ServedClass,
     server_pool::ChosenServer,
     shared::SharedState,
--- a/crates/daemon/src/lot_work/engine_runner.rs
+++ b/crates/daemon/src/lot_work/engine_runner.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyramp_http::{
-    Bytes, CallError, HeaderValue, Incoming, MessageBody, Method, Request, Response, StatusCode,
-    collect_limited, header,
+    Bytes, CallError, EventSplitter, HeaderValue, Incoming, MessageBody, Method, Request, Response,
+    StatusCode, collect_limited, event_data, header,
 };
 use comfreyramp_lots::{ItemOrder, ItemOutcome, ItemRunner};
 use comfreyramp_policy::ServerOutcome;
@@ -17,7 +17,7 @@
     answer_builder::{AnswerBuilder, AnswerShape},
 };
 use crate::{
-    event_stream::{EventKind, EventSplitter, classify_event, event_data},
+    event_stream::{EventKind, classify_event},
     metrics::ServedClass,
     server_pool::read_report,
     shared::SharedState,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper_util::{
@@ -9,13 +10,22 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::MessageBody;
+use crate::{MessageBody, collect_limited};
 
 /// How long a connection may take to open, unless the caller says otherwise.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long an unused connection is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// A connection without a byte is probed after so long, then at this interval.
+/// A peer behind a cut sends neither answer nor reset; without probes a watch on
+/// such a connection looks like one without news.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// After so many unanswered probes a connection counts as broken.
+const PROBES: u32 = 2;
+/// Bytes that aren't acknowledged within this span break their connection.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a call got no answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -55,6 +65,10 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
@@ -74,6 +88,30 @@
         }
     }
 
+    /// Sends a request and reads its whole answer, within a limit of time and
+    /// with a body of at most `body_limit` bytes.
+    ///
+    /// # Errors
+    ///
+    /// An answer that breaks off tells nothing of what was done.
+    pub async fn exchange(
+        &self,
+        request: Request<MessageBody>,
+        limit: Duration,
+        body_limit: usize,
+    ) -> Result<Response<Bytes>, CallError> {
+        let whole = async {
+            let (head, body) = self.send(request).await?.into_parts();
+            let body = collect_limited(body, body_limit).await;
+            let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
+            Ok(Response::from_parts(head, body))
+        };
+        match tokio::time::timeout(limit, whole).await {
+            Ok(answer) => answer,
+            Err(_) => Err(CallError::TimedOut(limit)),
+        }
+    }
+
     /// Like [`HttpClient::send`], with a limit on the wait for the head.
     pub async fn send_within(
         &self,
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,11 +9,13 @@
 mod body;
 mod client;
 mod error_answer;
+mod event_splitter;
 mod serve;
 
 pub use body::{BodyError, BodySender, MessageBody, collect_limited, json_body};
 pub use client::{CallError, HttpClient};
 pub use error_answer::{ErrorAnswer, ErrorDetail, RunState};
+pub use event_splitter::{EventSplitter, EventTooLong, event_data, event_id, event_text};
 pub use serve::{ServeLimits, bind, serve};
 
 pub use bytes::Bytes;
--- a/crates/policy/src/hash.rs
+++ b/crates/policy/src/hash.rs
@@ -3,7 +3,7 @@
 use sha2::{Digest, Sha256};
 
 /// A name as a number.
-pub(crate) fn name_key(name: &str) -> u64 {
+pub fn name_key(name: &str) -> u64 {
     let digest = Sha256::digest(name.as_bytes());
     let mut head = [0; 8];
     head.copy_from_slice(&digest[..8]);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,9 @@
 //! - Claims: calls that must not run twice ([`ClaimBook`]).
 //! - [`bulk`] and [`lots`]: how much lot work a server gets, and whose
 //!   ([`bulk::BulkGate`], [`lots::LotRanking`]).
+//! - [`placement`]: which server a request goes to, when it is refused instead,
+//!   and which lot items step aside ([`placement::PlacementTable`]).
+//! - [`usage`]: customers' rates by exchanged counts ([`usage::UsageBook`]).
 //! - Members and freshness: which daemons there are, and how old a view of the
 //!   settings is ([`MemberTable`], [`WatchPlan`]).
 //!
@@ -28,6 +31,7 @@
 mod ids;
 pub mod lots;
 mod members;
+pub mod placement;
 mod queue;
 pub mod rates;
 mod retries;
@@ -35,6 +39,7 @@
 mod suspects;
 mod time;
 mod urgency;
+pub mod usage;
 
 pub use claims::{
     AnswerRef, ClaimBook, ClaimCause, ClaimChange, ClaimGroup, ClaimKey, ClaimRecord, ClaimRefusal,
@@ -43,6 +48,7 @@
 pub use freshness::{
     FleetMember, FreshnessSettings, OfferVerdict, ViewAge, ViewOffer, WatchPlan, member_score,
 };
+pub use hash::name_key;
 pub use ids::{CustomerId, DaemonId, GroupId, Incarnation, ServerId, ServiceId, ZoneId};
 pub use members::{Heartbeat, ListedDaemon, MemberEntry, MemberNews, MemberTable};
 pub use queue::{LiveQueue, QueueCause, QueueRefusal, QueuedCall};
--- /dev/null
+++ b/crates/policy/src/placement/placement_table.rs
@@ -0,0 +1,338 @@
+//! The servers as one daemon knows them, and where requests go.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{LoadShare, ServerOutcomeKind, SlotReport, WorkKind, server_load::ServerLoad};
+use crate::{ServerId, Timestamp, hash::name_key, usage::PeerId};
+
+/// How much an item of a lot weighs against a live request when a server is
+/// chosen for one: the item steps aside, which takes a moment.
+const BULK_WEIGHT: f64 = 0.15;
+/// What another zone costs against the own one, in requests. Crossing takes a
+/// few milliseconds and bytes between zones are billed.
+const ZONE_PENALTY: f64 = 1.0;
+/// Slots of each server that items leave free for live requests that arrive
+/// while the daemons' counts are on their way to each other.
+const BULK_MARGIN: u32 = 1;
+/// The shortest and the longest time after which a refused caller may come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(250);
+const LONGEST_RETRY: Duration = Duration::from_millis(1_500);
+
+/// A server as the directory lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerListing {
+    /// Its name.
+    pub name: String,
+    /// The service it belongs to.
+    pub service: String,
+    /// Its zone.
+    pub zone: String,
+    /// Its `ip:port`.
+    pub address: String,
+    /// How many requests it runs at once.
+    pub slots: u32,
+    /// Whether it takes new requests.
+    pub is_ready: bool,
+    /// A number that changes when the server starts anew under the same name.
+    pub start: u64,
+}
+
+/// What a request asks of the servers.
+#[derive(Clone, Copy, Debug)]
+pub struct PlacementQuery<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The zone that is asked from.
+    pub zone: &'a str,
+    /// Servers that were tried already.
+    pub exclude: &'a [ServerId],
+    /// The longest wait at a server that still meets the objective.
+    pub longest_wait: Duration,
+}
+
+/// A server that was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// The server.
+    pub server: ServerId,
+    /// How long the request is expected to wait there.
+    pub expected_wait: Duration,
+    /// What all daemons have there, this request left out.
+    pub load: LoadShare,
+}
+
+/// Why no server was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlacementRefusal {
+    /// The service has no server that could take the request.
+    NoServer,
+    /// All servers are full for longer than the request may wait.
+    Full {
+        /// When there should be room.
+        retry_after: Duration,
+    },
+}
+
+/// How many items have to step aside at a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct YieldOrder {
+    /// The server.
+    pub server: ServerId,
+    /// How many of this daemon's items.
+    pub items: u32,
+}
+
+#[derive(Clone, Debug)]
+struct ServerEntry {
+    listing: ServerListing,
+    key: u64,
+    load: ServerLoad,
+    is_listed: bool,
+}
+
+/// The servers as one daemon knows them.
+#[derive(Clone, Debug, Default)]
+pub struct PlacementTable {
+    /// An arena: a server that left keeps its place for the requests on it.
+    servers: Vec<ServerEntry>,
+}
+
+impl PlacementTable {
+    /// Takes over the directory's list. Servers that aren't on it any more get
+    /// no new requests.
+    pub fn set_listings(&mut self, listings: &[ServerListing]) {
+        for entry in &mut self.servers {
+            entry.is_listed = false;
+        }
+        for listing in listings {
+            let same = |it: &ServerEntry| {
+                it.listing.name == listing.name
+                    && it.listing.start == listing.start
+                    && it.listing.address == listing.address
+            };
+            if let Some(entry) = self.servers.iter_mut().find(|it| same(it)) {
+                entry.is_listed = true;
+                if entry.listing.slots != listing.slots {
+                    entry.load.slots = listing.slots;
+                }
+                entry.listing = listing.clone();
+                continue;
+            }
+            self.servers.push(ServerEntry {
+                key: name_key(&listing.name),
+                load: ServerLoad::new(listing.slots),
+                listing: listing.clone(),
+                is_listed: true,
+            });
+        }
+    }
+
+    /// A server's listing.
+    pub fn listing(&self, id: ServerId) -> &ServerListing {
+        &self.servers[id.index()].listing
+    }
+
+    /// Whether a service has a server that takes requests.
+    pub fn has_server(&self, service: &str) -> bool {
+        let usable = |it: &ServerEntry| it.is_usable(service);
+        self.servers.iter().any(usable)
+    }
+
+    /// Chooses a server for a live request.
+    ///
+    /// # Errors
+    ///
+    /// Refuses where no server would start the request in time.
+    pub fn choose_live(
+        &self,
+        query: PlacementQuery<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Result<Placement, PlacementRefusal> {
+        let mut best: Option<(f64, usize)> = None;
+        // Ejected servers are better than none: their pause may be mistaken.
+        for allow_ejected in [false, true] {
+            for (place, entry) in self.servers.iter().enumerate() {
+                let id = ServerId(place as u32);
+                if !entry.is_usable(query.service) || query.exclude.contains(&id) {
+                    continue;
+                }
+                if entry.load.is_ejected(now) != allow_ejected {
+                    continue;
+                }
+                let cost = entry.live_cost(query.zone, now) + random.random_range(0.0..0.3);
+                if best.is_none_or(|(least, _)| cost < least) {
+                    best = Some((cost, place));
+                }
+            }
+            if best.is_some() {
+                break;
+            }
+        }
+        let Some((_, place)) = best else {
+            return Err(PlacementRefusal::NoServer);
+        };
+        let entry = &self.servers[place];
+        let expected_wait = entry.load.expected_wait(now);
+        if expected_wait > query.longest_wait {
+            let over = expected_wait - query.longest_wait;
+            let retry_after = (over * 2).clamp(SHORTEST_RETRY, LONGEST_RETRY);
+            return Err(PlacementRefusal::Full { retry_after });
+        }
+        Ok(Placement {
+            server: ServerId(place as u32),
+            expected_wait,
+            load: entry.load.total(now),
+        })
+    }
+
+    /// Chooses a server for an item of a lot, if one has slots left over.
+    pub fn choose_bulk(
+        &self,
+        query: PlacementQuery<'_>,
+        now: Timestamp,
+        random: &mut impl Rng,
+    ) -> Option<Placement> {
+        let mut best: Option<(f64, usize)> = None;
+        for (place, entry) in self.servers.iter().enumerate() {
+            let id = ServerId(place as u32);
+            let is_out = !entry.is_usable(query.service)
+                || query.exclude.contains(&id)
+                || entry.load.is_ejected(now);
+            if is_out || entry.free_for_bulk(now) < 1.0 {
+                continue;
+            }
+            let away = if entry.listing.zone == query.zone {
+                0.0
+            } else {
+                0.5
+            };
+            let cost = away - entry.free_for_bulk(now) + random.random_range(0.0..0.5);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, place));
+            }
+        }
+        let (_, place) = best?;
+        Some(Placement {
+            server: ServerId(place as u32),
+            expected_wait: Duration::ZERO,
+            load: self.servers[place].load.total(now),
+        })
+    }
+
+    /// Where this daemon's items have to step aside for live requests.
+    ///
+    /// Each daemon gives up its part of the slots that are missing, so that all
+    /// of them together give up just enough.
+    pub fn yield_orders(&self, now: Timestamp) -> Vec<YieldOrder> {
+        let mut orders = Vec::new();
+        for (place, entry) in self.servers.iter().enumerate() {
+            let own = u32::from(entry.load.own.bulk);
+            if own == 0 {
+                continue;
+            }
+            let total = entry.load.total(now);
+            let used = f64::from(total.live) + f64::from(total.bulk) + entry.load.surplus(now);
+            let missing = used.round() - f64::from(entry.load.slots);
+            if missing < 1.0 {
+                continue;
+            }
+            let part = missing * f64::from(own) / f64::from(total.bulk.max(1));
+            let items = (part.ceil() as u32).min(own);
+            orders.push(YieldOrder {
+                server: ServerId(place as u32),
+                items,
+            });
+        }
+        orders
+    }
+
+    /// Counts a request in that is sent to a server.
+    pub fn begin(&mut self, id: ServerId, kind: WorkKind) {
+        let own = &mut self.servers[id.index()].load.own;
+        match kind {
+            WorkKind::Live => own.live += 1,
+            WorkKind::Bulk => own.bulk += 1,
+        }
+    }
+
+    /// Counts a request out.
+    pub fn end(&mut self, id: ServerId, kind: WorkKind) {
+        let own = &mut self.servers[id.index()].load.own;
+        match kind {
+            WorkKind::Live => own.live = own.live.saturating_sub(1),
+            WorkKind::Bulk => own.bulk = own.bulk.saturating_sub(1),
+        }
+    }
+
+    /// Takes in how a request went.
+    pub fn note(&mut self, id: ServerId, outcome: ServerOutcomeKind, now: Timestamp) {
+        self.servers[id.index()].load.note(outcome, now);
+    }
+
+    /// Takes in how long a live request held its slot.
+    pub fn note_span(&mut self, id: ServerId, span: Duration) {
+        self.servers[id.index()].load.note_span(span);
+    }
+
+    /// Takes in a server's own report.
+    pub fn report(&mut self, id: ServerId, report: SlotReport, now: Timestamp) {
+        self.servers[id.index()].load.report(report, now);
+    }
+
+    /// Takes in what another daemon has on servers, by the hash of their names.
+    /// Servers that it doesn't name have nothing of it.
+    pub fn hear(&mut self, peer: PeerId, shares: &[(u64, LoadShare)], now: Timestamp) {
+        for entry in &mut self.servers {
+            let named = shares.iter().find(|it| it.0 == entry.key);
+            let share = named.map_or_else(LoadShare::default, |it| it.1);
+            entry.load.hear(peer, share, now);
+        }
+    }
+
+    /// What this daemon has on servers, by the hash of their names.
+    pub fn own_shares(&self) -> Vec<(u64, LoadShare)> {
+        let used = self
+            .servers
+            .iter()
+            .filter(|it| it.load.own != LoadShare::default());
+        used.map(|it| (it.key, it.load.own)).collect()
+    }
+
+    /// The servers in use, for those who drop what belongs to others.
+    pub fn is_listed(&self, id: ServerId) -> bool {
+        self.servers[id.index()].is_listed
+    }
+}
+
+impl ServerEntry {
+    fn is_usable(&self, service: &str) -> bool {
+        self.is_listed && self.listing.is_ready && self.listing.service == service
+    }
+
+    fn live_cost(&self, zone: &str, now: Timestamp) -> f64 {
+        let total = self.load.total(now);
+        let live = f64::from(total.live) + self.load.surplus(now);
+        let bulk = f64::from(total.bulk);
+        let slots = f64::from(self.load.slots.max(1));
+        let used = live + BULK_WEIGHT * bulk;
+        let away = if self.listing.zone == zone {
+            0.0
+        } else {
+            ZONE_PENALTY
+        };
+        // A full server costs more than any other zone.
+        let over = (live + 1.0 - slots).max(0.0) * 4.0;
+        // Items have to step aside there first.
+        let yielding = if live + bulk + 1.0 > slots { 1.0 } else { 0.0 };
+        used / slots * 2.0 + away + over + yielding
+    }
+
+    fn free_for_bulk(&self, now: Timestamp) -> f64 {
+        let total = self.load.total(now);
+        let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
+        f64::from(self.load.slots) - f64::from(BULK_MARGIN) - used
+    }
+}
--- /dev/null
+++ b/crates/policy/src/placement/server_load.rs
@@ -0,0 +1,196 @@
+//! What is known of one server's load and health.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Timestamp, usage::PeerId};
+
+/// What another daemon said it has on a server counts for so long. Daemons speak
+/// at least every 250 ms; a daemon that fell silent no longer starts much.
+const SHARE_LIFETIME: Duration = Duration::from_millis(1_500);
+
+/// A server that failed is left alone for so long the first time, and twice as
+/// long each time in a row.
+const FIRST_EJECTION: Duration = Duration::from_millis(300);
+/// The longest such pause: by then a restarted server is back.
+const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// How much a new span counts in the mean of spans.
+const SPAN_WEIGHT: f64 = 0.1;
+/// How long a server holds a slot for a request before anything was measured.
+const FIRST_SPAN: Duration = Duration::from_millis(500);
+/// What a server's report says beyond what daemons told fades over this span.
+const SURPLUS_SPAN: Duration = Duration::from_millis(300);
+
+/// What a slot is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkKind {
+    /// Somebody waits.
+    Live,
+    /// An item of a lot, which may step aside.
+    Bulk,
+}
+
+/// How a request ended, as it tells on its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerOutcomeKind {
+    /// It was answered.
+    Answered,
+    /// The server was full and didn't run it.
+    Full,
+    /// The connection failed, or broke off in the middle.
+    Broken,
+    /// Another server has its address.
+    Replaced,
+}
+
+/// A server's own report of its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SlotReport {
+    /// Requests in a slot.
+    pub running: u32,
+    /// Requests in its queue.
+    pub waiting: u32,
+    /// Its slots.
+    pub slots: u32,
+}
+
+/// What one daemon has on a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadShare {
+    /// Live requests.
+    pub live: u16,
+    /// Items of lots.
+    pub bulk: u16,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardShare {
+    peer: PeerId,
+    share: LoadShare,
+    at: Timestamp,
+}
+
+/// What is known of one server's load and health.
+#[derive(Clone, Debug)]
+pub(super) struct ServerLoad {
+    pub(super) slots: u32,
+    pub(super) own: LoadShare,
+    heard: Vec<HeardShare>,
+    surplus: f64,
+    surplus_at: Timestamp,
+    failures: u32,
+    ejected_until: Timestamp,
+    held_secs: f64,
+}
+
+impl ServerLoad {
+    pub(super) fn new(slots: u32) -> Self {
+        ServerLoad {
+            slots,
+            own: LoadShare::default(),
+            heard: Vec::new(),
+            surplus: 0.0,
+            surplus_at: Timestamp::ZERO,
+            failures: 0,
+            ejected_until: Timestamp::ZERO,
+            held_secs: FIRST_SPAN.as_secs_f64(),
+        }
+    }
+
+    /// Takes in what another daemon has on the server.
+    pub(super) fn hear(&mut self, peer: PeerId, share: LoadShare, now: Timestamp) {
+        let heard = HeardShare {
+            peer,
+            share,
+            at: now,
+        };
+        match self.heard.binary_search_by_key(&peer, |it| it.peer) {
+            Ok(place) => self.heard[place] = heard,
+            Err(place) => self.heard.insert(place, heard),
+        }
+    }
+
+    /// Live requests and items of all daemons.
+    pub(super) fn total(&self, now: Timestamp) -> LoadShare {
+        let mut total = self.own;
+        for heard in &self.heard {
+            if now.since(heard.at) < SHARE_LIFETIME {
+                total.live += heard.share.live;
+                total.bulk += heard.share.bulk;
+            }
+        }
+        total
+    }
+
+    /// Takes in the server's own report. What it has beyond what the daemons
+    /// said comes from some that aren't heard, such as those behind a cut.
+    pub(super) fn report(&mut self, report: SlotReport, now: Timestamp) {
+        if report.slots > 0 {
+            self.slots = report.slots;
+        }
+        let total = self.total(now);
+        let known = f64::from(total.live) + f64::from(total.bulk);
+        let reported = f64::from(report.running + report.waiting);
+        self.surplus = (reported - known).max(0.0);
+        self.surplus_at = now;
+    }
+
+    /// Requests that only the server's report shows.
+    pub(super) fn surplus(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.surplus_at).as_secs_f64() / SURPLUS_SPAN.as_secs_f64();
+        self.surplus * (-age).exp()
+    }
+
+    pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
+        now < self.ejected_until
+    }
+
+    pub(super) fn note(&mut self, outcome: ServerOutcomeKind, now: Timestamp) {
+        match outcome {
+            ServerOutcomeKind::Answered => self.failures = 0,
+            // It has more than the daemons know of; its queue drains by itself.
+            ServerOutcomeKind::Full => {
+                self.surplus = f64::from(self.slots);
+                self.surplus_at = now;
+            }
+            ServerOutcomeKind::Broken => self.eject(now),
+            ServerOutcomeKind::Replaced => {
+                self.failures += 3;
+                self.eject(now);
+            }
+        }
+    }
+
+    fn eject(&mut self, now: Timestamp) {
+        // Requests that were on a server when it died fail together; they are
+        // one failure.
+        if self.is_ejected(now) {
+            return;
+        }
+        self.failures += 1;
+        // One broken answer is no reason to do without a server: it may have
+        // spoilt just this one.
+        if self.failures < 2 {
+            return;
+        }
+        let doubled = FIRST_EJECTION * 2_u32.saturating_pow((self.failures - 2).min(5));
+        self.ejected_until = now + doubled.min(LONGEST_EJECTION);
+    }
+
+    /// Takes in how long a request held its slot.
+    pub(super) fn note_span(&mut self, span: Duration) {
+        self.held_secs += SPAN_WEIGHT * (span.as_secs_f64() - self.held_secs);
+    }
+
+    /// How long a live request would wait for a slot.
+    pub(super) fn expected_wait(&self, now: Timestamp) -> Duration {
+        let live = f64::from(self.total(now).live) + self.surplus(now);
+        let ahead = live + 1.0 - f64::from(self.slots);
+        if ahead <= 0.0 {
+            return Duration::ZERO;
+        }
+        let wait = self.held_secs.max(0.0) * ahead / f64::from(self.slots.max(1));
+        Duration::from_secs_f64(wait.min(60.0))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/usage/usage_book.rs
@@ -0,0 +1,364 @@
+//! The usage of all customers, as one daemon knows it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::UsageBucket;
+use crate::{Timestamp, hash::name_key};
+
+/// After so long without a word of a daemon it counts as silent. Daemons speak
+/// at least every 250 ms, so this is one lost datagram and some delay.
+const SILENT_AFTER: Duration = Duration::from_millis(700);
+
+/// How much of its burst a customer has at a daemon that knows nothing of what
+/// was spent before it started. Should all daemons restart at once, this is all
+/// that can be spent twice; more of it would be more of an overshoot, less would
+/// refuse requests that are owed.
+const FRESH_PART: f64 = 0.3;
+
+/// Over so long a daemon's part in a customer's requests is measured.
+const PART_SPAN: Duration = Duration::from_secs(5);
+
+/// The number by which daemons name each other: the hash of their name.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct PeerId(pub u64);
+
+impl PeerId {
+    /// The id of the daemon with this name.
+    pub fn of_name(name: &str) -> Self {
+        PeerId(name_key(name))
+    }
+}
+
+/// A customer's limit as the settings in force say.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CustomerLimit {
+    /// The hash of the customer's name.
+    pub customer: u64,
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests at once beyond that.
+    pub burst: f64,
+}
+
+/// What one daemon says of one customer.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UsageCount {
+    /// The hash of the customer's name.
+    pub customer: u64,
+    /// Requests let in since the daemon started.
+    pub admitted: u32,
+    /// The tokens in its copy of the bucket.
+    pub level: f32,
+}
+
+/// The usage of all customers, as one daemon knows it.
+#[derive(Clone, Debug, Default)]
+pub struct UsageBook {
+    /// Sorted by the customer's hash.
+    customers: Vec<CustomerUsage>,
+    /// Sorted by id.
+    peers: Vec<PeerUsage>,
+    started_at: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct CustomerUsage {
+    customer: u64,
+    bucket: UsageBucket,
+    own: u32,
+    own_lately: RecentCount,
+    last_used: Timestamp,
+}
+
+#[derive(Clone, Debug)]
+struct PeerUsage {
+    id: PeerId,
+    incarnation: u64,
+    heard_at: Timestamp,
+    is_silent: bool,
+    /// Sorted by the customer's hash.
+    counts: Vec<PeerCount>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerCount {
+    customer: u64,
+    admitted: u32,
+    lately: RecentCount,
+}
+
+/// Requests of the last seconds, older ones fading.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentCount {
+    count: f64,
+    at: Timestamp,
+}
+
+impl RecentCount {
+    fn at(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.at).as_secs_f64() / PART_SPAN.as_secs_f64();
+        self.count * (-age).exp()
+    }
+
+    fn add(&mut self, requests: f64, now: Timestamp) {
+        self.count = self.at(now) + requests;
+        self.at = now;
+    }
+}
+
+impl UsageBook {
+    /// A book of a daemon that starts now.
+    pub fn new(now: Timestamp) -> Self {
+        UsageBook {
+            started_at: now,
+            ..UsageBook::default()
+        }
+    }
+
+    /// Takes over the limits of the settings in force.
+    ///
+    /// A customer that is new to a daemon which has run for a while has its
+    /// whole burst; one that a daemon finds when it starts may have spent it.
+    pub fn set_limits(&mut self, limits: &[CustomerLimit], now: Timestamp) {
+        let is_fresh = self.customers.is_empty();
+        let mut customers = Vec::with_capacity(limits.len());
+        for limit in limits.iter().filter(|it| it.rate > 0.0) {
+            let usage = match self.find(limit.customer) {
+                Some(place) => {
+                    let mut usage = self.customers[place].clone();
+                    usage.bucket.set_limit(limit.rate, limit.burst);
+                    usage
+                }
+                None => {
+                    let part = if is_fresh { FRESH_PART } else { 1.0 };
+                    let level = (limit.burst * part).max(1.0);
+                    CustomerUsage {
+                        customer: limit.customer,
+                        bucket: UsageBucket::new(limit.rate, limit.burst.max(1.0), level, now),
+                        own: 0,
+                        own_lately: RecentCount::default(),
+                        last_used: now,
+                    }
+                }
+            };
+            customers.push(usage);
+        }
+        customers.sort_by_key(|it| it.customer);
+        self.customers = customers;
+    }
+
+    /// Lets a request in, or tells when its customer may come back. Customers
+    /// without a limit are always let in.
+    pub fn admit(&mut self, customer: u64, now: Timestamp) -> Result<(), Duration> {
+        let Some(place) = self.find(customer) else {
+            return Ok(());
+        };
+        let reserved = self.reserved_part(customer, now);
+        let usage = &mut self.customers[place];
+        usage.bucket.fill(reserved, now);
+        usage.bucket.take()?;
+        usage.own = usage.own.wrapping_add(1);
+        usage.own_lately.add(1.0, now);
+        usage.last_used = now;
+        Ok(())
+    }
+
+    /// Tells when a customer may come back, if a request of it wouldn't be let in.
+    pub fn check(&mut self, customer: u64, now: Timestamp) -> Result<(), Duration> {
+        let Some(place) = self.find(customer) else {
+            return Ok(());
+        };
+        let reserved = self.reserved_part(customer, now);
+        let bucket = &mut self.customers[place].bucket;
+        bucket.fill(reserved, now);
+        let mut copy = *bucket;
+        copy.take()
+    }
+
+    /// The tokens in this daemon's copy of a customer's bucket.
+    pub fn level(&self, customer: u64) -> f64 {
+        let place = self.find(customer);
+        place.map_or(0.0, |it| self.customers[it].bucket.level())
+    }
+
+    /// Takes in what another daemon said. What it let in since it was last heard
+    /// is charged here.
+    pub fn hear(&mut self, id: PeerId, incarnation: u64, counts: &[UsageCount], now: Timestamp) {
+        let place = match self.peers.binary_search_by_key(&id, |it| it.id) {
+            Ok(place) => place,
+            Err(place) => {
+                let peer = PeerUsage {
+                    id,
+                    incarnation,
+                    heard_at: now,
+                    is_silent: false,
+                    counts: Vec::new(),
+                };
+                self.peers.insert(place, peer);
+                place
+            }
+        };
+        if self.peers[place].incarnation != incarnation {
+            self.peers[place].incarnation = incarnation;
+            for count in &mut self.peers[place].counts {
+                count.admitted = 0;
+            }
+        }
+        self.peers[place].heard_at = now;
+        self.peers[place].is_silent = false;
+        let is_young = now.since(self.started_at) < SILENT_AFTER * 2;
+        for count in counts {
+            let (spent, is_first) = self.peers[place].note(count, now);
+            let Some(at) = self.find(count.customer) else {
+                continue;
+            };
+            let reserved = self.reserved_part(count.customer, now);
+            let bucket = &mut self.customers[at].bucket;
+            bucket.fill(reserved, now);
+            // What it spent before this daemon first heard of it is in its level.
+            if !is_first {
+                bucket.charge(f64::from(spent));
+            }
+            if is_young {
+                bucket.lower_to(f64::from(count.level));
+            }
+        }
+    }
+
+    /// Notes the daemons that are expected to speak, and forgets all others:
+    /// those that were lost for good must not hold back a part for ever.
+    pub fn set_members(&mut self, members: &[PeerId], now: Timestamp) {
+        self.peers.retain(|it| members.contains(&it.id));
+        for &id in members {
+            if let Err(place) = self.peers.binary_search_by_key(&id, |it| it.id) {
+                let peer = PeerUsage {
+                    id,
+                    incarnation: 0,
+                    heard_at: now,
+                    is_silent: false,
+                    counts: Vec::new(),
+                };
+                self.peers.insert(place, peer);
+            }
+        }
+    }
+
+    /// Sets aside what daemons that fell silent may spend.
+    pub fn tick(&mut self, now: Timestamp) {
+        for place in 0..self.peers.len() {
+            let peer = &self.peers[place];
+            if peer.is_silent || now.since(peer.heard_at) < SILENT_AFTER {
+                continue;
+            }
+            self.peers[place].is_silent = true;
+            for at in 0..self.customers.len() {
+                let customer = self.customers[at].customer;
+                let part = self.part_of(place, customer, now);
+                self.customers[at].bucket.keep_part(1.0 - part);
+            }
+        }
+    }
+
+    /// What this daemon says of its customers: those used in the last seconds.
+    pub fn own_counts(&mut self, now: Timestamp) -> Vec<UsageCount> {
+        let mut counts = Vec::new();
+        for at in 0..self.customers.len() {
+            let usage = &self.customers[at];
+            if now.since(usage.last_used) > PART_SPAN * 2 {
+                continue;
+            }
+            let reserved = self.reserved_part(usage.customer, now);
+            let usage = &mut self.customers[at];
+            usage.bucket.fill(reserved, now);
+            counts.push(UsageCount {
+                customer: usage.customer,
+                admitted: usage.own,
+                level: usage.bucket.level() as f32,
+            });
+        }
+        counts
+    }
+
+    fn find(&self, customer: u64) -> Option<usize> {
+        self.customers
+            .binary_search_by_key(&customer, |it| it.customer)
+            .ok()
+    }
+
+    /// The part of a customer's rate that silent daemons may be spending.
+    fn reserved_part(&self, customer: u64, now: Timestamp) -> f64 {
+        let mut reserved = 0.0;
+        for place in 0..self.peers.len() {
+            if self.peers[place].is_silent {
+                reserved += self.part_of(place, customer, now);
+            }
+        }
+        // Some rate is always left: a daemon that is alone must serve on.
+        let least = 1.0 / (self.peers.len() as f64 + 1.0);
+        reserved.min(1.0 - least)
+    }
+
+    /// A daemon's part of a customer's rate: its part in the requests of the
+    /// last seconds, or an even part if that is more.
+    fn part_of(&self, place: usize, customer: u64, now: Timestamp) -> f64 {
+        let even = 1.0 / (self.peers.len() as f64 + 1.0);
+        let own = self
+            .find(customer)
+            .map_or(0.0, |at| self.customers[at].own_lately.at(now));
+        let of = |peer: &PeerUsage| peer.lately(customer, now);
+        let all = own + self.peers.iter().map(of).sum::<f64>();
+        if all < 1.0 {
+            return even;
+        }
+        even.max(of(&self.peers[place]) / all)
+    }
+}
+
+impl PeerUsage {
+    /// Takes in a count. Returns what was let in since the last one, and whether
+    /// it is the first of this customer.
+    fn note(&mut self, count: &UsageCount, now: Timestamp) -> (u32, bool) {
+        match self
+            .counts
+            .binary_search_by_key(&count.customer, |it| it.customer)
+        {
+            Ok(place) => {
+                let known = &mut self.counts[place];
+                // Datagrams may overtake each other; an older one says nothing new.
+                let spent = count.admitted.saturating_sub(known.admitted);
+                known.admitted = known.admitted.max(count.admitted);
+                known.lately.add(f64::from(spent), now);
+                (spent, false)
+            }
+            Err(place) => {
+                let mut lately = RecentCount::default();
+                lately.add(f64::from(count.admitted), now);
+                let known = PeerCount {
+                    customer: count.customer,
+                    admitted: count.admitted,
+                    lately,
+                };
+                self.counts.insert(place, known);
+                (count.admitted, count.admitted > FIRST_COUNT)
+            }
+        }
+    }
+
+    fn lately(&self, customer: u64, now: Timestamp) -> f64 {
+        match self
+            .counts
+            .binary_search_by_key(&customer, |it| it.customer)
+        {
+            Ok(place) => self.counts[place].lately.at(now),
+            Err(_) => 0.0,
+        }
+    }
+}
+
+/// A first count above this was not all let in since the daemon was last heard,
+/// so it isn't charged.
+const FIRST_COUNT: u32 = 20;
--- /dev/null
+++ b/crates/policy/src/usage/usage_bucket.rs
@@ -0,0 +1,84 @@
+//! One daemon's copy of a customer's tokens.
+
+use std::time::Duration;
+
+use crate::Timestamp;
+
+/// The longest time after which a refused caller is told to come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+
+/// A token bucket that several daemons draw from.
+///
+/// Its level may fall below zero: requests that other daemons let in are
+/// charged when they are heard of, whether or not there were tokens left, so
+/// that what was spent too much is made up for by later refusals.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct UsageBucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    filled_at: Timestamp,
+}
+
+impl UsageBucket {
+    /// A bucket of `rate` tokens a second that holds `burst`, with `level` in it.
+    pub fn new(rate: f64, burst: f64, level: f64, now: Timestamp) -> Self {
+        UsageBucket {
+            rate,
+            burst,
+            level: level.min(burst),
+            filled_at: now,
+        }
+    }
+
+    /// Fills the bucket up to `now`, less what silent daemons may be spending:
+    /// `reserved` is their part of the rate, from 0 to 1.
+    pub fn fill(&mut self, reserved: f64, now: Timestamp) {
+        let span = now.since(self.filled_at).as_secs_f64();
+        let gained = self.rate * span * (1.0 - reserved);
+        self.level = (self.level + gained).min(self.burst);
+        self.filled_at = now;
+    }
+
+    /// Takes one token, or tells when there will be one.
+    pub fn take(&mut self) -> Result<(), Duration> {
+        if self.level >= 1.0 {
+            self.level -= 1.0;
+            return Ok(());
+        }
+        let missing = 1.0 - self.level;
+        let wait = missing / self.rate.max(f64::MIN_POSITIVE);
+        Err(Duration::try_from_secs_f64(wait).map_or(LONGEST_RETRY, |it| it.min(LONGEST_RETRY)))
+    }
+
+    /// Charges what other daemons let in.
+    pub fn charge(&mut self, requests: f64) {
+        self.level -= requests;
+    }
+
+    /// Keeps only a part of what is in the bucket. Daemons that no longer hear
+    /// each other would otherwise each spend all of it.
+    pub fn keep_part(&mut self, part: f64) {
+        if self.level > 0.0 {
+            self.level *= part;
+        }
+    }
+
+    /// Takes over the level of a daemon that has counted for longer, if it is
+    /// lower.
+    pub fn lower_to(&mut self, level: f64) {
+        self.level = self.level.min(level);
+    }
+
+    /// Changes rate and burst. The level never rises by it.
+    pub fn set_limit(&mut self, rate: f64, burst: f64) {
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// The tokens in the bucket.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet/announcer.rs
@@ -0,0 +1,81 @@
+//! Telling the other daemons how things are, and hearing the same of them.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+use super::PeerMessage;
+use crate::{dialect::Dialect, node::Node};
+
+/// After a change of load others hear of it this soon. In between, changes
+/// gather: each message is a system call and a wake-up at either end.
+const GATHER_SPAN: Duration = Duration::from_millis(30);
+/// Without changes a daemon speaks so often. [`comfreyramp_policy::usage`]
+/// counts on that.
+const QUIET_INTERVAL: Duration = Duration::from_millis(250);
+/// The longest datagram that is read.
+const LONGEST_MESSAGE: usize = 60_000;
+
+/// Tells the other daemons how things are here until `stop` is cancelled.
+pub async fn run_announcer<D: Dialect>(
+    node: Rc<Node<D>>,
+    socket: Rc<UdpSocket>,
+    stop: CancellationToken,
+) {
+    while !stop.is_cancelled() {
+        tokio::select! {
+            () = node.load_changed.notified() => {}
+            () = tokio::time::sleep(QUIET_INTERVAL) => {}
+            () = stop.cancelled() => {}
+        }
+        tokio::time::sleep(GATHER_SPAN).await;
+        node.tick();
+        announce(&node, &socket).await;
+    }
+    // The last word: others take no account of it any more.
+    announce(&node, &socket).await;
+}
+
+async fn announce<D: Dialect>(node: &Node<D>, socket: &UdpSocket) {
+    let peers = node.peer_addresses();
+    if peers.is_empty() {
+        return;
+    }
+    let message = node.peer_message();
+    let bytes = match postcard::to_stdvec(&message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:% = error; "peers: a message can't be written");
+            return;
+        }
+    };
+    for peer in peers {
+        // A datagram that can't be sent is one that is lost: the next one says
+        // the same and more.
+        let _ = socket.try_send_to(&bytes, peer);
+    }
+}
+
+/// Takes in what other daemons say until `stop` is cancelled.
+pub async fn listen_to_peers<D: Dialect>(
+    node: Rc<Node<D>>,
+    socket: Rc<UdpSocket>,
+    stop: CancellationToken,
+) {
+    let mut buffer = vec![0; LONGEST_MESSAGE];
+    loop {
+        let received = tokio::select! {
+            received = socket.recv_from(&mut buffer) => received,
+            () = stop.cancelled() => return,
+        };
+        let Ok((length, _)) = received else {
+            // An earlier datagram couldn't be delivered; nothing was received.
+            continue;
+        };
+        match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+            Ok(message) => node.hear_peer(&message),
+            Err(error) => log::warn!(error:% = error; "peers: a message can't be read"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet/follow.rs
@@ -0,0 +1,81 @@
+//! Following a prefix of the store.
+
+use std::time::Duration;
+
+use comfreyramp_store::{
+    KeyRange, KeyValue, PlatformStore, Revision, StoreError, WatchBatch, WatchStream,
+};
+use rand::Rng;
+use tokio_util::sync::CancellationToken;
+
+/// The pause after a first failed call, and the longest after several in a row.
+/// Each call is billed, refused ones too, and a store that is down needs no load.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// What following a prefix brings.
+#[derive(Debug)]
+pub enum FollowNews {
+    /// All pairs, as listed anew.
+    Whole(Vec<KeyValue>, Revision),
+    /// Changes since.
+    Changed(WatchBatch),
+    /// The store can't be reached, or turned the call away.
+    Lost(StoreError),
+}
+
+/// Follows a prefix until `stop` is cancelled: lists it, then waits for changes.
+///
+/// A watch that lost its history may have missed changes, so the prefix is
+/// listed anew, and from the store itself, never from a copy that may be behind.
+pub async fn follow_store<S: PlatformStore>(
+    store: S,
+    prefix: &'static str,
+    mut sink: impl FnMut(FollowNews),
+    stop: CancellationToken,
+) {
+    let mut pause = FIRST_PAUSE;
+    while !stop.is_cancelled() {
+        let round = follow_round(&store, prefix, &mut sink, &mut pause);
+        let error = tokio::select! {
+            error = round => error,
+            () = stop.cancelled() => return,
+        };
+        let is_history = matches!(error, StoreError::Compacted(_));
+        sink(FollowNews::Lost(error));
+        if is_history {
+            continue;
+        }
+        // Daemons that lost the store together must not come back together.
+        let part = rand::rng().random_range(0.5..1.0);
+        tokio::time::sleep(pause.mul_f64(part)).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+/// Lists and watches until a call fails.
+async fn follow_round<S: PlatformStore>(
+    store: &S,
+    prefix: &str,
+    sink: &mut impl FnMut(FollowNews),
+    pause: &mut Duration,
+) -> StoreError {
+    let range = KeyRange::Prefix(prefix.to_owned());
+    let listed = match store.range(range.clone(), 0).await {
+        Ok(listed) => listed,
+        Err(error) => return error,
+    };
+    *pause = FIRST_PAUSE;
+    let from = listed.revision + 1;
+    sink(FollowNews::Whole(listed.pairs, listed.revision));
+    let mut watch = match store.watch(range, from).await {
+        Ok(watch) => watch,
+        Err(error) => return error,
+    };
+    loop {
+        match watch.next().await {
+            Ok(batch) => sink(FollowNews::Changed(batch)),
+            Err(error) => return error,
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet/member_list.rs
@@ -0,0 +1,219 @@
+//! The other daemons: those that are registered, and those that are heard.
+
+use std::{net::SocketAddr, time::Duration};
+
+use comfreyramp_policy::{Timestamp, lots::home_daemon, usage::PeerId};
+
+use super::{MemberRecord, PeerMessage};
+use crate::lots::LotProgress;
+
+/// A daemon that isn't registered is still spoken to while it is heard, and for
+/// so long after. The store may have turned it away, so that its lease lapsed:
+/// then others are all that it can learn from.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(6);
+/// A daemon was heard lately within this span.
+const HEARD_LATELY: Duration = Duration::from_millis(900);
+/// A daemon holds its lots for so long after it was last heard; then its lease
+/// has lapsed, or nearly.
+const HOLDS_LOTS_FOR: Duration = Duration::from_secs(3);
+
+#[derive(Clone, Debug)]
+struct KnownMember {
+    id: PeerId,
+    record: MemberRecord,
+    is_listed: bool,
+    heard_at: Option<Timestamp>,
+    number: u64,
+    operators_revision: i64,
+    servers_revision: i64,
+    progress: Vec<LotProgress>,
+    is_leaving: bool,
+}
+
+/// The other daemons.
+#[derive(Clone, Debug)]
+pub struct MemberList {
+    own: PeerId,
+    /// Sorted by id.
+    members: Vec<KnownMember>,
+}
+
+impl MemberList {
+    /// A list of a daemon that knows no others yet.
+    pub fn new(own_name: &str) -> Self {
+        MemberList {
+            own: PeerId::of_name(own_name),
+            members: Vec::new(),
+        }
+    }
+
+    /// Takes over the daemons that are registered.
+    pub fn set_listed(&mut self, records: &[MemberRecord], now: Timestamp) {
+        for member in &mut self.members {
+            member.is_listed = false;
+        }
+        for record in records {
+            let Some(member) = self.member_of(record) else {
+                continue;
+            };
+            member.is_listed = true;
+            member.heard_at.get_or_insert(now);
+        }
+        self.forget_silent(now);
+    }
+
+    /// Takes in what a daemon says. Returns its id, or nothing if the message is
+    /// this daemon's own, or older than one that came before.
+    pub fn hear(&mut self, message: &PeerMessage, now: Timestamp) -> Option<PeerId> {
+        let member = self.member_of(&message.from)?;
+        if member.number >= message.number {
+            return None;
+        }
+        member.number = message.number;
+        member.heard_at = Some(now);
+        member.operators_revision = message.operators_revision;
+        member.servers_revision = message.servers_revision;
+        member.progress.clone_from(&message.progress);
+        member.is_leaving = message.is_leaving;
+        Some(member.id)
+    }
+
+    fn member_of(&mut self, record: &MemberRecord) -> Option<&mut KnownMember> {
+        let id = PeerId::of_name(&record.name);
+        if id == self.own {
+            return None;
+        }
+        let place = match self.members.binary_search_by_key(&id, |it| it.id) {
+            Ok(place) => place,
+            Err(place) => {
+                self.members.insert(place, KnownMember::new(id, record));
+                place
+            }
+        };
+        let member = &mut self.members[place];
+        if member.record.incarnation != record.incarnation {
+            *member = KnownMember::new(id, record);
+        }
+        member.record = record.clone();
+        Some(member)
+    }
+
+    /// Forgets daemons that are neither registered nor heard. Returns whether
+    /// there were any.
+    pub fn forget_silent(&mut self, now: Timestamp) -> bool {
+        let before = self.members.len();
+        self.members.retain(|it| {
+            let is_heard = it
+                .heard_at
+                .is_some_and(|at| now.since(at) < FORGOTTEN_AFTER);
+            it.is_listed || (is_heard && !it.is_leaving)
+        });
+        self.members.len() != before
+    }
+
+    /// The ids of all daemons but this one.
+    pub fn ids(&self) -> Vec<PeerId> {
+        self.members
+            .iter()
+            .filter(|it| !it.is_leaving)
+            .map(|it| it.id)
+            .collect()
+    }
+
+    /// Where the daemons are reached.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.members.iter().map(|it| it.record.address).collect()
+    }
+
+    /// A daemon that acts by a newer view than one with these revisions.
+    pub fn ahead_of(&self, operators: i64, servers: i64) -> Option<SocketAddr> {
+        let is_ahead =
+            |it: &&KnownMember| it.operators_revision > operators || it.servers_revision > servers;
+        self.members
+            .iter()
+            .find(is_ahead)
+            .map(|it| it.record.address)
+    }
+
+    /// How many results a lot has, as the daemon that runs it tells.
+    pub fn told_results(&self, lot: &str) -> usize {
+        let told = self.members.iter().flat_map(|it| &it.progress);
+        let results = told
+            .filter(|it| it.lot == lot)
+            .map(|it| usize::from(it.results));
+        results.max().unwrap_or_default()
+    }
+
+    /// Whether a daemon tells that it is done with a lot, and none that it runs it.
+    pub fn told_left(&self, lot: &str) -> bool {
+        let mut told = self.members.iter().flat_map(|it| &it.progress);
+        let mut is_left = false;
+        told.all(|it| {
+            is_left |= it.lot == lot && !it.is_held;
+            it.lot != lot || !it.is_held
+        }) && is_left
+    }
+
+    /// Whether a daemon that was heard not long ago runs a lot.
+    pub fn is_held(&self, lot: &str, now: Timestamp) -> bool {
+        let heard = self
+            .members
+            .iter()
+            .filter(|it| it.was_heard(HOLDS_LOTS_FOR, now));
+        let mut told = heard.flat_map(|it| &it.progress);
+        told.any(|it| it.lot == lot && it.is_held)
+    }
+
+    /// Whether a lot falls to the daemon `own`, out of those that run lots.
+    ///
+    /// Daemons whose lists differ may each take a lot for theirs; the claim in
+    /// the store decides.
+    pub fn is_own_lot(&self, lot: &str, own: &str, now: Timestamp) -> bool {
+        let runs = |it: &&KnownMember| {
+            it.record.runs_lots && !it.is_leaving && it.was_heard(HEARD_LATELY, now)
+        };
+        let others = self
+            .members
+            .iter()
+            .filter(runs)
+            .map(|it| it.record.name.as_str());
+        let daemons: Vec<&str> = others.chain([own]).collect();
+        home_daemon(lot, &daemons) == Some(own)
+    }
+
+    /// Whether all daemons that run lots were heard lately.
+    pub fn hears_lot_runners(&self, now: Timestamp) -> bool {
+        let mut runners = self
+            .members
+            .iter()
+            .filter(|it| it.record.runs_lots)
+            .peekable();
+        runners.peek().is_some() && runners.all(|it| it.was_heard(HEARD_LATELY, now))
+    }
+
+    /// Whether the daemon `own` is the first by name of those that run lots.
+    pub fn is_first_lot_runner(&self, own: &str) -> bool {
+        let mut runners = self.members.iter().filter(|it| it.record.runs_lots);
+        runners.all(|it| it.record.name.as_str() > own)
+    }
+}
+
+impl KnownMember {
+    fn new(id: PeerId, record: &MemberRecord) -> Self {
+        KnownMember {
+            id,
+            record: record.clone(),
+            is_listed: false,
+            heard_at: None,
+            number: 0,
+            operators_revision: 0,
+            servers_revision: 0,
+            progress: Vec::new(),
+            is_leaving: false,
+        }
+    }
+
+    fn was_heard(&self, within: Duration, now: Timestamp) -> bool {
+        self.heard_at.is_some_and(|it| now.since(it) < within)
+    }
+}
--- /dev/null
+++ b/crates/serving/src/fleet/mod.rs
@@ -0,0 +1,19 @@
+//! What a daemon knows of the fleet: settings, servers, other daemons.
+
+mod announcer;
+mod fleet_view;
+mod follow;
+mod member_list;
+mod membership;
+mod peer_message;
+mod peer_views;
+mod store_view;
+
+pub use announcer::{listen_to_peers, run_announcer};
+pub use fleet_view::{FleetView, KnownCustomer, draw_service};
+pub use follow::{FollowNews, follow_store};
+pub use member_list::MemberList;
+pub use membership::{HeldLease, MEMBERS, keep_membership};
+pub use peer_message::{MemberRecord, PeerMessage, SuspectCount};
+pub use peer_views::{ViewPair, answer_peer, follow_peers};
+pub use store_view::StoreView;
--- /dev/null
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -0,0 +1,58 @@
+//! What daemons tell each other, several times a second.
+
+use std::net::SocketAddr;
+
+use comfreyramp_policy::{placement::LoadShare, usage::UsageCount};
+use serde::{Deserialize, Serialize};
+
+use crate::lots::{LotNotice, LotProgress};
+
+/// A daemon as it registers in the store, under its lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Its name.
+    pub name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where other daemons reach it.
+    pub address: SocketAddr,
+    /// Drawn anew at each start.
+    pub incarnation: u64,
+    /// Whether it runs items of lots.
+    pub runs_lots: bool,
+}
+
+/// How often servers broke off while they ran a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectCount {
+    /// The hash of customer, path and body.
+    pub fingerprint: u64,
+    /// How often, as this daemon saw it.
+    pub crashes: u8,
+}
+
+/// What a daemon tells the others. Counts are totals, not differences, so that a
+/// lost datagram costs nothing but time.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// Who speaks.
+    pub from: MemberRecord,
+    /// Grows with each message of an incarnation.
+    pub number: u64,
+    /// The store's revision of the operators' keys that it has in force.
+    pub operators_revision: i64,
+    /// The store's revision of the directory that it acts by.
+    pub servers_revision: i64,
+    /// What it has on servers, by the hash of their names.
+    pub shares: Vec<(u64, LoadShare)>,
+    /// What it let in of each customer's requests.
+    pub usage: Vec<UsageCount>,
+    /// Requests at which servers broke off.
+    pub suspects: Vec<SuspectCount>,
+    /// What happened to lots.
+    pub lots: Vec<LotNotice>,
+    /// How far the lots are that it runs.
+    pub progress: Vec<LotProgress>,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+}
--- /dev/null
+++ b/crates/serving/src/lots/held_lot.rs
@@ -0,0 +1,242 @@
+//! A lot while this daemon runs it.
+
+use std::{rc::Rc, time::Duration};
+
+use comfreyramp_policy::{ServerId, Timestamp};
+use comfreyramp_store::{KeyValue, LeaseId, Revision};
+use tokio_util::sync::CancellationToken;
+
+use super::{
+    item_run::{ItemEnd, ItemProgress},
+    keys,
+    records::{DamagedRecord, LotHead, from_json, from_packed},
+};
+use crate::model::{ItemResult, ItemState, LotItem};
+
+/// After this many breaks without progress an item waits longer: it may be the
+/// one that breaks its servers.
+const USUAL_BREAKS: u32 = 3;
+/// The pause of an item whose server broke off, and of one that keeps breaking.
+const BREAK_PAUSE: Duration = Duration::from_millis(100);
+const LONG_PAUSE: Duration = Duration::from_secs(5);
+/// The pause of an item that its server failed at, or didn't run.
+const FAULT_PAUSE: Duration = Duration::from_millis(250);
+
+/// Where an item stands.
+#[derive(Debug)]
+pub(super) enum ItemPhase {
+    /// It may run from this moment on.
+    Waiting(Timestamp),
+    /// It runs.
+    Running {
+        server: ServerId,
+        begun: Timestamp,
+        stop: CancellationToken,
+    },
+    /// It has its result.
+    Ended,
+}
+
+#[derive(Debug)]
+pub(super) struct HeldItem {
+    pub(super) item: Rc<LotItem>,
+    pub(super) phase: ItemPhase,
+    pub(super) progress: ItemProgress,
+    faults: u32,
+    breaks: u32,
+}
+
+/// A lot while this daemon runs it.
+#[derive(Debug)]
+pub(super) struct HeldLot {
+    pub(super) id: Rc<str>,
+    pub(super) head: LotHead,
+    pub(super) items: Vec<HeldItem>,
+    /// The revision of the claim; nothing while the lease is lost.
+    pub(super) claim: Option<Revision>,
+    /// The lease that the claim hangs on.
+    pub(super) lease: Option<LeaseId>,
+    /// Whether a claim under a new lease is on its way.
+    pub(super) is_reclaiming: bool,
+    /// How many groups of results the store holds.
+    pub(super) groups: usize,
+    /// How many results the store holds.
+    pub(super) listed: usize,
+    /// Results that aren't written yet.
+    pub(super) unwritten: Vec<ItemResult>,
+    /// Since when results wait.
+    pub(super) unwritten_since: Timestamp,
+    /// How many of the unwritten results a write under way holds.
+    pub(super) writing: usize,
+    /// Whether a write is on its way.
+    pub(super) is_writing: bool,
+    /// It isn't run any further here.
+    pub(super) is_closing: bool,
+}
+
+impl HeldLot {
+    /// Reads what the store holds of a lot. Returns nothing where there is
+    /// nothing to run: it doesn't exist, was ended, or has all its results.
+    pub(super) fn load(
+        id: &str,
+        pairs: &[KeyValue],
+        now: Timestamp,
+    ) -> Result<Option<HeldLot>, DamagedRecord> {
+        let head_key = keys::head(id);
+        let Some(head) = pairs.iter().find(|it| it.key == head_key) else {
+            return Ok(None);
+        };
+        if pairs.iter().any(|it| it.key == keys::end(id)) {
+            return Ok(None);
+        }
+        let mut items = Vec::new();
+        let mut results = Vec::new();
+        let mut groups = 0;
+        for pair in pairs {
+            if keys::is_pack(&pair.key) {
+                items.extend(from_packed::<Vec<LotItem>>(pair)?);
+            } else if keys::is_group(&pair.key) {
+                results.extend(from_packed::<Vec<ItemResult>>(pair)?);
+                groups += 1;
+            }
+        }
+        let items = items.into_iter().map(|item| {
+            let is_listed = results.iter().any(|it| it.id == item.id);
+            HeldItem::new(item, is_listed, now)
+        });
+        Ok(Some(HeldLot {
+            id: id.into(),
+            head: from_json(head)?,
+            items: items.collect(),
+            claim: None,
+            lease: None,
+            is_reclaiming: false,
+            groups,
+            listed: results.len(),
+            unwritten: Vec::new(),
+            unwritten_since: now,
+            writing: 0,
+            is_writing: false,
+            is_closing: false,
+        }))
+    }
+
+    /// Whether every item has its result, written or not.
+    pub(super) fn is_done(&self) -> bool {
+        self.items
+            .iter()
+            .all(|it| matches!(it.phase, ItemPhase::Ended))
+    }
+
+    /// The next item that may run.
+    pub(super) fn next_waiting(&self, now: Timestamp) -> Option<usize> {
+        if self.is_closing {
+            return None;
+        }
+        let may_run = |it: &HeldItem| matches!(it.phase, ItemPhase::Waiting(from) if from <= now);
+        // One that was begun holds its output in memory until it is done.
+        let begun = |it: &HeldItem| may_run(it) && it.progress.events > 0;
+        let place = self.items.iter().position(begun);
+        place.or_else(|| self.items.iter().position(may_run))
+    }
+
+    /// Stops all items.
+    pub(super) fn stop_items(&self) {
+        for item in &self.items {
+            if let ItemPhase::Running { stop, .. } = &item.phase {
+                stop.cancel();
+            }
+        }
+    }
+
+    /// Whether any item runs.
+    pub(super) fn has_running(&self) -> bool {
+        let runs = |it: &HeldItem| matches!(it.phase, ItemPhase::Running { .. });
+        self.items.iter().any(runs)
+    }
+
+    /// Takes in how a run of an item ended.
+    pub(super) fn end_run(&mut self, place: usize, end: ItemEnd, now: Timestamp) {
+        let attempts = self.head.attempts;
+        let item = &mut self.items[place];
+        match end {
+            ItemEnd::Done(output) => {
+                let output = String::from_utf8_lossy(&output).into_owned();
+                return self.end_item(place, ItemState::Done, output, now);
+            }
+            ItemEnd::Impossible => {
+                return self.end_item(place, ItemState::GivenUp, String::new(), now);
+            }
+            ItemEnd::Failed => {
+                item.faults += 1;
+                item.progress = ItemProgress::default();
+                item.phase = ItemPhase::Waiting(now + FAULT_PAUSE);
+                if item.faults >= attempts {
+                    return self.end_item(place, ItemState::GivenUp, String::new(), now);
+                }
+            }
+            ItemEnd::NotRun(progress) => {
+                item.progress = progress;
+                item.phase = ItemPhase::Waiting(now + FAULT_PAUSE);
+            }
+            ItemEnd::Broken(progress) => {
+                let has_progress = progress.events > item.progress.events;
+                item.breaks = if has_progress { 0 } else { item.breaks + 1 };
+                item.progress = progress;
+                let pause = match item.breaks <= USUAL_BREAKS {
+                    true => BREAK_PAUSE,
+                    false => LONG_PAUSE,
+                };
+                item.phase = ItemPhase::Waiting(now + pause);
+            }
+            ItemEnd::Stopped(progress) => {
+                item.progress = progress;
+                item.phase = ItemPhase::Waiting(now);
+            }
+        }
+    }
+
+    /// Gives up what has no result yet.
+    pub(super) fn give_up_waiting(&mut self, now: Timestamp) {
+        for place in 0..self.items.len() {
+            if matches!(self.items[place].phase, ItemPhase::Waiting(_)) {
+                self.end_item(place, ItemState::GivenUp, String::new(), now);
+            }
+        }
+    }
+
+    pub(super) fn end_item(
+        &mut self,
+        place: usize,
+        state: ItemState,
+        output: String,
+        now: Timestamp,
+    ) {
+        let item = &mut self.items[place];
+        item.phase = ItemPhase::Ended;
+        item.progress = ItemProgress::default();
+        if self.unwritten.is_empty() {
+            self.unwritten_since = now;
+        }
+        self.unwritten.push(ItemResult {
+            id: item.item.id.clone(),
+            state,
+            output,
+        });
+    }
+}
+
+impl HeldItem {
+    fn new(item: LotItem, is_listed: bool, now: Timestamp) -> Self {
+        HeldItem {
+            item: Rc::new(item),
+            phase: match is_listed {
+                true => ItemPhase::Ended,
+                false => ItemPhase::Waiting(now),
+            },
+            progress: ItemProgress::default(),
+            faults: 0,
+            breaks: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lots/item_run.rs
@@ -0,0 +1,176 @@
+//! Running one item of a lot.
+
+use std::{rc::Rc, time::Duration};
+
+use comfreyramp_http::{EventSplitter, event_id, event_text};
+use comfreyramp_policy::placement::ServerOutcomeKind;
+use http::StatusCode;
+use http_body_util::{BodyExt, Full};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    dialect::{Dialect, ServerDialect},
+    model::{LotItem, SendTicket},
+    node::Node,
+    path::{AttemptGuard, OpenAnswer, open_answer},
+};
+
+/// How long a server may take up to the first event. It is longer than for live
+/// requests: the item may wait for a slot that a live request took meanwhile.
+const FIRST_PATIENCE: Duration = Duration::from_millis(3_000);
+/// How long a server may be silent between two events.
+const EVENT_PATIENCE: Duration = Duration::from_millis(2_000);
+
+/// Where an item stands: what was read of its stream so far.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ItemProgress {
+    /// The id of the last event.
+    pub(super) last_event: Option<u64>,
+    /// The data of all events so far.
+    pub(super) output: Vec<u8>,
+    /// How many events there were.
+    pub(super) events: u32,
+}
+
+/// One run of an item.
+pub(super) struct ItemRun {
+    pub(super) item: Rc<LotItem>,
+    pub(super) host: String,
+    pub(super) customer: String,
+    pub(super) progress: ItemProgress,
+    /// How long the item may still take.
+    pub(super) time_left: Duration,
+    /// Cancelled when the item has to step aside, or its lot was ended.
+    pub(super) stop: CancellationToken,
+}
+
+/// How a run of an item ended.
+#[derive(Debug)]
+pub(super) enum ItemEnd {
+    /// Its whole answer is here.
+    Done(Vec<u8>),
+    /// The server says that it can never be done.
+    Impossible,
+    /// The server ran it and failed.
+    Failed,
+    /// It wasn't run.
+    NotRun(ItemProgress),
+    /// The server broke off, or fell silent.
+    Broken(ItemProgress),
+    /// It was stopped.
+    Stopped(ItemProgress),
+}
+
+/// Runs an item on the server whose place `guard` holds.
+pub(super) async fn run_item<D: Dialect>(
+    node: &Rc<Node<D>>,
+    guard: AttemptGuard<D>,
+    mut run: ItemRun,
+) -> ItemEnd {
+    let request = {
+        let servers = node.servers.borrow();
+        let ticket = SendTicket {
+            server: &servers.listing(guard.server).name,
+            customer: Some(&run.customer),
+            time_left: run.time_left,
+            last_event: run.progress.last_event,
+        };
+        <D::Servers as ServerDialect>::item_request(&run.item, &run.host, &ticket)
+    };
+    let request = match request {
+        Ok(request) => request.map(Full::new),
+        Err(error) => {
+            log::warn!(item = run.item.id, error:% = error; "lots: an item is no request");
+            return ItemEnd::Impossible;
+        }
+    };
+    let opening = open_answer(guard, request, &run.item.id, FIRST_PATIENCE);
+    let opened = tokio::select! {
+        opened = opening => opened,
+        () = run.stop.cancelled() => return ItemEnd::Stopped(run.progress),
+    };
+    let open = match opened {
+        Ok(open) => open,
+        Err(failure) if failure.may_have_run() => return ItemEnd::Broken(run.progress),
+        Err(_) => return ItemEnd::NotRun(run.progress),
+    };
+    match open.head.status {
+        StatusCode::UNPROCESSABLE_ENTITY => ItemEnd::Impossible,
+        status if status.is_success() => read_events(node, open, &mut run).await,
+        _ => ItemEnd::Failed,
+    }
+}
+
+async fn read_events<D: Dialect>(
+    node: &Rc<Node<D>>,
+    mut open: OpenAnswer<D>,
+    run: &mut ItemRun,
+) -> ItemEnd {
+    let mut splitter = EventSplitter::default();
+    let mut next = open.first.take();
+    loop {
+        if let Some(data) = next.take() {
+            if splitter.push(&data).is_err() {
+                return broken(&open, run);
+            }
+            while let Some(event) = splitter.next_event() {
+                run.progress.take(&event);
+            }
+        }
+        let reading = tokio::time::timeout(EVENT_PATIENCE, open.body.frame());
+        let frame = tokio::select! {
+            frame = reading => frame,
+            () = run.stop.cancelled() => {
+                return ItemEnd::Stopped(std::mem::take(&mut run.progress));
+            }
+        };
+        match frame {
+            Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
+            Ok(None) if splitter.is_empty() => break,
+            Ok(None | Some(Err(_))) | Err(_) => return broken(&open, run),
+        }
+    }
+    open.guard.note(ServerOutcomeKind::Answered);
+    let now = node.clock.now();
+    node.connections
+        .put_back(open.connection, open.answer.kept_for, now);
+    ItemEnd::Done(std::mem::take(&mut run.progress.output))
+}
+
+fn broken<D: Dialect>(open: &OpenAnswer<D>, run: &mut ItemRun) -> ItemEnd {
+    open.guard.note(ServerOutcomeKind::Broken);
+    ItemEnd::Broken(std::mem::take(&mut run.progress))
+}
+
+impl ItemProgress {
+    fn take(&mut self, event: &[u8]) {
+        let id = event_id(event);
+        // A server that repeats an event must not get it into the output twice.
+        if id.is_some() && id <= self.last_event {
+            return;
+        }
+        let Some(text) = event_text(event) else {
+            return;
+        };
+        if self.events > 0 {
+            self.output.push(b'\n');
+        }
+        self.output.extend_from_slice(&text);
+        self.events += 1;
+        self.last_event = id.or(self.last_event);
+    }
+}
+
+impl ItemEnd {
+    /// The end as a label.
+    pub(super) fn as_str(&self) -> &'static str {
+        match self {
+            ItemEnd::Done(_) => "done",
+            ItemEnd::Impossible => "impossible",
+            ItemEnd::Failed => "failed",
+            ItemEnd::NotRun(_) => "not_run",
+            ItemEnd::Broken(_) => "broken",
+            ItemEnd::Stopped(_) => "stopped",
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lots/keys.rs
@@ -0,0 +1,70 @@
+//! The keys of lots in the store.
+
+/// Open lots, by id: written with the lot, removed with its last result or end.
+pub(super) const OPEN: &str = "lots/open/";
+/// The key of the daemon that runs a lot, under that daemon's lease.
+const CLAIM: &str = "lots/claim/";
+/// The lot's head, its items, groups of results, and the end.
+const DATA: &str = "lots/data/";
+
+/// The longest id. Keys have 200 bytes at most.
+const LONGEST_ID: usize = 100;
+
+/// Whether a caller's id can stand in a key and in a query.
+pub(super) fn is_usable_id(id: &str) -> bool {
+    let is_plain = |it: char| it.is_ascii_alphanumeric() || it == '-' || it == '_';
+    !id.is_empty() && id.len() <= LONGEST_ID && id.chars().all(is_plain)
+}
+
+pub(super) fn open(lot: &str) -> String {
+    format!("{OPEN}{lot}")
+}
+
+pub(super) fn claim(lot: &str) -> String {
+    format!("{CLAIM}{lot}")
+}
+
+/// All that is kept of a lot. In the order of keys the head comes first, then
+/// the packs of items, the groups of results by number, and the end.
+pub(super) fn data(lot: &str) -> String {
+    format!("{DATA}{lot}/")
+}
+
+pub(super) fn head(lot: &str) -> String {
+    format!("{DATA}{lot}/head")
+}
+
+pub(super) fn group(lot: &str, number: usize) -> String {
+    format!("{DATA}{lot}/results/{number:05}")
+}
+
+pub(super) fn is_group(key: &str) -> bool {
+    key.contains("/results/")
+}
+
+pub(super) fn end(lot: &str) -> String {
+    format!("{DATA}{lot}/zend")
+}
+
+/// All packs of a lot's items.
+pub(super) fn items(lot: &str) -> String {
+    format!("{DATA}{lot}/items/")
+}
+
+pub(super) fn pack(lot: &str, number: usize) -> String {
+    format!("{DATA}{lot}/items/{number:03}")
+}
+
+/// The key after which the results of a lot begin.
+pub(super) fn before_results(lot: &str) -> String {
+    format!("{DATA}{lot}/results/")
+}
+
+pub(super) fn is_pack(key: &str) -> bool {
+    key.contains("/items/")
+}
+
+/// What the keys of all lots begin with.
+pub(super) fn all_data() -> &'static str {
+    DATA
+}
--- /dev/null
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -0,0 +1,170 @@
+//! What a daemon has read of lots. Heads and results never change, so that what
+//! is here needs no second look at the store.
+
+use std::time::Duration;
+
+use comfreyramp_policy::Timestamp;
+use comfreyramp_store::KeyValue;
+
+use super::{
+    keys,
+    records::{DamagedRecord, LotHead, from_json, from_packed},
+};
+use crate::model::{ItemResult, LotPage};
+
+/// The lots that are kept at most.
+const MOST_LOTS: usize = 64;
+/// The bytes of results that are kept at most, so that a daemon of a small VM
+/// isn't killed for its memory.
+const MOST_BYTES: usize = 12 << 20;
+/// The bytes of results that one answer holds at most.
+const PAGE_BYTES: usize = 900_000;
+
+/// A lot as far as it was read.
+#[derive(Clone, Debug)]
+pub struct KnownLot {
+    lot: String,
+    /// Its head.
+    pub head: LotHead,
+    /// The revision of its head's key.
+    pub head_revision: i64,
+    /// Its results by position.
+    pub results: Vec<ItemResult>,
+    /// Whether its customer ended it.
+    pub is_ended: bool,
+    last_key: String,
+    bytes: usize,
+    /// When the store was last asked for it.
+    pub asked_at: Timestamp,
+    used_at: Timestamp,
+}
+
+impl KnownLot {
+    /// Whether all of its items have their results.
+    pub fn is_whole(&self) -> bool {
+        self.results.len() >= self.head.total
+    }
+
+    /// Results from a position on; one at least, if there is one.
+    pub fn page(&self, after: usize) -> LotPage {
+        let mut page = LotPage {
+            total: self.head.total,
+            next: after,
+            results: Vec::new(),
+        };
+        let mut bytes = 0;
+        for result in self.results.iter().skip(after) {
+            bytes += result.output.len() + result.id.len();
+            if bytes > PAGE_BYTES && !page.results.is_empty() {
+                break;
+            }
+            page.results.push(result.clone());
+        }
+        page.next = after + page.results.len();
+        page
+    }
+
+    fn take(&mut self, pairs: &[KeyValue]) -> Result<(), DamagedRecord> {
+        for pair in pairs {
+            if keys::is_group(&pair.key) && pair.key > self.last_key {
+                let results: Vec<ItemResult> = from_packed(pair)?;
+                self.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
+                self.results.extend(results);
+                self.last_key.clone_from(&pair.key);
+            }
+            self.is_ended |= pair.key == keys::end(&self.lot);
+        }
+        Ok(())
+    }
+}
+
+/// What a daemon has read of lots.
+#[derive(Debug, Default)]
+pub struct LotCache {
+    /// Sorted by id.
+    lots: Vec<KnownLot>,
+}
+
+impl LotCache {
+    /// A lot as far as it was read.
+    pub fn get(&self, lot: &str) -> Option<&KnownLot> {
+        let place = self
+            .lots
+            .binary_search_by(|it| it.lot.as_str().cmp(lot))
+            .ok()?;
+        Some(&self.lots[place])
+    }
+
+    /// Whether a lot is known to belong to a customer.
+    pub fn belongs_to(&self, lot: &str, customer: &str) -> bool {
+        self.get(lot).is_some_and(|it| it.head.customer == customer)
+    }
+
+    /// The last key that was read of a lot, after which there may be more.
+    pub fn last_key(&self, lot: &str) -> Option<String> {
+        self.get(lot).map(|it| it.last_key.clone())
+    }
+
+    /// Takes in what the store holds after [`LotCache::last_key`]. Without a
+    /// head there is no such lot.
+    pub fn take(
+        &mut self,
+        lot: &str,
+        pairs: &[KeyValue],
+        now: Timestamp,
+    ) -> Result<(), DamagedRecord> {
+        let place = match self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
+            Ok(place) => place,
+            Err(place) => {
+                let key = keys::head(lot);
+                let Some(pair) = pairs.iter().find(|it| it.key == key) else {
+                    return Ok(());
+                };
+                let known = KnownLot {
+                    lot: lot.to_owned(),
+                    head: from_json(pair)?,
+                    head_revision: pair.modified,
+                    results: Vec::new(),
+                    is_ended: false,
+                    last_key: keys::before_results(lot),
+                    bytes: 0,
+                    asked_at: now,
+                    used_at: now,
+                };
+                self.lots.insert(place, known);
+                place
+            }
+        };
+        let known = &mut self.lots[place];
+        known.asked_at = now;
+        known.used_at = now;
+        known.take(pairs)?;
+        self.shrink();
+        Ok(())
+    }
+
+    /// Notes that a lot was ended.
+    pub fn end(&mut self, lot: &str) {
+        if let Ok(place) = self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
+            self.lots[place].is_ended = true;
+        }
+    }
+
+    /// Drops the lots that were left alone for longest.
+    fn shrink(&mut self) {
+        let bytes = |lots: &[KnownLot]| lots.iter().map(|it| it.bytes).sum::<usize>();
+        while self.lots.len() > MOST_LOTS || (self.lots.len() > 1 && bytes(&self.lots) > MOST_BYTES)
+        {
+            let oldest = self.lots.iter().enumerate().min_by_key(|it| it.1.used_at);
+            let Some((place, _)) = oldest else {
+                return;
+            };
+            self.lots.remove(place);
+        }
+    }
+
+    /// Drops lots whose results nobody may ask for any more.
+    pub fn forget_before(&mut self, now: Timestamp, kept: Duration) {
+        self.lots.retain(|it| now.since(it.used_at) < kept);
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lots/mod.rs
@@ -0,0 +1,30 @@
+//! Lots: accepted once, kept in the store, run item by item, read from anywhere.
+//!
+//! A daemon that callers reach accepts a lot by one conditional write and tells
+//! the daemons that run lots ([`LotNotice`]). One of these claims it under its
+//! lease, runs the items in slots that live requests leave over, and appends the
+//! results in groups, each guarded by the claim. Readers take results from the
+//! store; what a daemon has read once it keeps, since results never change.
+//!
+//! docs/PLATFORM.md shows the keys and what each step costs.
+
+mod accept;
+mod held_lot;
+mod item_run;
+mod keys;
+mod lot_cache;
+mod notices;
+mod read;
+mod records;
+mod retire;
+mod sweep;
+mod worker;
+mod writer;
+
+pub use accept::{Submission, accept_lot};
+pub use lot_cache::LotCache;
+pub use notices::{LotNotice, LotNotices, LotProgress};
+pub use read::answer_reader;
+pub use retire::follow_retire;
+pub use sweep::sweep_lots;
+pub use worker::run_lots;
--- /dev/null
+++ b/crates/serving/src/lots/read.rs
@@ -0,0 +1,217 @@
+//! Reading and ending lots.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use comfreyramp_store::{
+    Comparison, KeyRange, OnceOutcome, PlatformStore, RetryPace, StoreError, Write, WriteBatch,
+    write_once,
+};
+use http::Response;
+
+use super::{
+    keys,
+    notices::LotNotice,
+    records::{DamagedRecord, from_packed, to_json},
+};
+use crate::{
+    dialect::{CallerDialect, Dialect},
+    fleet::KnownCustomer,
+    model::{CallerAsk, LotItem, Refusal, RefusalCause},
+    node::Node,
+    path::FrontBody,
+};
+
+/// An answer is held back no longer than this while there is no result.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// How often a reader that waits looks whether there is news.
+const LOOK_INTERVAL: Duration = Duration::from_millis(150);
+/// What was read of a lot counts as current for so long while the daemons that
+/// run lots are heard: they tell of each result.
+const TRUSTED_FOR: Duration = Duration::from_secs(5);
+/// The same while one of them isn't heard.
+const DOUBTED_FOR: Duration = Duration::from_millis(450);
+/// When a reader may come back while the store can't be reached.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+/// How often a lot's end is written at most.
+const END_TRIES: u32 = 5;
+
+type Answer<D> = Result<Response<FrontBody<D>>, Refusal>;
+
+/// Answers a request for a lot.
+pub async fn answer_reader<D: Dialect>(
+    node: &Rc<Node<D>>,
+    customer: &Arc<KnownCustomer>,
+    ask: CallerAsk,
+) -> Answer<D> {
+    let name = customer.settings.name.as_str();
+    match ask {
+        CallerAsk::ReadLot { lot, after, wait } => read_lot(node, name, &lot, after, wait).await,
+        CallerAsk::ReadItem { lot, item } => read_item(node, name, &lot, &item).await,
+        CallerAsk::EndLot { lot } => end_lot(node, name, &lot).await,
+        CallerAsk::Forward => Err(RefusalCause::NoRoute.into()),
+    }
+}
+
+async fn read_lot<D: Dialect>(
+    node: &Rc<Node<D>>,
+    customer: &str,
+    lot: &str,
+    after: usize,
+    wait: Duration,
+) -> Answer<D> {
+    let until = node.clock.now() + wait.min(LONGEST_WAIT);
+    know_lot(node, customer, lot).await?;
+    loop {
+        let has_news = |node: &Node<D>| {
+            let cache = node.lot_cache.borrow();
+            cache
+                .get(lot)
+                .is_none_or(|it| it.results.len() > after || it.is_whole())
+        };
+        if !has_news(node) && may_have_more(node, lot) {
+            refresh(node, lot).await?;
+        }
+        if has_news(node) || node.clock.now() >= until {
+            break;
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
+    let cache = node.lot_cache.borrow();
+    let Some(known) = cache.get(lot) else {
+        return Err(Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY));
+    };
+    let page = known.page(after);
+    Ok(<D::Callers as CallerDialect>::lot_page(&page).map(FrontBody::whole))
+}
+
+/// Whether the store may hold more of a lot than was read.
+fn may_have_more<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
+    let cache = node.lot_cache.borrow();
+    let Some(known) = cache.get(lot) else {
+        return true;
+    };
+    if known.is_whole() {
+        return false;
+    }
+    if node.told_results(lot) > known.results.len() {
+        return true;
+    }
+    let age = node.clock.now().since(known.asked_at);
+    let trusted = match node.hears_lot_runners() {
+        true => TRUSTED_FOR,
+        false => DOUBTED_FOR,
+    };
+    age > trusted
+}
+
+/// Makes sure that a lot is known and belongs to a customer.
+async fn know_lot<D: Dialect>(
+    node: &Rc<Node<D>>,
+    customer: &str,
+    lot: &str,
+) -> Result<(), Refusal> {
+    if !keys::is_usable_id(lot) {
+        return Err(RefusalCause::NoSuchLot.into());
+    }
+    if node.lot_cache.borrow().get(lot).is_none() {
+        refresh(node, lot).await?;
+    }
+    // A store that was asked without a copy in between can be sure.
+    match node.lot_cache.borrow().belongs_to(lot, customer) {
+        true => Ok(()),
+        false => Err(RefusalCause::NoSuchLot.into()),
+    }
+}
+
+/// Reads what the store holds of a lot beyond what is known.
+async fn refresh<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> Result<(), Refusal> {
+    let prefix = keys::data(lot);
+    let range = match node.lot_cache.borrow().last_key(lot) {
+        Some(after) => KeyRange::After { prefix, after },
+        None => KeyRange::Prefix(prefix),
+    };
+    let answer = node
+        .store
+        .range(range, 0)
+        .await
+        .map_err(|error| away(node, lot, &error))?;
+    let now = node.clock.now();
+    let taken = node.lot_cache.borrow_mut().take(lot, &answer.pairs, now);
+    taken.map_err(|error| damaged(&error))
+}
+
+fn away<D: Dialect>(node: &Node<D>, lot: &str, error: &StoreError) -> Refusal {
+    node.note_store_trouble();
+    log::warn!(lot = lot, error:% = error; "lots: can't be read");
+    Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY)
+}
+
+fn damaged(error: &DamagedRecord) -> Refusal {
+    log::error!(error:% = error; "lots: damaged");
+    Refusal::new(RefusalCause::StoreAway)
+}
+
+async fn read_item<D: Dialect>(
+    node: &Rc<Node<D>>,
+    customer: &str,
+    lot: &str,
+    item: &str,
+) -> Answer<D> {
+    know_lot(node, customer, lot).await?;
+    let range = KeyRange::Prefix(keys::items(lot));
+    let answer = node
+        .store
+        .range(range, 0)
+        .await
+        .map_err(|error| away(node, lot, &error))?;
+    for pair in &answer.pairs {
+        let items: Vec<LotItem> = from_packed(pair).map_err(|error| damaged(&error))?;
+        if let Some(found) = items.into_iter().find(|it| it.id == item) {
+            let body = Bytes::from(found.body);
+            return Ok(<D::Callers as CallerDialect>::item_body(body).map(FrontBody::whole));
+        }
+    }
+    Err(RefusalCause::NoSuchLot.into())
+}
+
+/// Ends a lot: its items are no longer run. What is listed stays.
+async fn end_lot<D: Dialect>(node: &Rc<Node<D>>, customer: &str, lot: &str) -> Answer<D> {
+    know_lot(node, customer, lot).await?;
+    let ended = || Ok(<D::Callers as CallerDialect>::lot_ended().map(FrontBody::whole));
+    if node
+        .lot_cache
+        .borrow()
+        .get(lot)
+        .is_some_and(|it| it.is_ended)
+    {
+        return ended();
+    }
+    let end_key = keys::end(lot);
+    let batch = WriteBatch {
+        when: vec![Comparison::Absent(end_key.clone())],
+        then: vec![
+            Write::Put {
+                key: end_key,
+                value: to_json(&node.settings.name),
+                lease: None,
+            },
+            Write::Delete(keys::open(lot)),
+        ],
+        read_back: Vec::new(),
+    };
+    let pace = RetryPace::new(node.incarnation).attempts(END_TRIES);
+    match write_once(&node.store, batch, pace).await {
+        // Whoever wrote the end, it stands.
+        Ok(
+            OnceOutcome::Written(_) | OnceOutcome::Refused { .. } | OnceOutcome::Overtaken { .. },
+        ) => {
+            log::info!(lot = lot; "lots: ended by its customer");
+            node.lot_cache.borrow_mut().end(lot);
+            node.tell_lot(LotNotice::Ended(lot.to_owned()));
+            ended()
+        }
+        Err(StoreError::AnswerLost(_)) => Err(RefusalCause::Undecided.into()),
+        Err(error) => Err(away(node, lot, &error)),
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lots/records.rs
@@ -0,0 +1,106 @@
+//! What the store holds of lots.
+
+use bytes::Bytes;
+use comfreyramp_store::KeyValue;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::model::LotItem;
+
+/// Fast enough for a small VM; bodies hardly compress further anyway.
+const COMPRESSION: i32 = 1;
+/// The part of the store's longest value that a pack fills before compression,
+/// which may make random bytes longer.
+const PACK_PART: f64 = 0.8;
+
+/// The head of a lot. It never changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LotHead {
+    /// Whose it is.
+    pub customer: String,
+    /// The host that its route belongs to.
+    pub host: String,
+    /// How many items it has.
+    pub total: usize,
+    /// How often an item may fail.
+    pub attempts: u32,
+    /// When it was first handed in, in Unix milliseconds.
+    pub submitted: u64,
+    /// When it is due.
+    pub due: u64,
+    /// From when on items may be given up.
+    pub given_up: u64,
+}
+
+/// What a daemon that runs lots needs to know before it claims one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenMark {
+    /// When the lot is due, in Unix milliseconds.
+    pub due: u64,
+}
+
+/// A record that can't be read, which only damage or a newer version explains.
+#[derive(Debug, thiserror::Error)]
+#[error("{key} can't be read: {problem}")]
+pub struct DamagedRecord {
+    key: String,
+    problem: String,
+}
+
+/// Writes a small record.
+pub(super) fn to_json(record: &impl Serialize) -> Bytes {
+    // Own types with text keys: serializing can't fail.
+    serde_json::to_vec(record).unwrap_or_default().into()
+}
+
+/// Writes a large record, compressed.
+pub(super) fn to_packed(record: &impl Serialize) -> Bytes {
+    let json = to_json(record);
+    match zstd::encode_all(json.as_ref(), COMPRESSION) {
+        Ok(packed) => packed.into(),
+        Err(error) => {
+            log::error!(error:% = error; "lots: a record is kept uncompressed");
+            json
+        }
+    }
+}
+
+pub(super) fn from_json<T: DeserializeOwned>(pair: &KeyValue) -> Result<T, DamagedRecord> {
+    serde_json::from_slice(&pair.value).map_err(|error| damaged(pair, &error))
+}
+
+pub(super) fn from_packed<T: DeserializeOwned>(pair: &KeyValue) -> Result<T, DamagedRecord> {
+    let json = match zstd::decode_all(pair.value.as_ref()) {
+        Ok(json) => json,
+        // It was kept uncompressed.
+        Err(_) => pair.value.to_vec(),
+    };
+    serde_json::from_slice(&json).map_err(|error| damaged(pair, &error))
+}
+
+fn damaged(pair: &KeyValue, problem: &dyn std::fmt::Display) -> DamagedRecord {
+    DamagedRecord {
+        key: pair.key.clone(),
+        problem: problem.to_string(),
+    }
+}
+
+/// Packs items into as few values as the store's limit allows.
+pub(super) fn pack_items(items: &[LotItem], value_bytes: usize) -> Vec<Bytes> {
+    let limit = (value_bytes as f64 * PACK_PART) as usize;
+    let mut packs = Vec::new();
+    let mut begin = 0;
+    let mut size = 0;
+    for (place, item) in items.iter().enumerate() {
+        // Bodies are base64 in JSON, and compress to about their own length.
+        let headers: usize = item.headers.iter().map(|it| it.0.len() + it.1.len()).sum();
+        let length = item.body.len() + item.path.len() + headers + 100;
+        if size + length > limit && place > begin {
+            packs.push(to_packed(&&items[begin..place]));
+            begin = place;
+            size = 0;
+        }
+        size += length;
+    }
+    packs.push(to_packed(&&items[begin..]));
+    packs
+}
--- /dev/null
+++ b/crates/serving/src/lots/writer.rs
@@ -0,0 +1,186 @@
+//! Claims on lots, and the results written under them.
+
+use std::rc::Rc;
+
+use comfreyramp_store::{
+    Comparison, KeyRange, LeaseId, OnceOutcome, PlatformStore, RetryPace, Revision, StoreError,
+    Write, WriteBatch, write_once,
+};
+
+use super::{
+    held_lot::HeldLot,
+    keys,
+    records::{to_json, to_packed},
+};
+use crate::{dialect::Dialect, model::ItemResult, node::Node};
+
+/// How often a write is sent before the store is left alone for a moment.
+const WRITE_TRIES: u32 = 3;
+
+/// How a claim went.
+#[derive(Debug)]
+pub(super) enum ClaimAnswer {
+    /// The lot is this daemon's; here is what the store holds of it.
+    Claimed(Box<HeldLot>),
+    /// There is nothing to run.
+    Gone,
+    /// Another daemon has it.
+    Taken,
+    /// The store didn't answer; it is tried again later.
+    Unknown,
+}
+
+/// How a write of results went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum WriteAnswer {
+    /// They are in the store.
+    Written,
+    /// The claim is another daemon's, or the lot was ended.
+    Fenced,
+    /// The store didn't answer; the same write is tried again later.
+    Unknown,
+}
+
+/// Claims a lot and reads it.
+pub(super) async fn claim_lot<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> ClaimAnswer {
+    let Some(lease) = node.lease() else {
+        return ClaimAnswer::Unknown;
+    };
+    let revision = match write_claim(node, lot, lease.id).await {
+        Ok(Some(revision)) => revision,
+        Ok(None) => return ClaimAnswer::Taken,
+        Err(error) => return unknown(node, lot, &error),
+    };
+    let range = KeyRange::Prefix(keys::data(lot));
+    let listed = match node.store.range(range, 0).await {
+        Ok(listed) => listed,
+        Err(error) => {
+            release(node, lot, revision).await;
+            return unknown(node, lot, &error);
+        }
+    };
+    match HeldLot::load(lot, &listed.pairs, node.clock.now()) {
+        Ok(Some(mut held)) if !held.is_done() => {
+            held.claim = Some(revision);
+            held.lease = Some(lease.id);
+            ClaimAnswer::Claimed(Box::new(held))
+        }
+        Ok(_) => {
+            release_done(node, lot, revision).await;
+            ClaimAnswer::Gone
+        }
+        Err(error) => {
+            log::error!(lot = lot, error:% = error; "lots: damaged");
+            ClaimAnswer::Gone
+        }
+    }
+}
+
+fn unknown<D: Dialect>(node: &Node<D>, lot: &str, error: &StoreError) -> ClaimAnswer {
+    node.note_store_trouble();
+    log::warn!(lot = lot, error:% = error; "lots: not claimed");
+    ClaimAnswer::Unknown
+}
+
+/// Writes a claim. Returns nothing if another daemon has one.
+pub(super) async fn write_claim<D: Dialect>(
+    node: &Node<D>,
+    lot: &str,
+    lease: LeaseId,
+) -> Result<Option<Revision>, StoreError> {
+    let key = keys::claim(lot);
+    // The lease's id tells this claim from one of an earlier life.
+    let value = to_json(&(&node.settings.name, lease.0));
+    let batch = WriteBatch {
+        when: vec![Comparison::Absent(key.clone())],
+        then: vec![Write::Put {
+            key: key.clone(),
+            value: value.clone(),
+            lease: Some(lease),
+        }],
+        read_back: vec![key],
+    };
+    let pace = RetryPace::new(node.incarnation).attempts(WRITE_TRIES);
+    match write_once(&node.store, batch, pace).await? {
+        OnceOutcome::Written(revision) => Ok(Some(revision)),
+        OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. } => {
+            let own = found.into_iter().find(|it| it.value == value);
+            Ok(own.map(|it| it.modified))
+        }
+    }
+}
+
+/// Writes a group of results. The last one takes the claim and the open mark
+/// away with it.
+pub(super) async fn write_results<D: Dialect>(
+    node: &Node<D>,
+    lot: &str,
+    claim: Revision,
+    number: usize,
+    results: &[ItemResult],
+    is_last: bool,
+) -> WriteAnswer {
+    let claim_key = keys::claim(lot);
+    let group_key = keys::group(lot, number);
+    let mut then = vec![Write::Put {
+        key: group_key.clone(),
+        value: to_packed(&results),
+        lease: None,
+    }];
+    if is_last {
+        then.push(Write::Delete(claim_key.clone()));
+        then.push(Write::Delete(keys::open(lot)));
+    }
+    let batch = WriteBatch {
+        when: vec![
+            Comparison::ModifiedAt(claim_key, claim),
+            Comparison::Absent(keys::end(lot)),
+            Comparison::Absent(group_key.clone()),
+        ],
+        then,
+        read_back: vec![group_key],
+    };
+    let pace = RetryPace::new(node.incarnation).attempts(WRITE_TRIES);
+    match write_once(&node.store, batch, pace).await {
+        Ok(OnceOutcome::Written(_)) => WriteAnswer::Written,
+        Ok(OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) => {
+            // An earlier try of this same group, whose answer was lost.
+            let own = to_packed(&results);
+            let is_own = |it: &comfreyramp_store::KeyValue| it.value == own;
+            match found.iter().any(is_own) {
+                true => WriteAnswer::Written,
+                false => WriteAnswer::Fenced,
+            }
+        }
+        Err(error) => {
+            node.note_store_trouble();
+            log::warn!(lot = lot, error:% = error; "lots: results wait for the store");
+            WriteAnswer::Unknown
+        }
+    }
+}
+
+/// Gives a claim back. Should this fail, it lapses with the lease.
+pub(super) async fn release<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision) {
+    remove(node, lot, claim, vec![Write::Delete(keys::claim(lot))]).await;
+}
+
+/// Gives back the claim on a lot that has nothing left to run.
+async fn release_done<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision) {
+    let then = vec![
+        Write::Delete(keys::claim(lot)),
+        Write::Delete(keys::open(lot)),
+    ];
+    remove(node, lot, claim, then).await;
+}
+
+async fn remove<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision, then: Vec<Write>) {
+    let batch = WriteBatch {
+        when: vec![Comparison::ModifiedAt(keys::claim(lot), claim)],
+        then,
+        read_back: Vec::new(),
+    };
+    if let Err(error) = node.store.transact(batch).await {
+        log::warn!(lot = lot, error:% = error; "lots: a claim lapses by itself");
+    }
+}
--- /dev/null
+++ b/crates/serving/src/metrics.rs
@@ -0,0 +1,161 @@
+//! What a daemon counts. docs/OPERATIONS.md explains each metric.
+
+use std::time::Duration;
+
+use comfreyramp_store::{CallCounts, CallEnd, StoreCall};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Buckets for waits in seconds, fine where objectives lie.
+const WAIT_BUCKETS: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.25, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 5.0,
+    10.0, 20.0,
+];
+
+/// All metrics of a daemon. Label values are customers, routes' kinds and fixed
+/// words: none is chosen by a caller.
+#[derive(Clone, Debug)]
+pub struct NodeMetrics {
+    registry: Registry,
+    first_byte: HistogramVec,
+    whole: HistogramVec,
+    refusals: IntCounterVec,
+    attempts: IntCounterVec,
+    store_calls: IntCounterVec,
+    lots: IntCounterVec,
+    in_flight: IntGaugeVec,
+    view_revision: IntGaugeVec,
+    /// Log lines that were dropped since the writer was behind.
+    pub dropped_lines: IntGauge,
+}
+
+impl NodeMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// Fails only if two metrics have the same name.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let histogram = |name: &str, help: &str| {
+            let options = HistogramOpts::new(name, help).buckets(WAIT_BUCKETS.to_vec());
+            HistogramVec::new(options, &["customer", "kind"])
+        };
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            IntCounterVec::new(Opts::new(name, help), labels)
+        };
+        let gauge = |name: &str, help: &str, labels: &[&str]| {
+            IntGaugeVec::new(Opts::new(name, help), labels)
+        };
+        let metrics = NodeMetrics {
+            registry: Registry::new(),
+            first_byte: histogram(
+                "comfreyramp_first_byte_seconds",
+                "Until the first byte of the answer's body.",
+            )?,
+            whole: histogram("comfreyramp_whole_seconds", "Until the end of the answer.")?,
+            refusals: counter(
+                "comfreyramp_refusals_total",
+                "Requests refused, by cause.",
+                &["customer", "cause"],
+            )?,
+            attempts: counter(
+                "comfreyramp_attempts_total",
+                "Requests sent to servers, by how it went.",
+                &["outcome"],
+            )?,
+            store_calls: counter(
+                "comfreyramp_store_calls_total",
+                "Calls to the store, by how they ended.",
+                &["call", "end"],
+            )?,
+            lots: counter(
+                "comfreyramp_lot_events_total",
+                "What happened to lots and their items.",
+                &["event"],
+            )?,
+            in_flight: gauge(
+                "comfreyramp_in_flight",
+                "Requests that are being served.",
+                &["kind"],
+            )?,
+            view_revision: gauge(
+                "comfreyramp_view_revision",
+                "The store's revision that a view shows.",
+                &["view"],
+            )?,
+            dropped_lines: IntGauge::new(
+                "comfreyramp_dropped_log_lines",
+                "Log lines that were dropped.",
+            )?,
+        };
+        let registry = &metrics.registry;
+        registry.register(Box::new(metrics.first_byte.clone()))?;
+        registry.register(Box::new(metrics.whole.clone()))?;
+        registry.register(Box::new(metrics.refusals.clone()))?;
+        registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.store_calls.clone()))?;
+        registry.register(Box::new(metrics.lots.clone()))?;
+        registry.register(Box::new(metrics.in_flight.clone()))?;
+        registry.register(Box::new(metrics.view_revision.clone()))?;
+        registry.register(Box::new(metrics.dropped_lines.clone()))?;
+        Ok(metrics)
+    }
+
+    /// Counts the first byte of an answer.
+    pub fn first_byte(&self, customer: &str, kind: &str, span: Duration) {
+        self.first_byte
+            .with_label_values(&[customer, kind])
+            .observe(span.as_secs_f64());
+    }
+
+    /// Counts the end of an answer.
+    pub fn whole(&self, customer: &str, kind: &str, span: Duration) {
+        self.whole
+            .with_label_values(&[customer, kind])
+            .observe(span.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, customer: &str, cause: &str) {
+        self.refusals.with_label_values(&[customer, cause]).inc();
+    }
+
+    /// Counts an attempt at a server.
+    pub fn attempt(&self, outcome: &str) {
+        self.attempts.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts what happened to lots.
+    pub fn lot(&self, event: &str, count: u64) {
+        self.lots.with_label_values(&[event]).inc_by(count);
+    }
+
+    /// Sets how many requests of a kind are being served.
+    pub fn in_flight(&self, kind: &str, change: i64) {
+        self.in_flight.with_label_values(&[kind]).add(change);
+    }
+
+    /// Sets the revision that a view shows.
+    pub fn view_revision(&self, view: &str, revision: i64) {
+        self.view_revision.with_label_values(&[view]).set(revision);
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("metrics: they can't be written: {error}");
+        }
+        text
+    }
+}
+
+impl CallCounts for NodeMetrics {
+    fn count(&self, call: StoreCall, end: CallEnd, _span: Duration) {
+        self.store_calls
+            .with_label_values(&[call.as_str(), end.as_str()])
+            .inc();
+    }
+}
--- /dev/null
+++ b/crates/serving/src/model/mod.rs
@@ -0,0 +1,16 @@
+//! What is spoken of, free of any wire format.
+
+mod caller_request;
+mod fleet_settings;
+mod lot_types;
+mod refusal;
+mod server_answer;
+
+pub use caller_request::{CallerAsk, CallerHead, HeadFault};
+pub use fleet_settings::{
+    CallerLimits, CustomerSettings, FleetSettings, LotTerms, RetireOrder, RouteKind, RouteSettings,
+    ServiceWeight,
+};
+pub use lot_types::{ItemResult, ItemState, LotItem, LotPage, NewLot};
+pub use refusal::{Refusal, RefusalCause};
+pub use server_answer::{RunClaim, SendTicket, ServerAnswer};
--- /dev/null
+++ b/crates/serving/src/node.rs
@@ -0,0 +1,518 @@
+//! What all parts of a daemon share. One thread runs everything, so that a part
+//! borrows what it needs for a moment and holds nothing across a wait.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use comfreyramp_policy::{
+    Timestamp,
+    placement::{PlacementTable, ServerListing},
+    usage::UsageBook,
+};
+use comfreyramp_store::{KeyValue, Revision, WatchBatch};
+use tokio::sync::Notify;
+
+use crate::{
+    clock::BootClock,
+    dialect::{Dialect, FleetRecords},
+    fleet::{
+        FleetView, HeldLease, KnownCustomer, MemberList, MemberRecord, PeerMessage, StoreView,
+    },
+    lots::{LotCache, LotNotice, LotNotices},
+    metrics::NodeMetrics,
+    model::{Refusal, RefusalCause, RetireOrder},
+    path::ConnectionPool,
+    settings::NodeSettings,
+    suspects::SuspectBook,
+};
+
+/// Entries that are missing after the store was away are held on to for so long:
+/// servers that live write theirs again within about two seconds.
+const RETURN_SPAN: Duration = Duration::from_millis(2_500);
+
+/// Copies of what the store holds.
+#[derive(Debug, Default)]
+pub struct StoreViews {
+    /// What operators wrote.
+    pub operators: StoreView,
+    /// The directory of servers.
+    pub servers: StoreView,
+    /// The daemons.
+    pub members: StoreView,
+}
+
+/// Lots that other daemons told of, until the worker takes them.
+#[derive(Debug, Default)]
+pub struct LotInbox {
+    /// Lots that wait for a daemon to run them.
+    pub accepted: Vec<String>,
+    /// Lots that were ended.
+    pub ended: Vec<String>,
+}
+
+/// What all parts of a daemon share.
+#[derive(Debug)]
+pub struct Node<D: Dialect> {
+    /// Its own settings.
+    pub settings: NodeSettings,
+    /// Drawn at each start.
+    pub incarnation: u64,
+    /// Its clock.
+    pub clock: BootClock,
+    /// The store.
+    pub store: D::Store,
+    /// What is counted.
+    pub metrics: NodeMetrics,
+    /// Copies of what the store holds.
+    pub views: RefCell<StoreViews>,
+    /// The servers, and where requests go.
+    pub servers: RefCell<PlacementTable>,
+    /// Connections to the servers.
+    pub connections: ConnectionPool,
+    /// What was read of lots.
+    pub lot_cache: RefCell<LotCache>,
+    /// What is told of lots.
+    pub lot_notices: RefCell<LotNotices>,
+    /// Told when something changed that other daemons should hear of.
+    pub load_changed: Notify,
+    /// Told when a slot became free, or lots have news.
+    pub bulk_wake: Notify,
+    /// Whether this VM is being emptied.
+    pub is_retiring: Cell<bool>,
+    /// Whether the daemon is about to stop.
+    pub is_stopping: Cell<bool>,
+    fleet: RefCell<Option<Rc<FleetView>>>,
+    usage: RefCell<UsageBook>,
+    suspects: RefCell<SuspectBook>,
+    members: RefCell<MemberList>,
+    lease: RefCell<Option<HeldLease>>,
+    lot_inbox: RefCell<LotInbox>,
+    store_trouble_at: Cell<Option<Timestamp>>,
+    missing: RefCell<Vec<(ServerListing, Timestamp)>>,
+    message_number: Cell<u64>,
+}
+
+impl<D: Dialect> Node<D> {
+    /// A daemon that knows nothing yet.
+    pub fn new(settings: NodeSettings, store: D::Store, metrics: NodeMetrics) -> Self {
+        let clock = BootClock::default();
+        Node {
+            incarnation: rand::random(),
+            store,
+            metrics,
+            views: RefCell::default(),
+            servers: RefCell::default(),
+            connections: ConnectionPool::default(),
+            lot_cache: RefCell::default(),
+            lot_notices: RefCell::default(),
+            load_changed: Notify::new(),
+            bulk_wake: Notify::new(),
+            is_retiring: Cell::new(false),
+            is_stopping: Cell::new(false),
+            fleet: RefCell::default(),
+            usage: RefCell::new(UsageBook::new(clock.now())),
+            suspects: RefCell::default(),
+            members: RefCell::new(MemberList::new(&settings.name)),
+            lease: RefCell::default(),
+            lot_inbox: RefCell::default(),
+            store_trouble_at: Cell::new(None),
+            missing: RefCell::default(),
+            message_number: Cell::new(0),
+            settings,
+            clock,
+        }
+    }
+
+    /// The operators' settings in force.
+    pub fn fleet(&self) -> Option<Rc<FleetView>> {
+        self.fleet.borrow().clone()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let knows_servers = self.views.borrow().servers.confirmed_at().is_some();
+        self.fleet.borrow().is_some() && knows_servers && !self.is_stopping.get()
+    }
+
+    /// Takes over a whole list of the operators' keys.
+    pub fn take_operators(&self, pairs: Vec<KeyValue>, revision: Revision) {
+        let now = self.clock.now();
+        if self
+            .views
+            .borrow_mut()
+            .operators
+            .reset(pairs, revision, now)
+        {
+            self.put_in_force();
+        }
+    }
+
+    /// Takes over changes of the operators' keys.
+    pub fn change_operators(&self, batch: WatchBatch) {
+        let now = self.clock.now();
+        if self.views.borrow_mut().operators.apply(batch, now) {
+            self.put_in_force();
+        }
+    }
+
+    /// Puts the newest settings in force, if they are newer than those that are.
+    fn put_in_force(&self) {
+        let views = self.views.borrow();
+        let key = <D::Records as FleetRecords>::SETTINGS;
+        let Some(pair) = views.operators.get(key) else {
+            return;
+        };
+        let settings = match <D::Records as FleetRecords>::read_settings(&pair.value) {
+            Ok(settings) => settings,
+            Err(error) => {
+                log::error!(revision = pair.modified, error:% = error; "settings: unusable, the former ones stay in force");
+                return;
+            }
+        };
+        let in_force = self.fleet.borrow().as_ref().map(|it| it.settings.version);
+        if in_force.is_some_and(|it| it >= settings.version) {
+            return;
+        }
+        log::info!(
+            version = settings.version, former = in_force.unwrap_or_default(),
+            revision = pair.modified, routes = settings.routes.len(), customers = settings.customers.len();
+            "settings: in force"
+        );
+        self.metrics.view_revision("settings", pair.modified);
+        let view = FleetView::new(settings);
+        let now = self.clock.now();
+        self.usage.borrow_mut().set_limits(&view.limits(), now);
+        *self.fleet.borrow_mut() = Some(Rc::new(view));
+        self.load_changed.notify_one();
+    }
+
+    /// Takes over a whole list of servers.
+    pub fn take_servers(&self, pairs: Vec<KeyValue>, revision: Revision) {
+        let now = self.clock.now();
+        let before = self.listings();
+        if self.views.borrow_mut().servers.reset(pairs, revision, now) {
+            self.hold_missing(&before, now);
+            self.use_listings();
+        }
+    }
+
+    /// Takes over changes of servers.
+    pub fn change_servers(&self, batch: WatchBatch) {
+        let now = self.clock.now();
+        let before = self.listings();
+        let deleted = batch.deleted.len();
+        if self.views.borrow_mut().servers.apply(batch, now) {
+            // A store that was away without anybody here noticing drops many
+            // entries at once. Servers that leave do so one after the other.
+            let is_mass = deleted > 2 && deleted * 3 > before.len();
+            if is_mass || self.had_store_trouble(now) {
+                self.hold_missing(&before, now);
+            }
+            self.use_listings();
+        }
+    }
+
+    /// Holds on to servers that are missing right after the store was away. An
+    /// empty directory would stop all service, though the servers are well.
+    fn hold_missing(&self, before: &[ServerListing], now: Timestamp) {
+        let listed = self.listings();
+        let mut missing = self.missing.borrow_mut();
+        for server in before {
+            let is_listed = listed.iter().any(|it| it.name == server.name);
+            let is_held = missing.iter().any(|it| it.0.name == server.name);
+            if server.is_ready && !is_listed && !is_held {
+                log::info!(server = server.name; "directory: missing, used on for a moment");
+                missing.push((server.clone(), now + RETURN_SPAN));
+            }
+        }
+    }
+
+    fn listings(&self) -> Vec<ServerListing> {
+        let views = self.views.borrow();
+        let mut listings = Vec::new();
+        for pair in views.servers.pairs() {
+            match <D::Records as FleetRecords>::read_server(&pair.key, &pair.value) {
+                Ok(listing) => listings.push(listing),
+                Err(error) => {
+                    log::debug!(key = pair.key, error:% = error; "directory: an entry names no server");
+                }
+            }
+        }
+        listings
+    }
+
+    fn use_listings(&self) {
+        let now = self.clock.now();
+        let mut listings = self.listings();
+        let mut missing = self.missing.borrow_mut();
+        missing.retain(|it| it.1 > now && !listings.iter().any(|new| new.name == it.0.name));
+        listings.extend(missing.iter().map(|it| it.0.clone()));
+        let ready = listings.iter().filter(|it| it.is_ready).count();
+        let revision = self.views.borrow().servers.revision();
+        log::info!(servers = listings.len(), ready = ready, revision = revision; "directory: changed");
+        self.metrics.view_revision("servers", revision);
+        self.servers.borrow_mut().set_listings(&listings);
+        self.bulk_wake.notify_one();
+    }
+
+    /// Takes over a whole list of daemons.
+    pub fn take_members(&self, pairs: Vec<KeyValue>, revision: Revision) {
+        let now = self.clock.now();
+        if self.views.borrow_mut().members.reset(pairs, revision, now) {
+            self.use_members();
+        }
+    }
+
+    /// Takes over changes of daemons.
+    pub fn change_members(&self, batch: WatchBatch) {
+        let now = self.clock.now();
+        if self.views.borrow_mut().members.apply(batch, now) {
+            self.use_members();
+        }
+    }
+
+    fn use_members(&self) {
+        let now = self.clock.now();
+        let views = self.views.borrow();
+        let mut records = Vec::new();
+        for pair in views.members.pairs() {
+            match serde_json::from_slice::<MemberRecord>(&pair.value) {
+                Ok(record) => records.push(record),
+                Err(error) => {
+                    log::warn!(key = pair.key, error:% = error; "membership: an entry can't be read")
+                }
+            }
+        }
+        let mut members = self.members.borrow_mut();
+        members.set_listed(&records, now);
+        self.usage.borrow_mut().set_members(&members.ids(), now);
+    }
+
+    /// What is due by time.
+    pub fn tick(&self) {
+        let now = self.clock.now();
+        self.usage.borrow_mut().tick(now);
+        self.connections.tick(now);
+        if self.members.borrow_mut().forget_silent(now) {
+            let ids = self.members.borrow().ids();
+            self.usage.borrow_mut().set_members(&ids, now);
+        }
+        if self.missing.borrow().iter().any(|it| it.1 <= now) {
+            self.use_listings();
+        }
+        self.metrics
+            .dropped_lines
+            .set(crate::logs::dropped_lines() as i64);
+    }
+
+    /// What this daemon tells others of itself.
+    pub fn member_record(&self) -> MemberRecord {
+        MemberRecord {
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            address: self.settings.peers,
+            incarnation: self.incarnation,
+            runs_lots: self.settings.runs_lots,
+        }
+    }
+
+    /// What is told to other daemons now.
+    pub fn peer_message(&self) -> PeerMessage {
+        let now = self.clock.now();
+        let number = self.message_number.get() + 1;
+        self.message_number.set(number);
+        let views = self.views.borrow();
+        let (lots, progress) = self.lot_notices.borrow_mut().current(now);
+        PeerMessage {
+            from: self.member_record(),
+            number,
+            operators_revision: views.operators.changed_revision(),
+            servers_revision: views.servers.changed_revision(),
+            shares: self.servers.borrow().own_shares(),
+            usage: self.usage.borrow_mut().own_counts(now),
+            suspects: self.suspects.borrow().own_counts(now),
+            lots,
+            progress,
+            is_leaving: self.is_stopping.get(),
+        }
+    }
+
+    /// Takes in what another daemon says.
+    pub fn hear_peer(&self, message: &PeerMessage) {
+        let now = self.clock.now();
+        let Some(peer) = self.members.borrow_mut().hear(message, now) else {
+            return;
+        };
+        self.servers.borrow_mut().hear(peer, &message.shares, now);
+        let mut usage = self.usage.borrow_mut();
+        usage.hear(peer, message.from.incarnation, &message.usage, now);
+        self.suspects
+            .borrow_mut()
+            .hear(peer, &message.suspects, now);
+        if self.settings.runs_lots {
+            let mut inbox = self.lot_inbox.borrow_mut();
+            for notice in &message.lots {
+                match notice {
+                    LotNotice::Accepted(lot) => inbox.accepted.push(lot.clone()),
+                    LotNotice::Ended(lot) => inbox.ended.push(lot.clone()),
+                }
+            }
+            self.bulk_wake.notify_one();
+        }
+    }
+
+    /// Where the other daemons are reached.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        self.members.borrow().addresses()
+    }
+
+    /// A daemon that acts by newer settings or servers than this one.
+    pub fn peer_ahead(&self) -> Option<SocketAddr> {
+        let views = self.views.borrow();
+        let operators = views.operators.changed_revision();
+        let servers = views.servers.changed_revision();
+        self.members.borrow().ahead_of(operators, servers)
+    }
+
+    /// Tells other daemons of a lot.
+    pub fn tell_lot(&self, notice: LotNotice) {
+        let now = self.clock.now();
+        if self.settings.runs_lots {
+            let mut inbox = self.lot_inbox.borrow_mut();
+            match &notice {
+                LotNotice::Accepted(lot) => inbox.accepted.push(lot.clone()),
+                LotNotice::Ended(lot) => inbox.ended.push(lot.clone()),
+            }
+        }
+        self.lot_notices.borrow_mut().tell(notice, now);
+        self.load_changed.notify_one();
+    }
+
+    /// Takes the lots that other daemons told of.
+    pub fn take_lot_inbox(&self) -> LotInbox {
+        std::mem::take(&mut self.lot_inbox.borrow_mut())
+    }
+
+    /// How many results a lot has, as the daemon that runs it tells.
+    pub fn told_results(&self, lot: &str) -> usize {
+        self.members.borrow().told_results(lot)
+    }
+
+    /// Whether another daemon tells that a lot has all its results, or that it
+    /// doesn't run it any more.
+    pub fn told_finished(&self, lot: &str) -> bool {
+        self.members.borrow().told_left(lot)
+    }
+
+    /// Whether another daemon that is heard runs a lot.
+    pub fn is_held_elsewhere(&self, lot: &str) -> bool {
+        self.members.borrow().is_held(lot, self.clock.now())
+    }
+
+    /// Whether a lot falls to this daemon.
+    pub fn is_own_lot(&self, lot: &str) -> bool {
+        let now = self.clock.now();
+        self.members
+            .borrow()
+            .is_own_lot(lot, &self.settings.name, now)
+    }
+
+    /// Whether all daemons that run lots are heard, so that no news is news.
+    pub fn hears_lot_runners(&self) -> bool {
+        self.members.borrow().hears_lot_runners(self.clock.now())
+    }
+
+    /// Whether this daemon is the first by name of those that run lots.
+    pub fn is_first_lot_runner(&self) -> bool {
+        self.members
+            .borrow()
+            .is_first_lot_runner(&self.settings.name)
+    }
+
+    /// Whether an operator wants this VM emptied.
+    pub fn is_ordered_to_retire(&self) -> bool {
+        let views = self.views.borrow();
+        let read = |it: &KeyValue| <D::Records as FleetRecords>::read_retire(&it.key, &it.value);
+        let mut orders = views.operators.pairs().iter().filter_map(read);
+        orders.any(|it: RetireOrder| it.daemon == self.settings.name)
+    }
+
+    /// Notes that a call to the store failed.
+    pub fn note_store_trouble(&self) {
+        self.store_trouble_at.set(Some(self.clock.now()));
+    }
+
+    fn had_store_trouble(&self, now: Timestamp) -> bool {
+        let at = self.store_trouble_at.get();
+        at.is_some_and(|it| now.since(it) < RETURN_SPAN)
+    }
+
+    /// The lease that claims hang on.
+    pub fn lease(&self) -> Option<HeldLease> {
+        let lease = self.lease.borrow().clone()?;
+        (lease.until > self.clock.now()).then_some(lease)
+    }
+
+    /// Sets the lease that claims hang on.
+    pub fn set_lease(&self, lease: Option<HeldLease>) {
+        *self.lease.borrow_mut() = lease;
+        self.bulk_wake.notify_one();
+    }
+
+    /// Refuses a request whose customer is over its rate.
+    ///
+    /// # Errors
+    ///
+    /// The refusal tells when a request will be let in.
+    pub fn check_rate(&self, customer: &KnownCustomer, request_id: &str) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let checked = self.usage.borrow_mut().check(customer.number, now);
+        checked.map_err(|retry_after| self.over_rate(customer, request_id, retry_after))
+    }
+
+    /// Counts a request in that is about to be sent.
+    ///
+    /// # Errors
+    ///
+    /// Others may have used the rate up since it was checked.
+    pub fn admit(&self, customer: &KnownCustomer, request_id: &str) -> Result<(), Refusal> {
+        let now = self.clock.now();
+        let admitted = self.usage.borrow_mut().admit(customer.number, now);
+        self.load_changed.notify_one();
+        admitted.map_err(|retry_after| self.over_rate(customer, request_id, retry_after))
+    }
+
+    fn over_rate(
+        &self,
+        customer: &KnownCustomer,
+        request_id: &str,
+        retry_after: Duration,
+    ) -> Refusal {
+        let level = self.usage.borrow().level(customer.number);
+        log::info!(
+            request = request_id, customer = customer.settings.name,
+            rate = customer.settings.rate.unwrap_or_default(), level = level;
+            "rates: over the rate"
+        );
+        self.metrics
+            .refusal(&customer.settings.name, RefusalCause::OverRate.as_str());
+        Refusal::new(RefusalCause::OverRate).retry_after(retry_after)
+    }
+
+    /// Notes that a server broke off at a request.
+    pub fn note_crash(&self, fingerprint: u64) {
+        let now = self.clock.now();
+        self.suspects.borrow_mut().note(fingerprint, now);
+    }
+
+    /// Whether servers broke off at a request too often.
+    pub fn is_suspect(&self, fingerprint: u64) -> bool {
+        self.suspects
+            .borrow()
+            .is_suspect(fingerprint, self.clock.now())
+    }
+}
--- /dev/null
+++ b/crates/serving/src/path/connection_pool.rs
@@ -0,0 +1,189 @@
+//! Connections to backend servers.
+
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use comfreyramp_policy::Timestamp;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::TcpStream;
+
+/// How long a connection may take to open. Zones are a few milliseconds apart;
+/// behind a cut nothing answers at all.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
+/// A connection whose server names no span is used again within this one.
+const USUAL_IDLE: Duration = Duration::from_millis(1_500);
+/// Before the end of the span for which a server keeps a connection, it isn't
+/// used any more: a request that crosses the server's close may have run or not.
+const IDLE_MARGIN: Duration = Duration::from_millis(700);
+/// The idle connections that are kept to one server.
+const IDLE_PER_SERVER: usize = 8;
+/// Bytes that a server doesn't acknowledge within this span break the connection.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A connection without a byte is probed at this interval: one that went silent
+/// for good shows in no other way while an answer is awaited.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why a request got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendFailure {
+    /// No byte of it reached the server.
+    NotSent,
+    /// It was sent, and no answer came.
+    Broken,
+}
+
+/// A connection to a server, for one request at a time.
+#[derive(Debug)]
+pub struct ServerConnection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    is_reused: bool,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    connection: ServerConnection,
+    use_until: Timestamp,
+}
+
+/// Idle connections to backend servers.
+#[derive(Debug, Default)]
+pub struct ConnectionPool {
+    /// Sorted by address; the newest connections last.
+    idle: RefCell<Vec<(SocketAddr, Vec<IdleConnection>)>>,
+}
+
+impl ConnectionPool {
+    /// A connection to a server: an idle one if there is any, else a new one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be opened.
+    pub async fn connect(
+        &self,
+        address: SocketAddr,
+        now: Timestamp,
+    ) -> Result<ServerConnection, SendFailure> {
+        if let Some(connection) = self.take_idle(address, now) {
+            return Ok(connection);
+        }
+        let opening = tokio::time::timeout(OPEN_TIMEOUT, TcpStream::connect(address));
+        let Ok(Ok(stream)) = opening.await else {
+            return Err(SendFailure::NotSent);
+        };
+        if let Err(error) = set_socket(&stream) {
+            log::warn!(error:% = error; "servers: socket options can't be set");
+        }
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let Ok((sender, connection)) = handshake else {
+            return Err(SendFailure::NotSent);
+        };
+        // It ends with the sender, or with an error that the request tells of.
+        tokio::task::spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(ServerConnection {
+            address,
+            sender,
+            is_reused: false,
+        })
+    }
+
+    fn take_idle(&self, address: SocketAddr, now: Timestamp) -> Option<ServerConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let place = idle.binary_search_by_key(&address, |it| it.0).ok()?;
+        let connections = &mut idle[place].1;
+        connections.retain(|it| it.use_until > now && !it.connection.sender.is_closed());
+        let ready = connections
+            .iter()
+            .rposition(|it| it.connection.sender.is_ready())?;
+        let mut connection = connections.remove(ready).connection;
+        connection.is_reused = true;
+        Some(connection)
+    }
+
+    /// Takes back a connection whose answer has been read to its end. The server
+    /// keeps it for `kept_for`.
+    pub fn put_back(
+        &self,
+        connection: ServerConnection,
+        kept_for: Option<Duration>,
+        now: Timestamp,
+    ) {
+        if connection.sender.is_closed() {
+            return;
+        }
+        let span = kept_for.map_or(USUAL_IDLE, |it| it.saturating_sub(IDLE_MARGIN));
+        let address = connection.address;
+        let idle_connection = IdleConnection {
+            connection,
+            use_until: now + span,
+        };
+        let mut idle = self.idle.borrow_mut();
+        match idle.binary_search_by_key(&address, |it| it.0) {
+            Ok(place) => {
+                let connections = &mut idle[place].1;
+                if connections.len() >= IDLE_PER_SERVER {
+                    connections.remove(0);
+                }
+                connections.push(idle_connection);
+            }
+            Err(place) => idle.insert(place, (address, vec![idle_connection])),
+        }
+    }
+
+    /// Closes what has been idle for too long.
+    pub fn tick(&self, now: Timestamp) {
+        let mut idle = self.idle.borrow_mut();
+        for (_, connections) in idle.iter_mut() {
+            connections.retain(|it| it.use_until > now && !it.connection.sender.is_closed());
+        }
+        idle.retain(|it| !it.1.is_empty());
+    }
+}
+
+impl ServerConnection {
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// Tells whether the server may have seen the request.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendFailure> {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => match error.take_message() {
+                // It was closed before a byte of the request was written.
+                Some(_) => Err(SendFailure::NotSent),
+                None => Err(SendFailure::Broken),
+            },
+        }
+    }
+
+    /// Whether it had carried a request before.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+}
+
+/// Sets what tells a connection that went silent.
+pub(super) fn set_socket(stream: &TcpStream) -> std::io::Result<()> {
+    // Events are small packets; waiting to fill them would delay each one.
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_INTERVAL)
+        .with_interval(PROBE_INTERVAL)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
--- /dev/null
+++ b/crates/serving/src/path/mod.rs
@@ -0,0 +1,14 @@
+//! The way of a request: from a caller's connection to a backend server and back.
+
+mod connection_loop;
+mod connection_pool;
+mod front_body;
+mod live_request;
+mod server_attempt;
+mod stream_relay;
+
+pub use connection_loop::{LoopLimits, serve_connections};
+pub use connection_pool::{ConnectionPool, SendFailure, ServerConnection};
+pub use front_body::{FrontBody, FrontBodyError};
+pub use live_request::answer_caller;
+pub use server_attempt::{AttemptFailure, AttemptGuard, OpenAnswer, open_answer};
--- /dev/null
+++ b/crates/serving/src/run.rs
@@ -0,0 +1,253 @@
+//! Starting and stopping a daemon.
+
+use std::{rc::Rc, time::Duration};
+
+use anyhow::Context as _;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    dialect::{CallerDialect, Dialect, FleetRecords},
+    fleet::{
+        FollowNews, MEMBERS, answer_peer, follow_peers, follow_store, keep_membership,
+        listen_to_peers, run_announcer,
+    },
+    lots::{follow_retire, run_lots, sweep_lots},
+    node::Node,
+    path::{FrontBody, LoopLimits, answer_caller, serve_connections},
+};
+
+/// How long a daemon that stops still takes new connections. The balancer asks
+/// once a second whether it is ready, and needs two misses to leave it out.
+const NOTICE_SPAN: Duration = Duration::from_millis(2_600);
+/// Before the process is killed, this much is left to write the last log lines.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The longest head of a request, unless the operators' settings say less.
+const HEAD_BYTES: usize = 64 << 10;
+/// How long a connection may stay without a whole head. Callers use connections
+/// again that were idle for most of the operators' limit, which is below this.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Runs a daemon until `stop` is cancelled and all open requests have ended, or
+/// the time for that is up.
+///
+/// # Errors
+///
+/// Fails if an address can't be listened on.
+pub async fn run_node<D: Dialect>(
+    node: Rc<Node<D>>,
+    stop: CancellationToken,
+) -> anyhow::Result<()> {
+    let settings = &node.settings;
+    log::info!(
+        name = settings.name, zone = settings.zone, runs_lots = settings.runs_lots,
+        incarnation = node.incarnation;
+        "node: starts"
+    );
+    let background = CancellationToken::new();
+    let closing = CancellationToken::new();
+    let closed = CancellationToken::new();
+    let limits = LoopLimits {
+        head_bytes: HEAD_BYTES,
+        idle_timeout: IDLE_TIMEOUT,
+        closing: closing.clone(),
+        closed: closed.clone(),
+    };
+    let inner_limits = LoopLimits {
+        closed: background.clone(),
+        ..limits.clone()
+    };
+    open_inner(&node, &inner_limits).await?;
+    let socket = UdpSocket::bind(settings.peers)
+        .await
+        .context("the peers' address")?;
+    follow_all(&node, Rc::new(socket), &background);
+    let membership = spawn_membership(&node, &background);
+    let lots_stop = CancellationToken::new();
+    let lots = settings.runs_lots.then(|| spawn_lots(&node, &lots_stop));
+    let mut callers = None;
+    if let Some(address) = settings.callers {
+        let listener = TcpListener::bind(address)
+            .await
+            .context("the callers' address")?;
+        let shared = node.clone();
+        let serving = serve_connections(listener, limits, move |request| {
+            answer_caller(shared.clone(), request)
+        });
+        callers = Some(tokio::task::spawn_local(serving));
+    }
+    stop.cancelled().await;
+    log::info!("node: a planned stop begins");
+    node.is_stopping.set(true);
+    closing.cancel();
+    lots_stop.cancel();
+    let grace = settings.stop_grace_s.saturating_sub(KILL_MARGIN);
+    let ending = end_work(callers, lots, &closed);
+    if tokio::time::timeout(grace, ending).await.is_err() {
+        log::warn!("node: work was still open when the time to stop was up");
+    }
+    background.cancel();
+    // The entry in the store is given up; should this take long, its lease lapses.
+    let _ = tokio::time::timeout(KILL_MARGIN / 2, membership).await;
+    log::info!("node: stopped");
+    Ok(())
+}
+
+async fn end_work(
+    callers: Option<JoinHandle<()>>,
+    lots: Option<JoinHandle<()>>,
+    closed: &CancellationToken,
+) {
+    if let Some(callers) = callers {
+        tokio::time::sleep(NOTICE_SPAN).await;
+        closed.cancel();
+        // A panic in it has been reported already.
+        let _ = callers.await;
+    }
+    if let Some(lots) = lots {
+        let _ = lots.await;
+    }
+}
+
+fn spawn_membership<D: Dialect>(node: &Rc<Node<D>>, stop: &CancellationToken) -> JoinHandle<()> {
+    tokio::task::spawn_local(keep_membership(node.clone(), stop.clone()))
+}
+
+fn spawn_lots<D: Dialect>(node: &Rc<Node<D>>, stop: &CancellationToken) -> JoinHandle<()> {
+    tokio::task::spawn_local(sweep_lots(node.clone(), stop.clone()));
+    tokio::task::spawn_local(follow_retire(node.clone(), stop.clone()));
+    tokio::task::spawn_local(run_lots(node.clone(), stop.clone()))
+}
+
+/// Opens the addresses for other daemons, the balancer and metrics.
+async fn open_inner<D: Dialect>(node: &Rc<Node<D>>, limits: &LoopLimits) -> anyhow::Result<()> {
+    let settings = &node.settings;
+    let listener = TcpListener::bind(settings.peers)
+        .await
+        .context("the peers' address")?;
+    let shared = node.clone();
+    tokio::task::spawn_local(serve_connections(
+        listener,
+        limits.clone(),
+        move |request| {
+            let answer = answer_peer(&shared, &request);
+            async move { answer }
+        },
+    ));
+    let listener = TcpListener::bind(settings.metrics)
+        .await
+        .context("the metrics' address")?;
+    let shared = node.clone();
+    tokio::task::spawn_local(serve_connections(
+        listener,
+        limits.clone(),
+        move |request| {
+            let answer = answer_metrics(&shared, &request);
+            async move { answer }
+        },
+    ));
+    if let Some(address) = settings.health {
+        let listener = TcpListener::bind(address)
+            .await
+            .context("the health address")?;
+        let shared = node.clone();
+        tokio::task::spawn_local(serve_connections(
+            listener,
+            limits.clone(),
+            move |request| {
+                let answer = answer_health(&shared, &request);
+                async move { answer }
+            },
+        ));
+    }
+    Ok(())
+}
+
+fn answer_health<D: Dialect>(
+    node: &Node<D>,
+    request: &Request<Incoming>,
+) -> Response<FrontBody<D>> {
+    let is_asked = request.uri().path() == <D::Callers as CallerDialect>::READY_PATH;
+    let mut answer = Response::new(FrontBody::empty());
+    *answer.status_mut() = match (is_asked, node.is_ready()) {
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, _) => StatusCode::NOT_FOUND,
+    };
+    answer
+}
+
+fn answer_metrics<D: Dialect>(
+    node: &Node<D>,
+    request: &Request<Incoming>,
+) -> Response<FrontBody<D>> {
+    if request.uri().path() != "/metrics" {
+        let mut answer = Response::new(FrontBody::empty());
+        *answer.status_mut() = StatusCode::NOT_FOUND;
+        return answer;
+    }
+    Response::new(FrontBody::whole(Bytes::from(node.metrics.render())))
+}
+
+/// Follows the store and the other daemons.
+fn follow_all<D: Dialect>(node: &Rc<Node<D>>, socket: Rc<UdpSocket>, stop: &CancellationToken) {
+    let shared = node.clone();
+    let operators = <D::Records as FleetRecords>::OPERATORS;
+    spawn_follow(node, operators, stop, move |news| match news {
+        FollowNews::Whole(pairs, revision) => shared.take_operators(pairs, revision),
+        FollowNews::Changed(batch) => shared.change_operators(batch),
+        FollowNews::Lost(_) => {}
+    });
+    let shared = node.clone();
+    let servers = <D::Records as FleetRecords>::SERVERS;
+    spawn_follow(node, servers, stop, move |news| match news {
+        FollowNews::Whole(pairs, revision) => shared.take_servers(pairs, revision),
+        FollowNews::Changed(batch) => shared.change_servers(batch),
+        FollowNews::Lost(_) => {}
+    });
+    let shared = node.clone();
+    spawn_follow(node, MEMBERS, stop, move |news| match news {
+        FollowNews::Whole(pairs, revision) => shared.take_members(pairs, revision),
+        FollowNews::Changed(batch) => shared.change_members(batch),
+        FollowNews::Lost(_) => {}
+    });
+    tokio::task::spawn_local(listen_to_peers(node.clone(), socket.clone(), stop.clone()));
+    tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
+    tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
+}
+
+fn spawn_follow<D: Dialect>(
+    node: &Rc<Node<D>>,
+    prefix: &'static str,
+    stop: &CancellationToken,
+    mut take: impl FnMut(FollowNews) + 'static,
+) {
+    let shared = node.clone();
+    let mut is_lost = false;
+    let sink = move |news: FollowNews| {
+        match &news {
+            FollowNews::Lost(error) => {
+                shared.note_store_trouble();
+                if !is_lost {
+                    log::warn!(prefix = prefix, error:% = error; "store: lost");
+                }
+                is_lost = true;
+            }
+            FollowNews::Whole(..) | FollowNews::Changed(_) => {
+                if is_lost {
+                    log::info!(prefix = prefix; "store: regained");
+                }
+                is_lost = false;
+            }
+        }
+        take(news);
+    };
+    let following = follow_store(node.store.clone(), prefix, sink, stop.clone());
+    tokio::task::spawn_local(following);
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -40,6 +40,13 @@
     One(String),
     /// Each key that starts with this text.
     Prefix(String),
+    /// Each key that starts with a text and sorts after another.
+    After {
+        /// What the keys start with.
+        prefix: String,
+        /// The key after which they begin.
+        after: String,
+    },
     /// Each key from the first up to, not with, the second.
     Between(String, String),
 }
@@ -52,6 +59,7 @@
             KeyRange::One(key) => (key.clone().into(), Bytes::new()),
             KeyRange::Prefix(prefix) if prefix.is_empty() => ALL_KEYS,
             KeyRange::Prefix(prefix) => (prefix.clone().into(), prefix_end(prefix)),
+            KeyRange::After { prefix, after } => (format!("{after}\0").into(), prefix_end(prefix)),
             KeyRange::Between(first, end) => (first.clone().into(), end.clone().into()),
         }
     }
