--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -120,12 +120,19 @@
                 entry.listing = listing.clone();
                 continue;
             }
-            self.servers.push(ServerEntry {
+            let entry = ServerEntry {
                 key: name_key(&listing.name),
                 load: ServerLoad::new(listing.slots),
                 listing: listing.clone(),
                 is_listed: true,
-            });
+            };
+            // The place of a server that left, and on which nothing is open any
+            // more, is free: servers come and go for as long as a daemon runs.
+            let is_free = |it: &ServerEntry| !it.is_listed && it.load.own == LoadShare::default();
+            match self.servers.iter_mut().find(|it| is_free(it)) {
+                Some(free) => *free = entry,
+                None => self.servers.push(entry),
+            }
         }
     }
 
@@ -234,12 +241,11 @@
                 continue;
             }
             let total = entry.load.total(now);
-            let used = f64::from(total.live) + f64::from(total.bulk) + entry.load.surplus(now);
-            let missing = used.round() - f64::from(entry.load.slots);
-            if missing < 1.0 {
+            let missing = entry.load.missing_slots(now);
+            if missing == 0 {
                 continue;
             }
-            let part = missing * f64::from(own) / f64::from(total.bulk.max(1));
+            let part = f64::from(missing) * f64::from(own) / f64::from(total.bulk.max(1));
             let items = (part.ceil() as u32).min(own);
             orders.push(YieldOrder {
                 server: ServerId(place as u32),
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -15,6 +15,9 @@
 const FIRST_EJECTION: Duration = Duration::from_millis(300);
 /// The longest such pause: by then a restarted server is back.
 const LONGEST_EJECTION: Duration = Duration::from_secs(4);
+/// So long a live request may wait for another one's slot before an item of a lot
+/// has to step aside for it: a third of the shortest objective in use, 300 ms.
+const YIELD_WAIT: Duration = Duration::from_millis(100);
 /// How much a new span counts in the mean of spans.
 const SPAN_WEIGHT: f64 = 0.1;
 /// How long a server holds a slot for a request before anything was measured.
@@ -183,6 +186,23 @@
         self.held_secs += SPAN_WEIGHT * (span.as_secs_f64() - self.held_secs);
     }
 
+    /// How many items have to step aside for live requests that would otherwise
+    /// wait too long.
+    ///
+    /// Live requests end often and free slots by themselves; an item that steps
+    /// aside is read again from its start elsewhere, and each of its tokens is
+    /// late. So items only make room where the slots that live requests free
+    /// within [`YIELD_WAIT`] don't suffice. What only the server's report shows
+    /// doesn't count: the report is as old as the answer that carried it.
+    pub(super) fn missing_slots(&self, now: Timestamp) -> u32 {
+        let total = self.total(now);
+        let used = u32::from(total.live) + u32::from(total.bulk);
+        let missing = used.saturating_sub(self.slots);
+        let running = f64::from(u32::from(total.live).min(self.slots));
+        let freed = running * YIELD_WAIT.as_secs_f64() / self.held_secs.max(0.001);
+        missing.saturating_sub(freed.floor() as u32)
+    }
+
     /// How long a live request would wait for a slot.
     pub(super) fn expected_wait(&self, now: Timestamp) -> Duration {
         let live = f64::from(self.total(now).live) + self.surplus(now);
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -164,6 +164,16 @@
         told.any(|it| it.lot == lot && it.is_held)
     }
 
+    /// Whether a daemon is heard under another number than this one.
+    pub fn is_former_life(&self, daemon: &str, incarnation: u64, now: Timestamp) -> bool {
+        let id = PeerId::of_name(daemon);
+        let place = self.members.binary_search_by_key(&id, |it| it.id);
+        place.is_ok_and(|it| {
+            let member = &self.members[it];
+            member.record.incarnation != incarnation && member.was_heard(HEARD_LATELY, now)
+        })
+    }
+
     /// Whether a lot falls to the daemon `own`, out of those that run lots.
     ///
     /// Daemons whose lists differ may each take a lot for theirs; the claim in
--- a/crates/serving/src/fleet/membership.rs
+++ b/crates/serving/src/fleet/membership.rs
@@ -73,6 +73,7 @@
         // A VM that was suspended wakes up here: its lease may be gone.
         match node.store.renew(id).await {
             Ok(_) => {
+                node.note_store_answer();
                 lease.until = asked + term;
                 node.set_lease(Some(lease.clone()));
             }
--- a/crates/serving/src/lots/records.rs
+++ b/crates/serving/src/lots/records.rs
@@ -31,11 +31,23 @@
     pub given_up: u64,
 }
 
+/// Who runs a lot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ClaimRecord {
+    /// The daemon.
+    pub(super) daemon: String,
+    /// Which of its lives.
+    pub(super) incarnation: u64,
+    /// The lease that the claim hangs on. After it lapsed the same life may claim
+    /// again, which must look like another claim.
+    pub(super) lease: i64,
+}
+
 /// What a daemon that runs lots needs to know before it claims one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct OpenMark {
+pub(super) struct OpenMark {
     /// When the lot is due, in Unix milliseconds.
-    pub due: u64,
+    pub(super) due: u64,
 }
 
 /// A record that can't be read, which only damage or a newer version explains.
--- a/crates/serving/src/lots/worker.rs
+++ b/crates/serving/src/lots/worker.rs
@@ -15,7 +15,6 @@
     item_run::{ItemEnd, ItemRun, run_item},
     keys,
     notices::LotProgress,
-    records::{OpenMark, from_json},
     writer::{self, ClaimAnswer, WriteAnswer},
 };
 use crate::{
@@ -48,7 +47,6 @@
 #[derive(Debug)]
 struct Candidate {
     lot: String,
-    due: u64,
     known_at: Timestamp,
     not_before: Timestamp,
     is_claiming: bool,
@@ -59,7 +57,7 @@
     Reclaimed(Rc<str>, Option<Revision>),
     Ended(Rc<str>, usize, ItemEnd),
     Written(Rc<str>, WriteAnswer),
-    Listed(Vec<(String, u64)>),
+    Listed(Vec<String>),
 }
 
 struct LotWorker<D: Dialect> {
@@ -120,7 +118,7 @@
     fn take_notices(&mut self, now: Timestamp) {
         let inbox = self.node.take_lot_inbox();
         for lot in inbox.accepted {
-            self.add_candidate(lot, 0, now);
+            self.add_candidate(lot, now);
         }
         for lot in inbox.ended {
             self.candidates.retain(|it| it.lot != lot);
@@ -132,14 +130,13 @@
         }
     }
 
-    fn add_candidate(&mut self, lot: String, due: u64, now: Timestamp) {
+    fn add_candidate(&mut self, lot: String, now: Timestamp) {
         let is_known = self.candidates.iter().any(|it| it.lot == lot)
             || self.held.iter().any(|it| *it.id == *lot)
             || self.node.told_finished(&lot);
         if !is_known {
             self.candidates.push(Candidate {
                 lot,
-                due,
                 known_at: now,
                 not_before: now,
                 is_claiming: false,
@@ -165,11 +162,9 @@
                 .await
             {
                 Ok(answer) => {
-                    let lots = answer.pairs.iter().filter_map(|pair| {
-                        let lot = pair.key.strip_prefix(keys::OPEN)?.to_owned();
-                        let due = from_json::<OpenMark>(pair).map_or(0, |it| it.due);
-                        Some((lot, due))
-                    });
+                    let marks = answer.pairs.iter().map(|it| it.key.as_str());
+                    let lots = marks.filter_map(|it| it.strip_prefix(keys::OPEN));
+                    let lots = lots.map(str::to_owned);
                     // The worker outlives its tasks but for the end of the process.
                     let _ = sender.send(WorkerEvent::Listed(lots.collect()));
                 }
@@ -270,12 +265,12 @@
             }
             WorkerEvent::Written(lot, answer) => self.on_written(&lot, answer, now),
             WorkerEvent::Listed(lots) => {
-                for (lot, due) in &lots {
-                    self.add_candidate(lot.clone(), *due, now);
+                for lot in &lots {
+                    self.add_candidate(lot.clone(), now);
                 }
                 self.candidates.retain(|it| {
                     let is_young = now.since(it.known_at) < CLAIM_PATIENCE;
-                    is_young || it.is_claiming || lots.iter().any(|listed| listed.0 == it.lot)
+                    is_young || it.is_claiming || lots.contains(&it.lot)
                 });
             }
         }
@@ -343,7 +338,6 @@
     fn add_candidate_again(&mut self, lot: &str, now: Timestamp) {
         self.candidates.push(Candidate {
             lot: lot.to_owned(),
-            due: 0,
             known_at: now,
             not_before: now + CLAIM_PAUSE,
             is_claiming: false,
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -10,7 +10,7 @@
 use super::{
     held_lot::HeldLot,
     keys,
-    records::{to_json, to_packed},
+    records::{ClaimRecord, from_json, to_json, to_packed},
 };
 use crate::{dialect::Dialect, model::ItemResult, node::Node};
 
@@ -83,30 +83,52 @@
 }
 
 /// Writes a claim. Returns nothing if another daemon has one.
+///
+/// The claim of a daemon that was restarted hangs on a lease that lapses only
+/// seconds later. Its new life runs nothing of the lot, as its number tells, so
+/// that such a claim is taken over at once.
 pub(super) async fn write_claim<D: Dialect>(
     node: &Node<D>,
     lot: &str,
     lease: LeaseId,
 ) -> Result<Option<Revision>, StoreError> {
-    let key = keys::claim(lot);
-    // The lease's id tells this claim from one of an earlier life.
-    let value = to_json(&(&node.settings.name, lease.0));
-    let batch = WriteBatch {
-        when: vec![Comparison::Absent(key.clone())],
-        then: vec![Write::Put {
-            key: key.clone(),
-            value: value.clone(),
-            lease: Some(lease),
-        }],
-        read_back: vec![key],
+    let own = ClaimRecord {
+        daemon: node.settings.name.clone(),
+        incarnation: node.incarnation,
+        lease: lease.0,
     };
-    let pace = RetryPace::new(node.incarnation).attempts(WRITE_TRIES);
-    match write_once(&node.store, batch, pace).await? {
-        OnceOutcome::Written(revision) => Ok(Some(revision)),
-        OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. } => {
-            let own = found.into_iter().find(|it| it.value == value);
-            Ok(own.map(|it| it.modified))
+    let key = keys::claim(lot);
+    let mut when = Comparison::Absent(key.clone());
+    loop {
+        let batch = WriteBatch {
+            when: vec![when.clone()],
+            then: vec![Write::Put {
+                key: key.clone(),
+                value: to_json(&own),
+                lease: Some(lease),
+            }],
+            read_back: vec![key.clone()],
+        };
+        let pace = RetryPace::new(node.incarnation).attempts(WRITE_TRIES);
+        let found = match write_once(&node.store, batch, pace).await? {
+            OnceOutcome::Written(revision) => return Ok(Some(revision)),
+            OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. } => found,
+        };
+        let Some(pair) = found.iter().find(|it| it.key == key) else {
+            return Ok(None);
+        };
+        let Ok(claim) = from_json::<ClaimRecord>(pair) else {
+            return Ok(None);
+        };
+        if claim == own {
+            return Ok(Some(pair.modified));
+        }
+        let is_first = matches!(when, Comparison::Absent(_));
+        if !is_first || !node.is_former_life(&claim.daemon, claim.incarnation) {
+            return Ok(None);
         }
+        log::info!(lot = lot, daemon = claim.daemon; "lots: a claim of a former life is taken over");
+        when = Comparison::ModifiedAt(key.clone(), pair.modified);
     }
 }
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -142,6 +142,20 @@
         self.view_revision.with_label_values(&[view]).set(revision);
     }
 
+    /// Calls to the store since the start, by kind and end.
+    pub fn store_calls(&self) -> String {
+        let mut counts = Vec::new();
+        for call in StoreCall::ALL {
+            for end in CallEnd::ALL {
+                let counter = self.store_calls.with_label_values(&[call.as_str(), end.as_str()]);
+                if counter.get() > 0 {
+                    counts.push(format!("{}/{} {}", call.as_str(), end.as_str(), counter.get()));
+                }
+            }
+        }
+        counts.join(", ")
+    }
+
     /// All metrics as text.
     pub fn render(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -30,9 +30,15 @@
     suspects::SuspectBook,
 };
 
-/// Entries that are missing after the store was away are held on to for so long:
-/// servers that live write theirs again within about two seconds.
+/// Entries that are missing after the store was away are held on to until so long
+/// after its return: servers that live write theirs again within two seconds.
 const RETURN_SPAN: Duration = Duration::from_millis(2_500);
+/// Entries that vanish together, without a sign that the store was away, are held
+/// on to for so long. It is less than the span for which a server that leaves
+/// still answers.
+const MASS_SPAN: Duration = Duration::from_millis(1_500);
+/// Calls that fail for less than this are no outage: entries don't lapse by it.
+const LEAST_OUTAGE: Duration = Duration::from_millis(1_800);
 
 /// Copies of what the store holds.
 #[derive(Debug, Default)]
@@ -45,6 +51,14 @@
     pub members: StoreView,
 }
 
+/// Whether the store answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct StoreHealth {
+    failing_since: Option<Timestamp>,
+    /// When it answered again after an outage.
+    returned_at: Option<Timestamp>,
+}
+
 /// Lots that other daemons told of, until the worker takes them.
 #[derive(Debug, Default)]
 pub struct LotInbox {
@@ -91,7 +105,7 @@
     members: RefCell<MemberList>,
     lease: RefCell<Option<HeldLease>>,
     lot_inbox: RefCell<LotInbox>,
-    store_trouble_at: Cell<Option<Timestamp>>,
+    store_health: Cell<StoreHealth>,
     missing: RefCell<Vec<(ServerListing, Timestamp)>>,
     message_number: Cell<u64>,
 }
@@ -119,7 +133,7 @@
             members: RefCell::new(MemberList::new(&settings.name)),
             lease: RefCell::default(),
             lot_inbox: RefCell::default(),
-            store_trouble_at: Cell::new(None),
+            store_health: Cell::default(),
             missing: RefCell::default(),
             message_number: Cell::new(0),
             settings,
@@ -195,7 +209,7 @@
         let now = self.clock.now();
         let before = self.listings();
         if self.views.borrow_mut().servers.reset(pairs, revision, now) {
-            self.hold_missing(&before, now);
+            self.hold_missing(&before, 0, now);
             self.use_listings();
         }
     }
@@ -206,27 +220,31 @@
         let before = self.listings();
         let deleted = batch.deleted.len();
         if self.views.borrow_mut().servers.apply(batch, now) {
-            // A store that was away without anybody here noticing drops many
-            // entries at once. Servers that leave do so one after the other.
-            let is_mass = deleted > 2 && deleted * 3 > before.len();
-            if is_mass || self.had_store_trouble(now) {
-                self.hold_missing(&before, now);
-            }
+            self.hold_missing(&before, deleted, now);
             self.use_listings();
         }
     }
 
     /// Holds on to servers that are missing right after the store was away. An
     /// empty directory would stop all service, though the servers are well.
-    fn hold_missing(&self, before: &[ServerListing], now: Timestamp) {
+    fn hold_missing(&self, before: &[ServerListing], deleted: usize, now: Timestamp) {
+        // A store that was away without anybody here noticing drops many entries
+        // at once. Servers that leave do so one after the other.
+        let is_mass = deleted > 2 && deleted * 3 > before.len();
+        let after_outage = self.store_health.get().returned_at.map(|it| it + RETURN_SPAN);
+        let after_mass = is_mass.then(|| now + MASS_SPAN);
+        let Some(until) = after_outage.max(after_mass).filter(|it| *it > now) else {
+            return;
+        };
         let listed = self.listings();
         let mut missing = self.missing.borrow_mut();
         for server in before {
             let is_listed = listed.iter().any(|it| it.name == server.name);
             let is_held = missing.iter().any(|it| it.0.name == server.name);
             if server.is_ready && !is_listed && !is_held {
-                log::info!(server = server.name; "directory: missing, used on for a moment");
-                missing.push((server.clone(), now + RETURN_SPAN));
+                let span = until.since(now).as_millis() as u64;
+                log::info!(server = server.name, for_ms = span; "directory: missing, used on for a moment");
+                missing.push((server.clone(), until));
             }
         }
     }
@@ -413,6 +431,15 @@
         self.members.borrow().is_held(lot, self.clock.now())
     }
 
+    /// Whether a daemon was restarted since it had this number.
+    pub fn is_former_life(&self, daemon: &str, incarnation: u64) -> bool {
+        if daemon == self.settings.name {
+            return incarnation != self.incarnation;
+        }
+        let now = self.clock.now();
+        self.members.borrow().is_former_life(daemon, incarnation, now)
+    }
+
     /// Whether a lot falls to this daemon.
     pub fn is_own_lot(&self, lot: &str) -> bool {
         let now = self.clock.now();
@@ -443,12 +470,20 @@
 
     /// Notes that a call to the store failed.
     pub fn note_store_trouble(&self) {
-        self.store_trouble_at.set(Some(self.clock.now()));
+        let mut health = self.store_health.get();
+        health.failing_since.get_or_insert(self.clock.now());
+        self.store_health.set(health);
     }
 
-    fn had_store_trouble(&self, now: Timestamp) -> bool {
-        let at = self.store_trouble_at.get();
-        at.is_some_and(|it| now.since(it) < RETURN_SPAN)
+    /// Notes that the store answered.
+    pub fn note_store_answer(&self) {
+        let mut health = self.store_health.get();
+        let now = self.clock.now();
+        let since = health.failing_since.take();
+        if since.is_some_and(|it| now.since(it) >= LEAST_OUTAGE) {
+            health.returned_at = Some(now);
+        }
+        self.store_health.set(health);
     }
 
     /// The lease that claims hang on.
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -52,7 +52,7 @@
 
 /// A caller's request on its way.
 #[derive(Debug)]
-pub struct LiveRequest<D: Dialect> {
+pub(super) struct LiveRequest<D: Dialect> {
     pub(super) node: Rc<Node<D>>,
     pub(super) request_id: String,
     pub(super) customer: Option<Arc<KnownCustomer>>,
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -195,6 +195,19 @@
     Response::new(FrontBody::whole(Bytes::from(node.metrics.render())))
 }
 
+/// How often the calls to the store are logged: they are billed.
+const CALLS_LOGGED: Duration = Duration::from_secs(20);
+
+async fn log_calls<D: Dialect>(node: Rc<Node<D>>, stop: CancellationToken) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(CALLS_LOGGED) => {}
+            () = stop.cancelled() => return,
+        }
+        log::info!(calls = node.metrics.store_calls(); "store: calls since the start");
+    }
+}
+
 /// Follows the store and the other daemons.
 fn follow_all<D: Dialect>(node: &Rc<Node<D>>, socket: Rc<UdpSocket>, stop: &CancellationToken) {
     let shared = node.clone();
@@ -220,6 +233,7 @@
     tokio::task::spawn_local(listen_to_peers(node.clone(), socket.clone(), stop.clone()));
     tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
     tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
+    tokio::task::spawn_local(log_calls(node.clone(), stop.clone()));
 }
 
 fn spawn_follow<D: Dialect>(
@@ -240,6 +254,7 @@
                 is_lost = true;
             }
             FollowNews::Whole(..) | FollowNews::Changed(_) => {
+                shared.note_store_answer();
                 if is_lost {
                     log::info!(prefix = prefix; "store: regained");
                 }
