--- a/crates/serving/src/fleet/announcer.rs
+++ b/crates/serving/src/fleet/announcer.rs
@@ -1,6 +1,6 @@
 //! Telling the other daemons how things are, and hearing the same of them.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
@@ -8,11 +8,14 @@
 use super::PeerMessage;
 use crate::{dialect::Dialect, node::Node};
 
-/// After a change of load others hear of it this soon. In between, changes
-/// gather: each message is a system call and a wake-up at either end.
+/// After a change of load the daemons nearby hear of it this soon. In between,
+/// changes gather: each message is a system call and a wake-up at either end.
 const GATHER_SPAN: Duration = Duration::from_millis(30);
-/// Without changes a daemon speaks so often. [`comfreyramp_policy::usage`]
-/// counts on that.
+/// With many daemons nearby changes gather for longer, by this much for each:
+/// what one daemon sends stays below 400 messages a second.
+const GATHER_FOR_EACH: Duration = Duration::from_micros(2_500);
+/// Without changes a daemon speaks so often, and to those far away at any time.
+/// [`comfreyramp_policy::usage`] counts on that.
 const QUIET_INTERVAL: Duration = Duration::from_millis(250);
 /// The longest datagram that is read.
 const LONGEST_MESSAGE: usize = 60_000;
@@ -23,25 +26,35 @@
     socket: Rc<UdpSocket>,
     stop: CancellationToken,
 ) {
+    let mut far_at = node.clock.now();
     while !stop.is_cancelled() {
         tokio::select! {
             () = node.load_changed.notified() => {}
             () = tokio::time::sleep(QUIET_INTERVAL) => {}
             () = stop.cancelled() => {}
         }
-        tokio::time::sleep(GATHER_SPAN).await;
+        let peers = node.peer_addresses();
+        let gathered = GATHER_FOR_EACH * peers.near.len() as u32;
+        tokio::time::sleep(gathered.max(GATHER_SPAN)).await;
         node.tick();
-        announce(&node, &socket).await;
+        let now = node.clock.now();
+        let is_far_due = now >= far_at;
+        if is_far_due {
+            far_at = now + QUIET_INTERVAL - GATHER_SPAN;
+        }
+        let far = peers.far.iter().filter(|_| is_far_due);
+        announce(&node, &socket, peers.near.iter().chain(far)).await;
     }
     // The last word: others take no account of it any more.
-    announce(&node, &socket).await;
+    let peers = node.peer_addresses();
+    announce(&node, &socket, peers.near.iter().chain(&peers.far)).await;
 }
 
-async fn announce<D: Dialect>(node: &Node<D>, socket: &UdpSocket) {
-    let peers = node.peer_addresses();
-    if peers.is_empty() {
-        return;
-    }
+async fn announce<D: Dialect>(
+    node: &Node<D>,
+    socket: &UdpSocket,
+    peers: impl Iterator<Item = &SocketAddr>,
+) {
     let message = node.peer_message();
     let bytes = match postcard::to_stdvec(&message) {
         Ok(bytes) => bytes,
@@ -53,7 +66,7 @@
     for peer in peers {
         // A datagram that can't be sent is one that is lost: the next one says
         // the same and more.
-        let _ = socket.try_send_to(&bytes, peer);
+        let _ = socket.try_send_to(&bytes, *peer);
     }
 }
 
--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -12,6 +12,10 @@
 /// Each call is billed, refused ones too, and a store that is down needs no load.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_000);
+/// After a change others often follow: servers that are replaced one by one, or
+/// a fleet that starts. Each call of a watch is billed, so it waits this long
+/// before it asks again. An operator's change has two seconds to be in force.
+const GATHER_SPAN: Duration = Duration::from_millis(250);
 
 /// What following a prefix brings.
 #[derive(Debug)]
@@ -74,7 +78,13 @@
     };
     loop {
         match watch.next().await {
-            Ok(batch) => sink(FollowNews::Changed(batch)),
+            Ok(batch) => {
+                let is_change = !batch.written.is_empty() || !batch.deleted.is_empty();
+                sink(FollowNews::Changed(batch));
+                if is_change {
+                    tokio::time::sleep(GATHER_SPAN).await;
+                }
+            }
             Err(error) => return error,
         }
     }
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -17,6 +17,18 @@
 /// has lapsed, or nearly.
 const HOLDS_LOTS_FOR: Duration = Duration::from_secs(3);
 
+/// In a fleet of so many daemons each speaks to all others with every change.
+const SMALL_FLEET: usize = 16;
+
+/// Where the other daemons are reached.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PeerAddresses {
+    /// Those who hear of every change.
+    pub near: Vec<SocketAddr>,
+    /// Those who hear at intervals.
+    pub far: Vec<SocketAddr>,
+}
+
 #[derive(Clone, Debug)]
 struct KnownMember {
     id: PeerId,
@@ -27,6 +39,7 @@
     operators_revision: i64,
     servers_revision: i64,
     progress: Vec<LotProgress>,
+    reaches_store: bool,
     is_leaving: bool,
 }
 
@@ -74,6 +87,7 @@
         member.operators_revision = message.operators_revision;
         member.servers_revision = message.servers_revision;
         member.progress.clone_from(&message.progress);
+        member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
         Some(member.id)
     }
@@ -120,9 +134,43 @@
             .collect()
     }
 
-    /// Where the daemons are reached.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.members.iter().map(|it| it.record.address).collect()
+    /// Where the daemons are reached. In a small fleet all are near; in a large
+    /// one those of the own zone, who use the same servers.
+    pub fn addresses(&self, zone: &str) -> PeerAddresses {
+        let is_small = self.members.len() <= SMALL_FLEET;
+        let is_near = |it: &&KnownMember| is_small || it.record.zone == zone;
+        let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) =
+            self.members.iter().partition(is_near);
+        PeerAddresses {
+            near: near.iter().map(|it| it.record.address).collect(),
+            far: far.iter().map(|it| it.record.address).collect(),
+        }
+    }
+
+    /// Where the daemons are reached that say they reach the store.
+    pub fn store_ways(&self, now: Timestamp) -> Vec<SocketAddr> {
+        let fit = |it: &&KnownMember| {
+            it.reaches_store && !it.is_leaving && it.was_heard(HEARD_LATELY, now)
+        };
+        self.members
+            .iter()
+            .filter(fit)
+            .map(|it| it.record.address)
+            .collect()
+    }
+
+    /// Where the daemon is reached that tells of a lot's results.
+    pub fn lot_runner(&self, lot: &str, now: Timestamp) -> Option<SocketAddr> {
+        let tells = |it: &&KnownMember| {
+            it.was_heard(HEARD_LATELY, now) && it.progress.iter().any(|told| told.lot == lot)
+        };
+        // Where several tell, as after a hand-over, the one with the most results.
+        let results = |it: &&KnownMember| {
+            let told = it.progress.iter().filter(|told| told.lot == lot);
+            told.map(|told| told.results).max()
+        };
+        let runner = self.members.iter().filter(tells).max_by_key(results)?;
+        Some(runner.record.address)
     }
 
     /// A daemon that acts by a newer view than one with these revisions.
@@ -219,6 +267,7 @@
             operators_revision: 0,
             servers_revision: 0,
             progress: Vec::new(),
+            reaches_store: false,
             is_leaving: false,
         }
     }
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -53,6 +53,8 @@
     pub lots: Vec<LotNotice>,
     /// How far the lots are that it runs.
     pub progress: Vec<LotProgress>,
+    /// Whether it reaches the store.
+    pub reaches_store: bool,
     /// Whether it is about to stop.
     pub is_leaving: bool,
 }
--- a/crates/serving/src/fleet/peer_views.rs
+++ b/crates/serving/src/fleet/peer_views.rs
@@ -5,17 +5,16 @@
 use bytes::Bytes;
 use comfreyramp_http::{HttpClient, MessageBody};
 use comfreyramp_store::KeyValue;
-use http::{Request, Response, StatusCode};
-use hyper::body::Incoming;
+use http::Request;
 use serde::{Deserialize, Serialize};
 use serde_with::{base64::Base64, serde_as};
 use tokio_util::sync::CancellationToken;
 
 use super::StoreView;
-use crate::{dialect::Dialect, node::Node, path::FrontBody};
+use crate::{dialect::Dialect, node::Node};
 
 /// The path at which a daemon shows its views to others.
-const VIEWS_PATH: &str = "/views";
+pub(super) const VIEWS_PATH: &str = "/views";
 /// How often a daemon looks whether others are ahead of it. An order of an
 /// operator has two seconds to be in force everywhere.
 const LOOK_INTERVAL: Duration = Duration::from_millis(300);
@@ -34,7 +33,7 @@
 /// A pair of the store, as daemons pass it on.
 #[serde_as]
 #[derive(Debug, Serialize, Deserialize)]
-pub struct ViewPair {
+struct ViewPair {
     key: String,
     #[serde_as(as = "Base64")]
     value: Vec<u8>,
@@ -76,23 +75,14 @@
     }
 }
 
-/// Answers other daemons.
-pub fn answer_peer<D: Dialect>(
-    node: &Node<D>,
-    request: &Request<Incoming>,
-) -> Response<FrontBody<D>> {
-    if request.uri().path() != VIEWS_PATH {
-        let mut answer = Response::new(FrontBody::empty());
-        *answer.status_mut() = StatusCode::NOT_FOUND;
-        return answer;
-    }
+/// This daemon's views, as it shows them to others.
+pub(super) fn show_views<D: Dialect>(node: &Node<D>) -> Bytes {
     let views = node.views.borrow();
     let shown = ShownViews {
         operators: (&views.operators).into(),
         servers: (&views.servers).into(),
     };
-    let body = serde_json::to_vec(&shown).unwrap_or_default();
-    Response::new(FrontBody::whole(Bytes::from(body)))
+    serde_json::to_vec(&shown).unwrap_or_default().into()
 }
 
 /// Looks for daemons that are ahead, and takes over what they know, until `stop`
--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -5,6 +5,7 @@
 
 use comfreyramp_policy::Timestamp;
 use comfreyramp_store::KeyValue;
+use serde::{Deserialize, Serialize};
 
 use super::{
     keys,
@@ -78,6 +79,18 @@
     }
 }
 
+/// A lot as daemons show it to each other.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ShownLot {
+    head: LotHead,
+    head_revision: i64,
+    /// The position of the first result that is shown.
+    after: usize,
+    results: Vec<ItemResult>,
+    last_key: String,
+    is_ended: bool,
+}
+
 /// What a daemon has read of lots.
 #[derive(Debug, Default)]
 pub struct LotCache {
@@ -143,6 +156,78 @@
         Ok(())
     }
 
+    /// Takes in results that this daemon has just written under a key.
+    pub fn add_results(
+        &mut self,
+        lot: &str,
+        results: Vec<ItemResult>,
+        key: String,
+        now: Timestamp,
+    ) {
+        let Ok(place) = self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) else {
+            return;
+        };
+        let known = &mut self.lots[place];
+        known.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
+        known.results.extend(results);
+        known.last_key = key;
+        known.used_at = now;
+        self.shrink();
+    }
+
+    /// What is shown to a daemon that knows the results before a position.
+    pub fn show(&self, lot: &str, after: usize) -> Option<ShownLot> {
+        let known = self.get(lot)?;
+        Some(ShownLot {
+            head: known.head.clone(),
+            head_revision: known.head_revision,
+            after,
+            results: known.results.get(after..)?.to_vec(),
+            last_key: known.last_key.clone(),
+            is_ended: known.is_ended,
+        })
+    }
+
+    /// Takes in what another daemon showed. Returns whether it had more than was
+    /// known here.
+    pub fn take_shown(&mut self, lot: &str, shown: ShownLot, now: Timestamp) -> bool {
+        let place = match self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
+            Ok(place) => place,
+            Err(place) if shown.after == 0 => {
+                let known = KnownLot {
+                    lot: lot.to_owned(),
+                    head: shown.head,
+                    head_revision: shown.head_revision,
+                    results: Vec::new(),
+                    is_ended: false,
+                    last_key: keys::before_results(lot),
+                    bytes: 0,
+                    asked_at: now,
+                    used_at: now,
+                };
+                self.lots.insert(place, known);
+                place
+            }
+            Err(_) => return false,
+        };
+        let known = &mut self.lots[place];
+        if shown.after != known.results.len() || shown.last_key < known.last_key {
+            return false;
+        }
+        known.bytes += shown
+            .results
+            .iter()
+            .map(|it| it.output.len())
+            .sum::<usize>();
+        known.results.extend(shown.results);
+        known.last_key = shown.last_key;
+        known.is_ended |= shown.is_ended;
+        known.asked_at = now;
+        known.used_at = now;
+        self.shrink();
+        true
+    }
+
     /// Notes that a lot was ended.
     pub fn end(&mut self, lot: &str) {
         if let Ok(place) = self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
--- /dev/null
+++ b/crates/serving/src/lots/peer_read.rs
@@ -0,0 +1,68 @@
+//! Results of lots from the daemons that run them, which costs no call to the
+//! store.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use comfreyramp_http::MessageBody;
+use http::{Request, StatusCode};
+
+use super::lot_cache::ShownLot;
+use crate::{dialect::Dialect, node::Node};
+
+/// Under this path daemons show each other lots.
+pub const LOT_PATH: &str = "/lots/";
+/// How long the daemon that runs a lot may take. Then the store is asked.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The longest answer: the results of one lot.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Shows a lot to another daemon: `rest` is the lot, a slash, and the position
+/// of the first result that is wanted.
+pub fn show_lot<D: Dialect>(node: &Node<D>, rest: &str) -> Option<Bytes> {
+    let (lot, after) = rest.split_once('/')?;
+    let shown = node.lot_cache.borrow().show(lot, after.parse().ok()?)?;
+    Some(serde_json::to_vec(&shown).unwrap_or_default().into())
+}
+
+/// Asks the daemon that runs a lot for what isn't known of it here. Returns
+/// whether it answered.
+///
+/// What it shows is in the store already: it takes results into its own copy
+/// only once they are written.
+pub(super) async fn ask_runner<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> bool {
+    let Some(peer) = node.lot_runner(lot) else {
+        return false;
+    };
+    let after = node
+        .lot_cache
+        .borrow()
+        .get(lot)
+        .map_or(0, |it| it.results.len());
+    let request = Request::get(format!("http://{peer}{LOT_PATH}{lot}/{after}"));
+    let Ok(request) = request.body(MessageBody::empty()) else {
+        return false;
+    };
+    let answer = node
+        .peer_client
+        .exchange(request, ANSWER_TIMEOUT, ANSWER_LIMIT)
+        .await;
+    let shown = match answer {
+        Ok(answer) if answer.status() == StatusCode::OK => {
+            serde_json::from_slice::<ShownLot>(answer.body())
+        }
+        Ok(_) => return false,
+        Err(error) => {
+            log::info!(lot = lot, peer:% = peer, error:% = error; "lots: no results from the daemon that runs it");
+            return false;
+        }
+    };
+    let now = node.clock.now();
+    match shown {
+        Ok(shown) => node.lot_cache.borrow_mut().take_shown(lot, shown, now),
+        Err(error) => {
+            log::warn!(lot = lot, error:% = error; "lots: a daemon shows what can't be read");
+            false
+        }
+    }
+}
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -12,6 +12,7 @@
 use super::{
     keys,
     notices::LotNotice,
+    peer_read::ask_runner,
     records::{DamagedRecord, from_packed, to_json},
 };
 use crate::{
@@ -124,8 +125,12 @@
     }
 }
 
-/// Reads what the store holds of a lot beyond what is known.
+/// Learns what there is of a lot beyond what is known: from the daemon that runs
+/// it, or else from the store.
 async fn refresh<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> Result<(), Refusal> {
+    if ask_runner(node, lot).await {
+        return Ok(());
+    }
     let prefix = keys::data(lot);
     let range = match node.lot_cache.borrow().last_key(lot) {
         Some(after) => KeyRange::After { prefix, after },
--- a/crates/serving/src/lots/worker.rs
+++ b/crates/serving/src/lots/worker.rs
@@ -18,7 +18,8 @@
     writer::{self, ClaimAnswer, WriteAnswer},
 };
 use crate::{
-    clock::unix_millis, dialect::Dialect, fleet::draw_service, node::Node, path::AttemptGuard,
+    clock::unix_millis, dialect::Dialect, fleet::draw_service, model::ItemResult, node::Node,
+    path::AttemptGuard,
 };
 
 /// How often the worker looks round where nothing else wakes it.
@@ -31,7 +32,7 @@
 /// The pause after a claim that failed.
 const CLAIM_PAUSE: Duration = Duration::from_millis(1_000);
 /// Results wait this long for others of their lot, since each write is billed.
-const GROUP_SPAN: Duration = Duration::from_millis(700);
+const GROUP_SPAN: Duration = Duration::from_millis(1_200);
 /// The pause after a write that the store didn't answer.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 /// The items that run here at once, each with its output in memory.
@@ -308,7 +309,12 @@
         held.is_writing = false;
         match answer {
             WriteAnswer::Written => {
-                held.unwritten.drain(..held.writing);
+                let results: Vec<ItemResult> = held.unwritten.drain(..held.writing).collect();
+                let key = keys::group(lot, held.groups);
+                self.node
+                    .lot_cache
+                    .borrow_mut()
+                    .add_results(lot, results, key, now);
                 held.listed += held.writing;
                 held.writing = 0;
                 held.groups += 1;
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -59,6 +59,10 @@
             return unknown(node, lot, &error);
         }
     };
+    let now = node.clock.now();
+    if let Err(error) = node.lot_cache.borrow_mut().take(lot, &listed.pairs, now) {
+        log::error!(lot = lot, error:% = error; "lots: damaged");
+    }
     match HeldLot::load(lot, &listed.pairs, node.clock.now()) {
         Ok(Some(mut held)) if !held.is_done() => {
             held.claim = Some(revision);
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -147,9 +147,16 @@
         let mut counts = Vec::new();
         for call in StoreCall::ALL {
             for end in CallEnd::ALL {
-                let counter = self.store_calls.with_label_values(&[call.as_str(), end.as_str()]);
+                let counter = self
+                    .store_calls
+                    .with_label_values(&[call.as_str(), end.as_str()]);
                 if counter.get() > 0 {
-                    counts.push(format!("{}/{} {}", call.as_str(), end.as_str(), counter.get()));
+                    counts.push(format!(
+                        "{}/{} {}",
+                        call.as_str(),
+                        end.as_str(),
+                        counter.get()
+                    ));
                 }
             }
         }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use comfreyramp_http::HttpClient;
 use comfreyramp_policy::{
     Timestamp,
     placement::{PlacementTable, ServerListing},
@@ -20,7 +21,8 @@
     clock::BootClock,
     dialect::{Dialect, FleetRecords},
     fleet::{
-        FleetView, HeldLease, KnownCustomer, MemberList, MemberRecord, PeerMessage, StoreView,
+        FleetView, HeldLease, KnownCustomer, MemberList, MemberRecord, PeerAddresses, PeerMessage,
+        RelayedStore, StoreView,
     },
     lots::{LotCache, LotNotice, LotNotices},
     metrics::NodeMetrics,
@@ -37,6 +39,8 @@
 /// on to for so long. It is less than the span for which a server that leaves
 /// still answers.
 const MASS_SPAN: Duration = Duration::from_millis(1_500);
+/// How long a connection to another daemon may take to open.
+const PEER_CONNECT: Duration = Duration::from_millis(300);
 /// Calls that fail for less than this are no outage: entries don't lapse by it.
 const LEAST_OUTAGE: Duration = Duration::from_millis(1_800);
 
@@ -78,7 +82,9 @@
     /// Its clock.
     pub clock: BootClock,
     /// The store.
-    pub store: D::Store,
+    pub store: RelayedStore<D::Store>,
+    /// The client towards other daemons.
+    pub peer_client: HttpClient,
     /// What is counted.
     pub metrics: NodeMetrics,
     /// Copies of what the store holds.
@@ -116,7 +122,8 @@
         let clock = BootClock::default();
         Node {
             incarnation: rand::random(),
-            store,
+            store: RelayedStore::new(store),
+            peer_client: HttpClient::new(PEER_CONNECT),
             metrics,
             views: RefCell::default(),
             servers: RefCell::default(),
@@ -231,7 +238,11 @@
         // A store that was away without anybody here noticing drops many entries
         // at once. Servers that leave do so one after the other.
         let is_mass = deleted > 2 && deleted * 3 > before.len();
-        let after_outage = self.store_health.get().returned_at.map(|it| it + RETURN_SPAN);
+        let after_outage = self
+            .store_health
+            .get()
+            .returned_at
+            .map(|it| it + RETURN_SPAN);
         let after_mass = is_mass.then(|| now + MASS_SPAN);
         let Some(until) = after_outage.max(after_mass).filter(|it| *it > now) else {
             return;
@@ -319,6 +330,7 @@
             let ids = self.members.borrow().ids();
             self.usage.borrow_mut().set_members(&ids, now);
         }
+        self.store.set_peers(self.members.borrow().store_ways(now));
         if self.missing.borrow().iter().any(|it| it.1 <= now) {
             self.use_listings();
         }
@@ -355,6 +367,7 @@
             suspects: self.suspects.borrow().own_counts(now),
             lots,
             progress,
+            reaches_store: self.store.is_direct(),
             is_leaving: self.is_stopping.get(),
         }
     }
@@ -384,8 +397,8 @@
     }
 
     /// Where the other daemons are reached.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        self.members.borrow().addresses()
+    pub fn peer_addresses(&self) -> PeerAddresses {
+        self.members.borrow().addresses(&self.settings.zone)
     }
 
     /// A daemon that acts by newer settings or servers than this one.
@@ -420,6 +433,11 @@
         self.members.borrow().told_results(lot)
     }
 
+    /// Where the daemon is reached that tells of a lot's results.
+    pub fn lot_runner(&self, lot: &str) -> Option<SocketAddr> {
+        self.members.borrow().lot_runner(lot, self.clock.now())
+    }
+
     /// Whether another daemon tells that a lot has all its results, or that it
     /// doesn't run it any more.
     pub fn told_finished(&self, lot: &str) -> bool {
@@ -437,7 +455,9 @@
             return incarnation != self.incarnation;
         }
         let now = self.clock.now();
-        self.members.borrow().is_former_life(daemon, incarnation, now)
+        self.members
+            .borrow()
+            .is_former_life(daemon, incarnation, now)
     }
 
     /// Whether a lot falls to this daemon.
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -135,10 +135,7 @@
     tokio::task::spawn_local(serve_connections(
         listener,
         limits.clone(),
-        move |request| {
-            let answer = answer_peer(&shared, &request);
-            async move { answer }
-        },
+        move |request| answer_peer(shared.clone(), request),
     ));
     let listener = TcpListener::bind(settings.metrics)
         .await
@@ -263,6 +260,6 @@
         }
         take(news);
     };
-    let following = follow_store(node.store.clone(), prefix, sink, stop.clone());
+    let following = follow_store(node.store.direct().clone(), prefix, sink, stop.clone());
     tokio::task::spawn_local(following);
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -3,6 +3,7 @@
 use std::{future::Future, time::Duration};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 /// The most bytes that the platform takes as one value.
 pub const VALUE_LIMIT: usize = 1_000_000;
@@ -15,11 +16,11 @@
 pub type Revision = i64;
 
 /// A lease of the platform. Keys written under it vanish when it lapses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct LeaseId(pub i64);
 
 /// One key with its value.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyValue {
     /// The key, as text.
     pub key: String,
@@ -34,7 +35,7 @@
 }
 
 /// The keys that a read or watch covers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyRange {
     /// Exactly this key.
     One(String),
@@ -76,7 +77,7 @@
 }
 
 /// What a read returned.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RangeAnswer {
     /// The pairs found, in key order.
     pub pairs: Vec<KeyValue>,
@@ -87,7 +88,7 @@
 }
 
 /// A condition of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Comparison {
     /// The key doesn't exist.
     Absent(String),
@@ -98,7 +99,7 @@
 }
 
 /// A write of a transaction.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Write {
     /// Sets a key, under a lease if one is given.
     Put {
@@ -125,7 +126,7 @@
 /// A transaction: the writes happen together if every comparison holds.
 ///
 /// When one doesn't, the keys in `read_back` are read in the same step.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WriteBatch {
     /// All of these must hold.
     pub when: Vec<Comparison>,
@@ -136,7 +137,7 @@
 }
 
 /// What a transaction did.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionAnswer {
     /// Everything was written at this revision.
     Written(Revision),
