Prove the path through the adapter without the bench: stand-ins of store and servers, the real program as processes

The stand-ins speak the platform's protocol; 18 tests start comfreyramp-node and drive streams, plain calls and lots through it, calm and under failure. One of them found that a reader who begins at position 0 got only what others had read at that daemon before, for ever: with 27 of 40 results known nothing newer was fetched. Readers now fetch what there is first.

--- /dev/null
+++ b/crates/node/tests/calm_fleet.rs
@@ -0,0 +1,157 @@
+//! A fleet in which nothing goes wrong serves everything it is for.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "tests end where something is missing"
+)]
+
+mod fleet;
+
+use comfreyramp_http::{Method, StatusCode};
+use fleet::{Ask, Fleet, KEY, whole_output, whole_stream};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_is_passed_on_event_by_event() {
+    let fleet = Fleet::started().await;
+    let answer = fleet
+        .ask(0, Ask::post("/drafts/1", "r1", b"verse"))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert_eq!(answer.body(), &whole_stream());
+    assert_eq!(
+        answer.headers()["x-response-signature"],
+        "engine-1",
+        "the own zone goes first"
+    );
+    assert_eq!(answer.headers()["x-request-id"], "r1");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_learn_the_customer_and_never_the_key() {
+    let fleet = Fleet::started().await;
+    let answer = fleet
+        .ask(1, Ask::post("/proofs/7", "r2", b"state of 7"))
+        .await
+        .unwrap();
+    assert_eq!(answer.body().as_ref(), b"state of 7");
+    let arrivals = fleet.runners[2].arrivals();
+    let [arrival] = arrivals.as_slice() else {
+        panic!("one arrival, not {}", arrivals.len());
+    };
+    assert_eq!(arrival.headers["x-tenant"], "press");
+    let shows_key = |it: &comfreyramp_http::HeaderValue| it.as_bytes() == KEY.as_bytes();
+    assert!(!arrival.headers.values().any(shows_key));
+    let left: u64 = arrival.headers["x-deadline-ms"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(
+        (4_000..=5_000).contains(&left),
+        "what is left of the time: {left}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_no_route_or_key_allows_is_refused() {
+    let fleet = Fleet::started().await;
+    let unknown = fleet
+        .ask(0, Ask::post("/nowhere/1", "r3", b""))
+        .await
+        .unwrap();
+    assert_eq!(unknown.status(), StatusCode::NOT_FOUND);
+    let keyless = fleet
+        .ask(0, Ask::post("/drafts/1", "r4", b"").key("nobody's"))
+        .await
+        .unwrap();
+    assert_eq!(keyless.status(), StatusCode::UNAUTHORIZED);
+    assert!(fleet.runners.iter().all(|it| it.arrivals().is_empty()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_is_accepted_run_and_read_from_any_daemon() {
+    let fleet = Fleet::started().await;
+    let status = fleet
+        .hand_in(0, "lot-a", &["one", "two", "impossible"])
+        .await
+        .unwrap();
+    assert_eq!(status, StatusCode::ACCEPTED);
+    let page = fleet.whole_lot(1, "lot-a").await;
+    assert_eq!(page["total"], 3);
+    for result in page["results"].as_array().unwrap() {
+        match result["id"].as_str() {
+            Some("lot-a-2") => assert_eq!(result["state"], "dead_letter"),
+            _ => {
+                assert_eq!(result["state"], "done");
+                assert_eq!(result["output"], whole_output());
+            }
+        }
+    }
+    assert_eq!(
+        fleet.whole_lot(0, "lot-a").await,
+        page,
+        "positions don't change"
+    );
+    let repeat = fleet
+        .hand_in(1, "lot-a", &["one", "two", "impossible"])
+        .await
+        .unwrap();
+    assert_eq!(repeat, StatusCode::ACCEPTED);
+    let runs = fleet.runners.iter().flat_map(|it| it.arrivals());
+    let runs = runs
+        .filter(|it| it.request_id == "lot-a-0" && it.ran)
+        .count();
+    assert_eq!(runs, 1, "a repeat doesn't run it again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_that_was_ended_runs_no_further() {
+    let fleet = Fleet::started().await;
+    let bodies = ["item"; 60];
+    fleet.hand_in(0, "lot-b", &bodies).await.unwrap();
+    let body = fleet
+        .ask(1, Ask::get("/-/items/lot-b?id=lot-b-59"))
+        .await
+        .unwrap();
+    assert_eq!(body.body().as_ref(), b"item");
+    let mut end = Ask::get("/-/lots/lot-b");
+    end.method = Method::DELETE;
+    assert_eq!(fleet.ask(1, end).await.unwrap().status(), StatusCode::OK);
+    tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
+    let count = || {
+        fleet
+            .runners
+            .iter()
+            .map(|it| it.arrivals().len())
+            .sum::<usize>()
+    };
+    let before = count();
+    tokio::time::sleep(std::time::Duration::from_millis(1_000)).await;
+    assert_eq!(
+        count(),
+        before,
+        "nothing is sent once the end was acknowledged"
+    );
+    let missing = fleet
+        .ask(0, Ask::get("/-/lots/no-such-lot?after=0"))
+        .await
+        .unwrap();
+    assert_eq!(missing.status(), StatusCode::NOT_FOUND);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_tell_what_was_served() {
+    let fleet = Fleet::started().await;
+    fleet
+        .ask(0, Ask::post("/drafts/1", "r5", b"verse"))
+        .await
+        .unwrap();
+    let text = fleet.metrics(0).await;
+    assert!(
+        text.contains(r#"comfreyramp_first_byte_seconds_count{customer="press",kind="stream"} 1"#),
+        "{text}"
+    );
+    assert!(text.contains("comfreyramp_store_calls_total"));
+}
--- /dev/null
+++ b/crates/node/tests/failing_fleet.rs
@@ -0,0 +1,270 @@
+//! What callers see while servers, daemons and the store fail.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "tests end where something is missing"
+)]
+
+mod fleet;
+
+use std::time::Duration;
+
+use comfreyramp_http::StatusCode;
+use fleet::{Ask, Fleet, KEY, SPARE_KEY, whole_output, whole_stream};
+
+/// An engine crashes in the middle of an event. The caller of a resumable stream
+/// must notice nothing: another engine goes on after the last whole event.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_at_another_server_without_gap_or_repeat() {
+    let fleet = Fleet::started().await;
+    fleet.runners[0].break_next(5);
+    let answer = fleet
+        .ask(0, Ask::post("/drafts/1", "r1", b"verse"))
+        .await
+        .unwrap();
+    assert_eq!(answer.body(), &whole_stream());
+    assert_eq!(
+        answer.headers()["x-response-signature"],
+        "engine-1",
+        "the first head stands"
+    );
+    let resumed = fleet.runners[1].arrivals();
+    let last: u64 = resumed[0].headers["last-event-id"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    // What the server wrote last may be lost with its connection.
+    assert!((1..=5).contains(&last), "went on after {last}");
+}
+
+/// The same crash under a stream that must not run twice. Its caller sees the
+/// connection break, and no second engine is asked.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_runs_once_breaks_with_its_server() {
+    let fleet = Fleet::started().await;
+    fleet.runners[0].break_next(5);
+    let answer = fleet.ask(0, Ask::post("/once/1", "r2", b"verse")).await;
+    assert!(answer.is_err(), "a part must not look like the whole");
+    assert!(fleet.runners[1].arrivals().is_empty());
+}
+
+/// An engine breaks off before its first event. Nothing reached the caller yet,
+/// but the request may have run, so that it is told so and not run again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_may_have_run_is_not_said_not_to_have() {
+    let fleet = Fleet::started().await;
+    fleet.runners[0].break_next(0);
+    fleet.runners[1].break_next(0);
+    let answer = fleet.ask(0, Ask::post("/once/1", "r3", b"verse")).await;
+    // The part of an event that came is passed on, so the answer may have begun.
+    if let Ok(answer) = answer {
+        assert_eq!(answer.status(), StatusCode::BAD_GATEWAY);
+    }
+    let runs: usize = fleet.runners.iter().map(|it| it.arrivals().len()).sum();
+    assert_eq!(runs, 1);
+}
+
+/// A full engine says that it didn't run a request. Another one may, whatever
+/// the kind of the request.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_was_turned_away_goes_to_another_server() {
+    let fleet = Fleet::started().await;
+    fleet.runners[0].set_full(true);
+    let answer = fleet
+        .ask(0, Ask::post("/once/1", "r4", b"verse"))
+        .await
+        .unwrap();
+    assert_eq!(answer.headers()["x-response-signature"], "engine-2");
+    fleet.runners[1].set_full(true);
+    let answer = fleet
+        .ask(0, Ask::post("/once/1", "r5", b"verse"))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers().contains_key("retry-after"));
+}
+
+/// The store turns one daemon away while it serves the others, and an operator
+/// withdraws a key. Whoever has the key must not get in at that daemon either;
+/// it hears of the change from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_stops_working_where_the_store_cannot_be_reached() {
+    let mut fleet = Fleet::started().await;
+    fleet.nodes[0].door.faults.turn_away(true);
+    fleet.put_settings(&[KEY], 1_000.0);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    for node in [0, 1] {
+        let refused = fleet
+            .ask(node, Ask::post("/proofs/1", "r6", b"x").key(SPARE_KEY))
+            .await
+            .unwrap();
+        assert_eq!(refused.status(), StatusCode::UNAUTHORIZED, "daemon {node}");
+        let served = fleet
+            .ask(node, Ask::post("/proofs/1", "r7", b"x"))
+            .await
+            .unwrap();
+        assert_eq!(served.status(), StatusCode::OK, "daemon {node}");
+    }
+}
+
+/// The store turns away the daemon that takes a lot in, and the only one that
+/// runs lots. Both reach the store by way of a third, so that the lot is
+/// accepted, run and read as usual.
+#[tokio::test(flavor = "multi_thread")]
+async fn lots_go_on_where_the_store_turns_daemons_away() {
+    let fleet = Fleet::started().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.nodes[0].door.faults.turn_away(true);
+    fleet.nodes[2].door.faults.turn_away(true);
+    let mut status = fleet.hand_in(0, "lot-c", &["one", "two"]).await.unwrap();
+    for _ in 0..5 {
+        // The first call that fails tells a daemon that it is turned away; until
+        // the others have said that they aren't, it refuses, and says so.
+        if status == StatusCode::ACCEPTED {
+            break;
+        }
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        status = fleet.hand_in(0, "lot-c", &["one", "two"]).await.unwrap();
+    }
+    assert_eq!(status, StatusCode::ACCEPTED);
+    let page = fleet.whole_lot(0, "lot-c").await;
+    assert_eq!(page["results"][0]["output"], whole_output());
+}
+
+/// The store takes a lot, and its answer is lost. The caller must be told that
+/// the lot was accepted, and it must exist once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_whose_answer_was_lost_is_accepted_once() {
+    let fleet = Fleet::started().await;
+    fleet.nodes[0].door.faults.lose_answers(2);
+    let status = fleet.hand_in(0, "lot-d", &["one"]).await.unwrap();
+    assert_eq!(status, StatusCode::ACCEPTED);
+    fleet.whole_lot(1, "lot-d").await;
+    assert_eq!(fleet.store.keys("lots/data/lot-d/head").len(), 1);
+}
+
+/// The store is away for everybody. A lot can't be kept, so it is refused with
+/// a time to come back; live requests are served by what is known.
+#[tokio::test(flavor = "multi_thread")]
+async fn without_a_store_live_requests_are_served_and_lots_refused() {
+    let fleet = Fleet::started().await;
+    for node in &fleet.nodes {
+        node.door.faults.turn_away(true);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = fleet
+        .ask(0, Ask::post("/drafts/1", "r8", b"verse"))
+        .await
+        .unwrap();
+    assert_eq!(answer.body(), &whole_stream());
+    let status = fleet.hand_in(0, "lot-e", &["one"]).await.unwrap();
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    for node in &fleet.nodes {
+        node.door.faults.turn_away(false);
+    }
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let unknown = fleet
+        .ask(0, Ask::get("/-/lots/lot-e?after=0"))
+        .await
+        .unwrap();
+    assert_eq!(
+        unknown.status(),
+        StatusCode::NOT_FOUND,
+        "what was refused doesn't exist"
+    );
+}
+
+/// The daemon that runs a lot is killed and comes back. Its claim hangs on a
+/// lease that is still alive, but its new life takes the lot over at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_outlives_the_daemon_that_runs_it() {
+    let mut fleet = Fleet::started().await;
+    fleet.hand_in(0, "lot-f", &["item"; 40]).await.unwrap();
+    fleet
+        .eventually("the lot is being run", async || {
+            !fleet.store.keys("lots/claim/").is_empty()
+        })
+        .await;
+    fleet.kill(2);
+    fleet.restart(2);
+    let page = fleet.whole_lot(1, "lot-f").await;
+    let results = page["results"].as_array().unwrap();
+    assert!(results.iter().all(|it| it["output"] == whole_output()));
+    let mut ids: Vec<&str> = results.iter().filter_map(|it| it["id"].as_str()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    assert_eq!(ids.len(), 40, "each item stands once");
+}
+
+/// A server says that it leaves. It must get no new request, also by daemons
+/// whose watch lost its history at that moment.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_gets_no_new_requests() {
+    let fleet = Fleet::started().await;
+    fleet.runners[0].register(&fleet.store, "draining");
+    fleet.store.forget_history();
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let before = fleet.runners[0].arrivals().len();
+    for number in 0..5 {
+        let id = format!("r9-{number}");
+        let answer = fleet
+            .ask(number % 2, Ask::post("/drafts/1", &id, b"verse"))
+            .await
+            .unwrap();
+        assert_eq!(answer.headers()["x-response-signature"], "engine-2");
+    }
+    assert_eq!(fleet.runners[0].arrivals().len(), before);
+}
+
+/// A daemon is told to stop in the middle of a stream. The stream ends whole,
+/// the balancer hears at once that the daemon isn't ready, and it ends by itself.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_cuts_nothing_off() {
+    let mut fleet = Fleet::started().await;
+    let answer = {
+        let asking = fleet.ask(0, Ask::post("/drafts/1", "r10", b"verse"));
+        let stopping = async {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            fleet.terminate(0);
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            assert!(!fleet.says_ready(0).await);
+        };
+        tokio::join!(asking, stopping).0.unwrap()
+    };
+    assert_eq!(answer.body(), &whole_stream());
+    assert!(fleet.ended(0).await);
+}
+
+/// A customer sends far more than its rate at two daemons at once. Over both of
+/// them together it gets its rate and burst, and a little more for the time in
+/// which they hear of each other.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rate_holds_over_all_daemons_together() {
+    let mut fleet = Fleet::started().await;
+    fleet.put_settings(&[KEY], 20.0);
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let begin = std::time::Instant::now();
+    let mut refused = 0;
+    for number in 0..300 {
+        let id = format!("r11-{number}");
+        let answer = fleet
+            .ask(number % 2, Ask::post("/proofs/1", &id, b"x"))
+            .await
+            .unwrap();
+        if answer.status() == StatusCode::TOO_MANY_REQUESTS {
+            assert!(answer.headers().contains_key("retry-after"));
+            refused += 1;
+        }
+    }
+    let seconds = begin.elapsed().as_secs_f64();
+    let served = fleet.runners[2].arrivals().len() as f64;
+    let allowed = 20.0 * seconds + 20.0;
+    assert!(
+        served <= allowed * 1.1 + 10.0,
+        "{served} of {allowed} in {seconds} s"
+    );
+    assert!(refused > 0);
+}
--- /dev/null
+++ b/crates/node/tests/fleet/mod.rs
@@ -0,0 +1,419 @@
+//! A small fleet: the real program as processes, in front of stand-ins.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a test ends where its fleet can't start"
+)]
+
+use std::{
+    net::SocketAddr,
+    process::{Child, Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU8, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use comfreyramp_http::{Bytes, HttpClient, MessageBody, Method, Request, Response, StatusCode};
+use comfreyramp_standins::{
+    kv::{KvDoor, KvState},
+    runner::{RunnerKind, RunnerOptions, RunnerServer},
+};
+use serde_json::{Value, json};
+use tokio_util::sync::CancellationToken;
+
+/// The host of all routes.
+pub const HOST: &str = "fleet.example";
+/// The key of the first customer.
+pub const KEY: &str = "key-of-press";
+/// A second key of the first customer.
+pub const SPARE_KEY: &str = "spare-key-of-press";
+/// Nothing in a test may take longer.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// How long one call may take.
+const CALL: Duration = Duration::from_secs(10);
+const ANSWER_LIMIT: usize = 16 << 20;
+/// The lines of each daemon's log that a failed test shows.
+const LAST_LINES: usize = 40;
+
+/// A daemon's process. It is killed by its id when this is dropped.
+pub struct NodeProcess {
+    child: Child,
+    /// Where callers reach it.
+    pub callers: Option<SocketAddr>,
+    health: SocketAddr,
+    peers: SocketAddr,
+    metrics: SocketAddr,
+    /// Its own door to the store.
+    pub door: KvDoor,
+    settings: tempfile::TempDir,
+}
+
+/// A small fleet.
+pub struct Fleet {
+    /// The store.
+    pub store: Arc<KvState>,
+    /// The program's processes.
+    pub nodes: Vec<NodeProcess>,
+    /// The servers.
+    pub runners: Vec<Arc<RunnerServer>>,
+    version: u64,
+    stop: CancellationToken,
+    client: HttpClient,
+}
+
+/// A request of a caller.
+pub struct Ask<'a> {
+    pub method: Method,
+    pub path: &'a str,
+    pub id: &'a str,
+    pub key: &'a str,
+    pub body: &'a [u8],
+}
+
+impl<'a> Ask<'a> {
+    pub fn post(path: &'a str, id: &'a str, body: &'a [u8]) -> Self {
+        Ask {
+            method: Method::POST,
+            path,
+            id,
+            key: KEY,
+            body,
+        }
+    }
+
+    pub fn get(path: &'a str) -> Self {
+        Ask {
+            method: Method::GET,
+            path,
+            id: "read",
+            key: KEY,
+            body: b"",
+        }
+    }
+
+    pub fn key(mut self, key: &'a str) -> Self {
+        self.key = key;
+        self
+    }
+}
+
+impl Fleet {
+    /// Starts two engines, a plain service, and no daemon yet.
+    pub async fn new() -> Fleet {
+        let stop = CancellationToken::new();
+        let store = Arc::new(KvState::default());
+        let engine = RunnerKind::Engine {
+            events: 12,
+            pause: Duration::from_millis(15),
+        };
+        let mut runners = Vec::new();
+        for (id, service, zone, kind) in [
+            ("engine-1", "drafts", "zone-1", engine),
+            ("engine-2", "drafts", "zone-2", engine),
+            ("plain-1", "proofs", "zone-1", RunnerKind::Plain),
+        ] {
+            let options = RunnerOptions {
+                id: id.to_owned(),
+                service: service.to_owned(),
+                zone: zone.to_owned(),
+                kind,
+            };
+            runners.push(
+                RunnerServer::start(options, &store, stop.clone())
+                    .await
+                    .unwrap(),
+            );
+        }
+        let mut fleet = Fleet {
+            store,
+            nodes: Vec::new(),
+            runners,
+            version: 0,
+            stop,
+            client: HttpClient::default(),
+        };
+        fleet.put_settings(&[KEY, SPARE_KEY], 1_000.0);
+        fleet
+    }
+
+    /// A fleet with two daemons for callers and one for lots, all ready.
+    pub async fn started() -> Fleet {
+        let mut fleet = Fleet::new().await;
+        fleet.add_node("entry-1", "zone-1", true).await;
+        fleet.add_node("entry-2", "zone-2", true).await;
+        fleet.add_node("lots-1", "zone-1", false).await;
+        fleet.wait_ready().await;
+        fleet
+    }
+
+    /// Writes the operators' settings: the customer has these keys and this rate.
+    pub fn put_settings(&mut self, keys: &[&str], rate: f64) {
+        self.version += 3;
+        let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
+            json!({
+                "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
+                "timeout_ms": 5_000, "target_latency_ms": 500, "priority": 0, "attempts": 2,
+                "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 300,
+                "completion_target_ms": 15_000, "retention_s": 60,
+            })
+        };
+        let settings = json!({
+            "version": self.version,
+            "routes": [
+                route("/drafts/", "stream", "drafts", true),
+                route("/once/", "stream", "drafts", false),
+                route("/proofs/", "safe", "proofs", false),
+                route("/lots/", "batch", "drafts", true),
+            ],
+            "services": [{"name": "drafts"}, {"name": "proofs"}],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+            "tenants": [{"name": "press", "api_keys": keys, "rate_per_s": rate, "burst": rate}],
+        });
+        self.store.put("op/config", settings.to_string().as_bytes());
+    }
+
+    /// Starts a daemon, for callers or for lots.
+    pub async fn add_node(&mut self, name: &str, zone: &str, has_callers: bool) {
+        let door = KvDoor::open(self.store.clone(), self.stop.clone())
+            .await
+            .unwrap();
+        let [callers, health, peers, metrics] = own_addresses();
+        let mut settings = json!({
+            "name": name, "zone": zone, "peers": peers, "metrics": metrics,
+            "runs_lots": !has_callers,
+            "store": {
+                "address": door.address, "value_bytes": 1_048_576, "shortest_lease_s": 1.0,
+            },
+            "stop_grace_s": 8, "results_kept_s": 120,
+        });
+        if has_callers {
+            settings["callers"] = json!(callers);
+            settings["health"] = json!(health);
+        }
+        let folder = tempfile::tempdir().unwrap();
+        std::fs::write(folder.path().join("settings"), settings.to_string()).unwrap();
+        let child = start_process(&folder);
+        self.nodes.push(NodeProcess {
+            child,
+            callers: has_callers.then_some(callers),
+            health,
+            peers,
+            metrics,
+            door,
+            settings: folder,
+        });
+    }
+
+    /// Kills a daemon at once, as a loss of power would.
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].child.kill().unwrap();
+        self.nodes[node].child.wait().unwrap();
+    }
+
+    /// Starts a daemon again that was killed.
+    pub fn restart(&mut self, node: usize) {
+        let child = start_process(&self.nodes[node].settings);
+        self.nodes[node].child = child;
+    }
+
+    /// Asks a daemon to stop.
+    pub fn terminate(&self, node: usize) {
+        let id = self.nodes[node].child.id();
+        let pid = rustix::process::Pid::from_raw(id as i32).unwrap();
+        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+    }
+
+    /// Waits until a daemon has ended, and returns whether it ended well.
+    pub async fn ended(&mut self, node: usize) -> bool {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.nodes[node].child.try_wait().unwrap() {
+                return status.success();
+            }
+            assert!(Instant::now() < until, "daemon {node} doesn't end");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Waits until all daemons for callers are ready.
+    pub async fn wait_ready(&self) {
+        for node in self.nodes.iter().filter(|it| it.callers.is_some()) {
+            let address = node.health;
+            self.eventually("a daemon is ready", async || self.is_ready(address).await)
+                .await;
+        }
+    }
+
+    /// Whether a daemon says that it is ready.
+    pub async fn says_ready(&self, node: usize) -> bool {
+        self.is_ready(self.nodes[node].health).await
+    }
+
+    async fn is_ready(&self, address: SocketAddr) -> bool {
+        let request = Request::get(format!("http://{address}/-/readyz"));
+        let request = request.body(MessageBody::empty()).unwrap();
+        let answer = self.client.exchange(request, CALL, ANSWER_LIMIT).await;
+        answer.is_ok_and(|it| it.status() == StatusCode::OK)
+    }
+
+    /// What a daemon counts.
+    pub async fn metrics(&self, node: usize) -> String {
+        let request = Request::get(format!("http://{}/metrics", self.nodes[node].metrics));
+        let request = request.body(MessageBody::empty()).unwrap();
+        let answer = self
+            .client
+            .exchange(request, CALL, ANSWER_LIMIT)
+            .await
+            .unwrap();
+        String::from_utf8_lossy(answer.body()).into_owned()
+    }
+
+    /// Asks a daemon and reads its whole answer; an error where it breaks off.
+    pub async fn ask(&self, node: usize, ask: Ask<'_>) -> Result<Response<Bytes>, String> {
+        let address = self.nodes[node].callers.unwrap();
+        let request = Request::builder()
+            .method(ask.method)
+            .uri(format!("http://{address}{}", ask.path))
+            .header("host", HOST)
+            .header("x-request-id", ask.id)
+            .header("x-deadline-ms", "5000")
+            .header("x-wait-ms", "300")
+            .header("api-key", ask.key)
+            .body(MessageBody::from(ask.body.to_vec()))
+            .unwrap();
+        let answer = self.client.exchange(request, CALL, ANSWER_LIMIT).await;
+        answer.map_err(|error| error.to_string())
+    }
+
+    /// Hands a lot in, and returns the status of the answer.
+    pub async fn hand_in(
+        &self,
+        node: usize,
+        lot: &str,
+        bodies: &[&str],
+    ) -> Result<StatusCode, String> {
+        let items: Vec<Value> = bodies
+            .iter()
+            .enumerate()
+            .map(|(number, body)| item(lot, number, body))
+            .collect();
+        let body = json!({"items": items}).to_string();
+        let path = format!("/lots/{lot}");
+        let answer = self
+            .ask(node, Ask::post(&path, lot, body.as_bytes()))
+            .await?;
+        Ok(answer.status())
+    }
+
+    /// Reads a lot's results from a position on.
+    pub async fn read_lot(&self, node: usize, lot: &str, after: usize) -> Option<Value> {
+        let path = format!("/-/lots/{lot}?after={after}");
+        let answer = self.ask(node, Ask::get(&path)).await.ok()?;
+        (answer.status() == StatusCode::OK).then(|| serde_json::from_slice(answer.body()).unwrap())
+    }
+
+    /// Reads a lot until it has all its results.
+    pub async fn whole_lot(&self, node: usize, lot: &str) -> Value {
+        let until = Instant::now() + PATIENCE;
+        loop {
+            let page = self.read_lot(node, lot, 0).await;
+            if let Some(page) = page.filter(|it| it["next"] == it["total"]) {
+                return page;
+            }
+            assert!(Instant::now() < until, "the lot isn't finished");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Waits until something holds.
+    pub async fn eventually(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !holds().await {
+            assert!(Instant::now() < until, "not in time: {what}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// An item of a lot, as it is handed in.
+pub fn item(lot: &str, number: usize, body: &str) -> Value {
+    use base64::Engine as _;
+    let body = base64::engine::general_purpose::STANDARD.encode(body);
+    json!({
+        "id": format!("{lot}-{number}"), "path": format!("/lots/{lot}/{number}"),
+        "headers": {"X-Model": "m"}, "body": body, "tokens": 10,
+    })
+}
+
+/// What a whole stream looks like.
+pub fn whole_stream() -> String {
+    (1..=12)
+        .map(|id| format!("id: {id}\ndata: word {id}\n\n"))
+        .collect()
+}
+
+/// What the output of an item looks like.
+pub fn whole_output() -> String {
+    let words: Vec<String> = (1..=12).map(|id| format!("word {id}")).collect();
+    words.join("\n")
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        // One that has ended already needs no kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Fleet {
+    /// Where a test failed, what the daemons logged last tells why.
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for node in &self.nodes {
+                let path = node.settings.path().join("log");
+                let log = std::fs::read_to_string(path).unwrap_or_default();
+                let lines: Vec<&str> = log.lines().collect();
+                let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
+                eprintln!("{}:\n{}", node.peers, last.join("\n"));
+            }
+        }
+        self.stop.cancel();
+    }
+}
+
+fn start_process(folder: &tempfile::TempDir) -> Child {
+    let mut options = std::fs::OpenOptions::new();
+    let log = options
+        .create(true)
+        .append(true)
+        .open(folder.path().join("log"))
+        .unwrap();
+    Command::new(env!("CARGO_BIN_EXE_comfreyramp-node"))
+        .arg("serve")
+        .arg("--settings")
+        .arg(folder.path().join("settings"))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .unwrap()
+}
+
+/// Addresses of a daemon's own, of the loopback range. With one address for all,
+/// a port that was free a moment ago may be in use for some connection by the
+/// time that the daemon listens at it.
+fn own_addresses() -> [SocketAddr; 4] {
+    static DAEMONS: AtomicU8 = AtomicU8::new(1);
+    let daemon = DAEMONS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let high = 1 + (process / 250 % 250) as u8;
+    let low = (process % 250) as u8;
+    [7_001, 7_002, 7_003, 7_004].map(|port| SocketAddr::from(([127, high, low, daemon], port)))
+}
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -70,8 +70,13 @@
                 .get(lot)
                 .is_none_or(|it| it.results.len() > after || it.is_whole())
         };
-        if !has_news(node) && may_have_more(node, lot) {
-            refresh(node, lot).await?;
+        // A reader that begins anew gets all there is, not just what somebody else
+        // has read here before. Where no more can be had, what is known will do.
+        if may_have_more(node, lot)
+            && let Err(refusal) = refresh(node, lot).await
+            && !has_news(node)
+        {
+            return Err(refusal);
         }
         if has_news(node) || node.clock.now() >= until {
             break;
--- /dev/null
+++ b/crates/standins/src/kv/state.rs
@@ -0,0 +1,285 @@
+//! The store itself.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{base64::Base64, serde_as};
+use tokio::sync::Notify;
+
+/// A key as it was last written.
+#[serde_as]
+#[derive(Clone, Debug, Serialize)]
+pub struct KvEntry {
+    /// The key.
+    pub key: String,
+    /// Its value.
+    #[serde_as(as = "Base64")]
+    pub value: Vec<u8>,
+    /// The store's revision at its last write.
+    pub revision: i64,
+    /// The store's revision at its creation.
+    pub created: i64,
+    /// The lease it hangs on; 0 for none.
+    pub lease: i64,
+}
+
+/// One change: a written entry, or a removed key.
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
+pub(super) enum KvEvent {
+    Written(KvEntry),
+    Removed {
+        key: String,
+        revision: i64,
+        removed: bool,
+    },
+}
+
+impl KvEvent {
+    fn key(&self) -> &str {
+        match self {
+            KvEvent::Written(entry) => &entry.key,
+            KvEvent::Removed { key, .. } => key,
+        }
+    }
+
+    fn revision(&self) -> i64 {
+        match self {
+            KvEvent::Written(entry) => entry.revision,
+            KvEvent::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct ExpectedRow {
+    key: String,
+    revision: i64,
+}
+
+#[serde_as]
+#[derive(Debug, Deserialize)]
+pub(super) struct WriteRow {
+    key: String,
+    #[serde_as(as = "Base64")]
+    value: Vec<u8>,
+    #[serde(default)]
+    lease: i64,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct TransactionBody {
+    #[serde(default)]
+    expected: Vec<ExpectedRow>,
+    #[serde(default)]
+    writes: Vec<WriteRow>,
+    #[serde(default)]
+    remove: Vec<String>,
+}
+
+/// What a transaction did.
+pub(super) enum TransactionEnd {
+    Written(i64),
+    Conflict(Vec<KvEntry>, i64),
+    NoLease,
+}
+
+#[derive(Debug)]
+struct Lease {
+    term: Duration,
+    until: Instant,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    revision: i64,
+    entries: BTreeMap<String, KvEntry>,
+    events: Vec<KvEvent>,
+    forgotten: i64,
+    leases: BTreeMap<i64, Lease>,
+    next_lease: i64,
+}
+
+/// The store itself.
+#[derive(Debug, Default)]
+pub struct KvState {
+    tables: Mutex<Tables>,
+    pub(super) changed: Notify,
+}
+
+impl KvState {
+    /// Writes a key as an operator or a server would.
+    pub fn put(&self, key: &str, value: &[u8]) -> i64 {
+        let mut tables = self.lock();
+        tables.revision += 1;
+        tables.write(key, value.to_vec(), 0);
+        let revision = tables.revision;
+        drop(tables);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut tables = self.lock();
+        tables.revision += 1;
+        tables.remove(key);
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets all history, so that watches have to list anew.
+    pub fn forget_history(&self) {
+        let mut tables = self.lock();
+        tables.forgotten = tables.revision;
+        tables.events.clear();
+        drop(tables);
+        self.changed.notify_waiters();
+    }
+
+    /// All keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<KvEntry> {
+        let mut tables = self.lock();
+        tables.end_leases();
+        let fitting = tables
+            .entries
+            .values()
+            .filter(|it| it.key.starts_with(prefix));
+        fitting.cloned().collect()
+    }
+
+    pub(super) fn get(&self, key: &str) -> (Option<KvEntry>, i64) {
+        let mut tables = self.lock();
+        tables.end_leases();
+        (tables.entries.get(key).cloned(), tables.revision)
+    }
+
+    pub(super) fn range(&self, prefix: &str, after: &str) -> (Vec<KvEntry>, i64) {
+        let mut tables = self.lock();
+        tables.end_leases();
+        let fitting = tables.entries.values();
+        let fitting = fitting.filter(|it| it.key.starts_with(prefix) && it.key.as_str() > after);
+        (fitting.cloned().collect(), tables.revision)
+    }
+
+    /// The changes under a prefix after a revision; nothing if they are forgotten.
+    pub(super) fn events(&self, prefix: &str, after: i64) -> Option<(Vec<KvEvent>, i64)> {
+        let mut tables = self.lock();
+        tables.end_leases();
+        if after < tables.forgotten {
+            return None;
+        }
+        let fitting = tables.events.iter();
+        let fitting = fitting.filter(|it| it.revision() > after && it.key().starts_with(prefix));
+        Some((fitting.cloned().collect(), tables.revision))
+    }
+
+    pub(super) fn transact(&self, body: TransactionBody) -> TransactionEnd {
+        let mut tables = self.lock();
+        tables.end_leases();
+        let holds = |row: &ExpectedRow| {
+            let found = tables.entries.get(&row.key).map_or(0, |it| it.revision);
+            found == row.revision
+        };
+        if !body.expected.iter().all(holds) {
+            let found = body
+                .expected
+                .iter()
+                .filter_map(|it| tables.entries.get(&it.key));
+            return TransactionEnd::Conflict(found.cloned().collect(), tables.revision);
+        }
+        let has_lease = |it: &WriteRow| it.lease == 0 || tables.leases.contains_key(&it.lease);
+        if !body.writes.iter().all(has_lease) {
+            return TransactionEnd::NoLease;
+        }
+        tables.revision += 1;
+        for write in body.writes {
+            tables.write(&write.key, write.value, write.lease);
+        }
+        for key in body.remove {
+            tables.remove(&key);
+        }
+        let revision = tables.revision;
+        drop(tables);
+        self.changed.notify_waiters();
+        TransactionEnd::Written(revision)
+    }
+
+    pub(super) fn grant(&self, term: Duration) -> i64 {
+        let mut tables = self.lock();
+        tables.next_lease += 1;
+        let id = tables.next_lease;
+        let until = Instant::now() + term;
+        tables.leases.insert(id, Lease { term, until });
+        id
+    }
+
+    pub(super) fn renew(&self, id: i64) -> Option<Duration> {
+        let mut tables = self.lock();
+        tables.end_leases();
+        let lease = tables.leases.get_mut(&id)?;
+        lease.until = Instant::now() + lease.term;
+        Some(lease.term)
+    }
+
+    pub(super) fn revoke(&self, id: i64) -> bool {
+        let mut tables = self.lock();
+        let was_there = tables.end_lease(id);
+        drop(tables);
+        self.changed.notify_waiters();
+        was_there
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Tables> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Tables {
+    fn write(&mut self, key: &str, value: Vec<u8>, lease: i64) {
+        let created = self.entries.get(key).map_or(self.revision, |it| it.created);
+        let entry = KvEntry {
+            key: key.to_owned(),
+            value,
+            revision: self.revision,
+            created,
+            lease,
+        };
+        self.entries.insert(key.to_owned(), entry.clone());
+        self.events.push(KvEvent::Written(entry));
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.events.push(KvEvent::Removed {
+                key: key.to_owned(),
+                revision: self.revision,
+                removed: true,
+            });
+        }
+    }
+
+    fn end_leases(&mut self) {
+        let now = Instant::now();
+        let over = self.leases.iter().filter(|it| it.1.until <= now);
+        let over: Vec<i64> = over.map(|it| *it.0).collect();
+        for id in over {
+            self.end_lease(id);
+        }
+    }
+
+    fn end_lease(&mut self, id: i64) -> bool {
+        let was_there = self.leases.remove(&id).is_some();
+        let keys = self.entries.values().filter(|it| it.lease == id);
+        let keys: Vec<String> = keys.map(|it| it.key.clone()).collect();
+        for key in keys {
+            self.revision += 1;
+            self.remove(&key);
+        }
+        was_there
+    }
+}
