Claim a lot only where it has no end and no further results; few daemons of a large fleet watch the store

Cause: a daemon behind a zone cut lost its lease, another took the lot over, stopped it when it was ended and left no claim; the first one then claimed it anew and went on. Ruled out: a missed notice (its own claim succeeded). Of each zone two daemons watch, others learn of changes from them; two daemons list open lots.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -21,6 +21,7 @@
     kv::{KvDoor, KvState},
     runner::{RunnerKind, RunnerOptions, RunnerServer},
 };
+use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tokio_util::sync::CancellationToken;
 
@@ -224,9 +225,22 @@
 
     /// Asks a daemon to stop.
     pub(crate) fn terminate(&self, node: usize) {
-        let id = self.nodes[node].child.id();
-        let pid = rustix::process::Pid::from_raw(id as i32).unwrap();
-        rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+        self.signal(node, Signal::TERM);
+    }
+
+    /// Lets a daemon stand still.
+    pub(crate) fn pause(&self, node: usize) {
+        self.signal(node, Signal::STOP);
+    }
+
+    /// Lets a daemon go on that stands still.
+    pub(crate) fn resume(&self, node: usize) {
+        self.signal(node, Signal::CONT);
+    }
+
+    fn signal(&self, node: usize, signal: Signal) {
+        let pid = Pid::from_raw(self.nodes[node].child.id() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
     }
 
     /// Waits until a daemon has ended, and returns whether it ended well.
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -7,15 +7,17 @@
 use super::UsageBucket;
 use crate::{Timestamp, hash::name_key};
 
-/// After so long without a word of a daemon it counts as silent. Daemons speak
-/// at least every 250 ms, so this is one lost datagram and some delay.
-const SILENT_AFTER: Duration = Duration::from_millis(700);
-
-/// From this age of a daemon's last word on, part of the tokens is left to it, up
-/// to all that it may spend once it counts as silent. Both sides of a cut would
-/// otherwise spend the whole bucket before they notice: 690 requests in a window
-/// for 614 in `tests/usage.rs`.
-const DOUBTED_AFTER: Duration = Duration::from_millis(150);
+/// How often daemons speak at least, unless [`UsageBook::set_interval`] says
+/// otherwise.
+const USUAL_INTERVAL: Duration = Duration::from_millis(250);
+/// After so many intervals without a word a daemon counts as silent: that is one
+/// lost datagram and some delay.
+const SILENT_INTERVALS: f64 = 2.8;
+/// From this many intervals on, part of the tokens is left to a daemon, up to all
+/// that it may spend once it counts as silent. Both sides of a cut would otherwise
+/// spend the whole bucket before they notice: 690 requests in a window for 614 in
+/// `tests/usage.rs`.
+const DOUBTED_INTERVALS: f64 = 0.6;
 /// How much of its burst a customer has at a daemon that knows nothing of what
 /// was spent before it started. Should all daemons restart at once, this is all
 /// that can be spent twice; more of it would be more of an overshoot, less would
@@ -68,6 +70,8 @@
     /// Sorted by id.
     peers: Vec<PeerUsage>,
     started_at: Timestamp,
+    silent_after: Duration,
+    doubted_after: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -120,10 +124,18 @@
     pub fn new(now: Timestamp) -> Self {
         UsageBook {
             started_at: now,
+            silent_after: USUAL_INTERVAL.mul_f64(SILENT_INTERVALS),
+            doubted_after: USUAL_INTERVAL.mul_f64(DOUBTED_INTERVALS),
             ..UsageBook::default()
         }
     }
 
+    /// Sets how often daemons speak at least. In a large fleet they speak less.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.silent_after = interval.mul_f64(SILENT_INTERVALS);
+        self.doubted_after = interval.mul_f64(DOUBTED_INTERVALS);
+    }
+
     /// Takes over the limits of the settings in force.
     ///
     /// A customer that is new to a daemon which has run for a while has its
@@ -217,7 +229,7 @@
         }
         self.peers[place].heard_at = now;
         self.peers[place].is_silent = false;
-        let is_young = now.since(self.started_at) < SILENT_AFTER * 2;
+        let is_young = now.since(self.started_at) < self.silent_after * 2;
         for count in counts {
             let (spent, is_first) = self.peers[place].note(count, now);
             let Some(at) = self.find(count.customer) else {
@@ -258,7 +270,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         for place in 0..self.peers.len() {
             let peer = &self.peers[place];
-            if peer.is_silent || now.since(peer.heard_at) < SILENT_AFTER {
+            if peer.is_silent || now.since(peer.heard_at) < self.silent_after {
                 continue;
             }
             self.peers[place].is_silent = true;
@@ -315,11 +327,11 @@
         let mut doubted = 0.0;
         for (place, peer) in self.peers.iter().enumerate() {
             let age = now.since(peer.heard_at);
-            if peer.is_silent || age <= DOUBTED_AFTER {
+            if peer.is_silent || age <= self.doubted_after {
                 continue;
             }
-            let span = (SILENT_AFTER - DOUBTED_AFTER).as_secs_f64();
-            let doubt = (age - DOUBTED_AFTER).as_secs_f64() / span;
+            let span = (self.silent_after - self.doubted_after).as_secs_f64();
+            let doubt = (age - self.doubted_after).as_secs_f64() / span;
             doubted += self.part_of(place, customer, now) * doubt.min(1.0);
         }
         doubted.min(1.0)
--- a/crates/serving/src/fleet/announcer.rs
+++ b/crates/serving/src/fleet/announcer.rs
@@ -12,11 +12,8 @@
 /// changes gather: each message is a system call and a wake-up at either end.
 const GATHER_SPAN: Duration = Duration::from_millis(30);
 /// With many daemons nearby changes gather for longer, by this much for each:
-/// what one daemon sends stays below 400 messages a second.
-const GATHER_FOR_EACH: Duration = Duration::from_micros(2_500);
-/// Without changes a daemon speaks so often, and to those far away at any time.
-/// [`comfreyramp_policy::usage`] counts on that.
-const QUIET_INTERVAL: Duration = Duration::from_millis(250);
+/// what one daemon sends stays below 200 messages a second.
+const GATHER_FOR_EACH: Duration = Duration::from_millis(6);
 /// The longest datagram that is read.
 const LONGEST_MESSAGE: usize = 60_000;
 
@@ -30,7 +27,7 @@
     while !stop.is_cancelled() {
         tokio::select! {
             () = node.load_changed.notified() => {}
-            () = tokio::time::sleep(QUIET_INTERVAL) => {}
+            () = tokio::time::sleep(node.quiet_interval()) => {}
             () = stop.cancelled() => {}
         }
         let peers = node.peer_addresses();
@@ -40,7 +37,7 @@
         let now = node.clock.now();
         let is_far_due = now >= far_at;
         if is_far_due {
-            far_at = now + QUIET_INTERVAL - GATHER_SPAN;
+            far_at = now + node.quiet_interval() - GATHER_SPAN;
         }
         let far = peers.far.iter().filter(|_| is_far_due);
         announce(&node, &socket, peers.near.iter().chain(far)).await;
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -4,15 +4,26 @@
 
 use comfreyramp_policy::{Timestamp, lots::home_daemon, usage::PeerId};
 
-use super::{MemberRecord, PeerMessage};
+use super::{MemberRecord, PeerMessage, ViewRevisions};
 use crate::lots::LotProgress;
 
 /// A daemon that isn't registered is still spoken to while it is heard, and for
 /// so long after. The store may have turned it away, so that its lease lapsed:
 /// then others are all that it can learn from.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(6);
-/// A daemon was heard lately within this span.
-const HEARD_LATELY: Duration = Duration::from_millis(900);
+/// A daemon was heard lately if no more than this many intervals ago.
+const HEARD_INTERVALS: f64 = 3.6;
+/// How often a daemon speaks at least, to daemons far away and where nothing
+/// changes.
+const QUIET_INTERVAL: Duration = Duration::from_millis(250);
+/// The same in a large fleet, so that a daemon sends some 250 messages a second
+/// and not 600 (88 daemons in 3 zones).
+const LARGE_INTERVAL: Duration = Duration::from_millis(750);
+/// Of each zone of a large fleet so many daemons watch the store; the others
+/// learn from them. Each call of a watch is billed.
+const WATCHERS_PER_ZONE: usize = 2;
+/// So many daemons look for lots that nobody runs.
+const LISTERS: usize = 2;
 /// A daemon holds its lots for so long after it was last heard; then its lease
 /// has lapsed, or nearly.
 const HOLDS_LOTS_FOR: Duration = Duration::from_secs(3);
@@ -36,8 +47,7 @@
     is_listed: bool,
     heard_at: Option<Timestamp>,
     number: u64,
-    operators_revision: i64,
-    servers_revision: i64,
+    revisions: ViewRevisions,
     progress: Vec<LotProgress>,
     reaches_store: bool,
     is_leaving: bool,
@@ -60,6 +70,52 @@
         }
     }
 
+    /// How often daemons speak at least.
+    pub fn interval(&self) -> Duration {
+        match self.is_small() {
+            true => QUIET_INTERVAL,
+            false => LARGE_INTERVAL,
+        }
+    }
+
+    fn is_small(&self) -> bool {
+        self.members.len() <= SMALL_FLEET
+    }
+
+    fn heard_lately(&self) -> Duration {
+        self.interval().mul_f64(HEARD_INTERVALS)
+    }
+
+    /// Whether the daemon `own` is one of those that watch the store. In a small
+    /// fleet all are; in a large one the first of each zone by a hash, out of
+    /// those that are heard and reach the store.
+    pub fn is_watcher(&self, own: &MemberRecord, now: Timestamp) -> bool {
+        if self.is_small() {
+            return true;
+        }
+        let score = |name: &str| PeerId::of_name(name);
+        let before = self.members.iter().filter(|it| {
+            it.record.zone == own.zone
+                && it.reaches_store
+                && !it.is_leaving
+                && it.was_heard(self.heard_lately(), now)
+                && score(&it.record.name) < score(&own.name)
+        });
+        before.count() < WATCHERS_PER_ZONE
+    }
+
+    /// Whether the daemon `own` is one of those that look for lots which nobody
+    /// runs: the first by name that are heard.
+    pub fn is_lister(&self, own: &str, now: Timestamp) -> bool {
+        let before = self.members.iter().filter(|it| {
+            it.record.runs_lots
+                && !it.is_leaving
+                && it.was_heard(self.heard_lately(), now)
+                && it.record.name.as_str() < own
+        });
+        before.count() < LISTERS
+    }
+
     /// Takes over the daemons that are registered.
     pub fn set_listed(&mut self, records: &[MemberRecord], now: Timestamp) {
         for member in &mut self.members {
@@ -84,8 +140,7 @@
         }
         member.number = message.number;
         member.heard_at = Some(now);
-        member.operators_revision = message.operators_revision;
-        member.servers_revision = message.servers_revision;
+        member.revisions = message.revisions;
         member.progress.clone_from(&message.progress);
         member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
@@ -137,7 +192,7 @@
     /// Where the daemons are reached. In a small fleet all are near; in a large
     /// one those of the own zone, who use the same servers.
     pub fn addresses(&self, zone: &str) -> PeerAddresses {
-        let is_small = self.members.len() <= SMALL_FLEET;
+        let is_small = self.is_small();
         let is_near = |it: &&KnownMember| is_small || it.record.zone == zone;
         let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) =
             self.members.iter().partition(is_near);
@@ -150,7 +205,7 @@
     /// Where the daemons are reached that say they reach the store.
     pub fn store_ways(&self, now: Timestamp) -> Vec<SocketAddr> {
         let fit = |it: &&KnownMember| {
-            it.reaches_store && !it.is_leaving && it.was_heard(HEARD_LATELY, now)
+            it.reaches_store && !it.is_leaving && it.was_heard(self.heard_lately(), now)
         };
         self.members
             .iter()
@@ -162,7 +217,7 @@
     /// Where the daemon is reached that tells of a lot's results.
     pub fn lot_runner(&self, lot: &str, now: Timestamp) -> Option<SocketAddr> {
         let tells = |it: &&KnownMember| {
-            it.was_heard(HEARD_LATELY, now) && it.progress.iter().any(|told| told.lot == lot)
+            it.was_heard(self.heard_lately(), now) && it.progress.iter().any(|told| told.lot == lot)
         };
         // Where several tell, as after a hand-over, the one with the most results.
         let results = |it: &&KnownMember| {
@@ -174,9 +229,8 @@
     }
 
     /// A daemon that acts by a newer view than one with these revisions.
-    pub fn ahead_of(&self, operators: i64, servers: i64) -> Option<SocketAddr> {
-        let is_ahead =
-            |it: &&KnownMember| it.operators_revision > operators || it.servers_revision > servers;
+    pub fn ahead_of(&self, known: ViewRevisions) -> Option<SocketAddr> {
+        let is_ahead = |it: &&KnownMember| it.revisions.is_ahead_of(known);
         self.members
             .iter()
             .find(is_ahead)
@@ -218,7 +272,7 @@
         let place = self.members.binary_search_by_key(&id, |it| it.id);
         place.is_ok_and(|it| {
             let member = &self.members[it];
-            member.record.incarnation != incarnation && member.was_heard(HEARD_LATELY, now)
+            member.record.incarnation != incarnation && member.was_heard(self.heard_lately(), now)
         })
     }
 
@@ -228,7 +282,7 @@
     /// the store decides.
     pub fn is_own_lot(&self, lot: &str, own: &str, now: Timestamp) -> bool {
         let runs = |it: &&KnownMember| {
-            it.record.runs_lots && !it.is_leaving && it.was_heard(HEARD_LATELY, now)
+            it.record.runs_lots && !it.is_leaving && it.was_heard(self.heard_lately(), now)
         };
         let others = self
             .members
@@ -246,7 +300,7 @@
             .iter()
             .filter(|it| it.record.runs_lots)
             .peekable();
-        runners.peek().is_some() && runners.all(|it| it.was_heard(HEARD_LATELY, now))
+        runners.peek().is_some() && runners.all(|it| it.was_heard(self.heard_lately(), now))
     }
 
     /// Whether the daemon `own` is the first by name of those that run lots.
@@ -264,8 +318,7 @@
             is_listed: false,
             heard_at: None,
             number: 0,
-            operators_revision: 0,
-            servers_revision: 0,
+            revisions: ViewRevisions::default(),
             progress: Vec::new(),
             reaches_store: false,
             is_leaving: false,
--- a/crates/serving/src/fleet/membership.rs
+++ b/crates/serving/src/fleet/membership.rs
@@ -17,6 +17,10 @@
 const LEASE_TERM: Duration = Duration::from_secs(4);
 /// A lease is renewed so often, so that two lost calls in a row don't end it.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_300);
+/// The same for daemons on whose lease no claim hangs: others hear them, and the
+/// entry only has to go some time after they are gone.
+const LONG_TERM: Duration = Duration::from_secs(10);
+const LONG_RENEW_INTERVAL: Duration = Duration::from_millis(3_000);
 /// The pause after a call that failed.
 const FAILED_PAUSE: Duration = Duration::from_millis(400);
 
@@ -52,7 +56,11 @@
     node: &Rc<Node<D>>,
     stop: &CancellationToken,
 ) -> Result<(), StoreError> {
-    let term = LEASE_TERM.max(node.settings.store.shortest_lease_s);
+    let (term, interval) = match node.settings.runs_lots {
+        true => (LEASE_TERM, RENEW_INTERVAL),
+        false => (LONG_TERM, LONG_RENEW_INTERVAL),
+    };
+    let term = term.max(node.settings.store.shortest_lease_s);
     let asked = node.clock.now();
     let id = node.store.grant(term).await?;
     register(node, id).await?;
@@ -66,7 +74,7 @@
     log::info!(lease = id.0; "membership: registered");
     loop {
         tokio::select! {
-            () = tokio::time::sleep(RENEW_INTERVAL) => {}
+            () = tokio::time::sleep(interval) => {}
             () = stop.cancelled() => return Ok(()),
         }
         let asked = node.clock.now();
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -17,7 +17,7 @@
 pub use member_list::{MemberList, PeerAddresses};
 pub use membership::{HeldLease, MEMBERS, keep_membership};
 pub use peer_door::answer_peer;
-pub use peer_message::{MemberRecord, PeerMessage, SuspectCount};
+pub use peer_message::{MemberRecord, PeerMessage, SuspectCount, ViewRevisions};
 pub use peer_views::follow_peers;
 pub use store_relay::RelayedStore;
 pub use store_view::StoreView;
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -31,6 +31,26 @@
     pub crashes: u8,
 }
 
+/// The store's revisions at the last change of each view that a daemon acts by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewRevisions {
+    /// What operators wrote.
+    pub operators: i64,
+    /// The directory of servers.
+    pub servers: i64,
+    /// The daemons.
+    pub members: i64,
+}
+
+impl ViewRevisions {
+    /// Whether any view is newer than another daemon's.
+    pub fn is_ahead_of(self, other: ViewRevisions) -> bool {
+        self.operators > other.operators
+            || self.servers > other.servers
+            || self.members > other.members
+    }
+}
+
 /// What a daemon tells the others. Counts are totals, not differences, so that a
 /// lost datagram costs nothing but time.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -39,10 +59,8 @@
     pub from: MemberRecord,
     /// Grows with each message of an incarnation.
     pub number: u64,
-    /// The store's revision of the operators' keys that it has in force.
-    pub operators_revision: i64,
-    /// The store's revision of the directory that it acts by.
-    pub servers_revision: i64,
+    /// The views that it acts by.
+    pub revisions: ViewRevisions,
     /// What it has on servers, by the hash of their names.
     pub shares: Vec<(u64, LoadShare)>,
     /// What it let in of each customer's requests.
--- a/crates/serving/src/fleet/peer_views.rs
+++ b/crates/serving/src/fleet/peer_views.rs
@@ -45,6 +45,7 @@
 struct ShownViews {
     operators: ShownView,
     servers: ShownView,
+    members: ShownView,
 }
 
 impl From<&StoreView> for ShownView {
@@ -81,6 +82,7 @@
     let shown = ShownViews {
         operators: (&views.operators).into(),
         servers: (&views.servers).into(),
+        members: (&views.members).into(),
     };
     serde_json::to_vec(&shown).unwrap_or_default().into()
 }
@@ -93,17 +95,18 @@
 /// servers that have left. What others say of the revisions they act by shows it.
 pub async fn follow_peers<D: Dialect>(node: Rc<Node<D>>, stop: CancellationToken) {
     let client = HttpClient::new(ANSWER_TIMEOUT);
-    let mut was_behind = None;
+    let mut was_behind = false;
     while !stop.is_cancelled() {
         tokio::select! {
             () = tokio::time::sleep(LOOK_INTERVAL) => {}
             () = stop.cancelled() => return,
         }
         let ahead = node.peer_ahead();
-        // A watch needs a moment to bring what another daemon has already.
-        let is_lasting = ahead.is_some() && was_behind.is_some();
-        was_behind = ahead;
-        let Some(peer) = ahead.filter(|_| is_lasting) else {
+        // A watch needs a moment to bring what another daemon has already. Who
+        // doesn't watch has no other source.
+        let is_due = was_behind || !node.is_watcher();
+        was_behind = ahead.is_some();
+        let Some(peer) = ahead.filter(|_| is_due) else {
             continue;
         };
         match ask(&client, peer).await {
@@ -130,4 +133,6 @@
     node.take_operators(views.operators.into_pairs(), revision);
     let revision = views.servers.revision;
     node.take_servers(views.servers.into_pairs(), revision);
+    let revision = views.members.revision;
+    node.take_members(views.members.into_pairs(), revision);
 }
--- a/crates/serving/src/fleet/store_relay.rs
+++ b/crates/serving/src/fleet/store_relay.rs
@@ -118,6 +118,11 @@
         self.lock().peers = peers;
     }
 
+    /// Notes that a call failed that was made without a way round.
+    pub fn note_failed(&self) {
+        self.lock().direct_after = Some(Instant::now() + DIRECT_PAUSE);
+    }
+
     /// Whether the store was reached, as far as the last call tells.
     pub fn is_direct(&self) -> bool {
         self.lock()
@@ -180,7 +185,7 @@
             match call(self.direct.clone()).await {
                 Err(error @ (StoreError::Unreachable(_) | StoreError::AnswerLost(_))) => {
                     failure = error;
-                    self.lock().direct_after = Some(Instant::now() + DIRECT_PAUSE);
+                    self.note_failed();
                 }
                 decided => return decided,
             }
--- a/crates/serving/src/lots/worker.rs
+++ b/crates/serving/src/lots/worker.rs
@@ -6,7 +6,7 @@
     ServerId, Timestamp,
     placement::{PlacementQuery, WorkKind, YieldOrder},
 };
-use comfreyramp_store::{KeyRange, PlatformStore, Revision};
+use comfreyramp_store::{KeyRange, PlatformStore, StoreError};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
 
@@ -14,8 +14,8 @@
     held_lot::{HeldLot, ItemPhase},
     item_run::{ItemEnd, ItemRun, run_item},
     keys,
-    notices::LotProgress,
-    writer::{self, ClaimAnswer, WriteAnswer},
+    notices::{LotNotice, LotProgress},
+    writer::{self, ClaimAnswer, ClaimEnd, WriteAnswer},
 };
 use crate::{
     clock::unix_millis, dialect::Dialect, fleet::draw_service, model::ItemResult, node::Node,
@@ -55,7 +55,7 @@
 
 enum WorkerEvent {
     Claimed(String, ClaimAnswer),
-    Reclaimed(Rc<str>, Option<Revision>),
+    Reclaimed(Rc<str>, Result<ClaimEnd, StoreError>),
     Ended(Rc<str>, usize, ItemEnd),
     Written(Rc<str>, WriteAnswer),
     /// The open lots, and when they were asked for.
@@ -106,7 +106,7 @@
         self.take_notices(now);
         self.list_open(now);
         self.claim_candidates(now);
-        self.check_leases();
+        self.check_leases(now);
         self.give_up_late(now);
         self.step_aside(now);
         match self.node.is_retiring.get() {
@@ -144,12 +144,22 @@
         }
     }
 
+    /// Takes in a lot that a listing shows. Where nobody tells that it runs, the
+    /// daemon to which it falls may not have heard of it.
+    fn add_listed(&mut self, lot: &str, now: Timestamp) {
+        let is_held = self.held.iter().any(|it| *it.id == *lot);
+        if !is_held && !self.node.is_held_elsewhere(lot) && !self.node.is_own_lot(lot) {
+            self.node.tell_lot(LotNotice::Accepted(lot.to_owned()));
+        }
+        self.add_candidate(lot.to_owned(), now);
+    }
+
     /// Lists all open lots now and then.
     fn list_open(&mut self, now: Timestamp) {
         let is_due = self
             .listed_at
             .is_none_or(|it| now.since(it) >= LIST_INTERVAL);
-        if !is_due || self.node.lease().is_none() {
+        if !is_due || self.node.lease().is_none() || !self.node.is_lister() {
             return;
         }
         self.listed_at = Some(now);
@@ -207,8 +217,8 @@
     }
 
     /// Claims anew what hung on a lease that lapsed.
-    fn check_leases(&mut self) {
-        let Some(lease) = self.node.lease() else {
+    fn check_leases(&mut self, now: Timestamp) {
+        let Some(lease) = self.node.lease().filter(|_| now >= self.no_write_before) else {
             return;
         };
         for held in &mut self.held {
@@ -218,23 +228,15 @@
             if held.is_reclaiming || held.is_closing {
                 continue;
             }
-            if held.lease.is_none() {
-                held.lease = Some(lease.id);
-                continue;
-            }
             held.is_reclaiming = true;
             held.claim = None;
             held.lease = Some(lease.id);
             let node = self.node.clone();
             let sender = self.sender.clone();
-            let lot = held.id.clone();
+            let (lot, next_group) = (held.id.clone(), held.groups);
             let lease = lease.id;
             tokio::task::spawn_local(async move {
-                let answer = writer::write_claim(&node, &lot, lease).await;
-                let claim = answer.unwrap_or_else(|error| {
-                    log::warn!(lot:% = lot, error:% = error; "lots: a claim isn't renewed");
-                    None
-                });
+                let claim = writer::write_claim(&node, &lot, lease, Some(next_group)).await;
                 let _ = sender.send(WorkerEvent::Reclaimed(lot, claim));
             });
         }
@@ -244,18 +246,7 @@
         let now = self.node.clock.now();
         match event {
             WorkerEvent::Claimed(lot, answer) => self.on_claimed(&lot, answer, now),
-            WorkerEvent::Reclaimed(lot, claim) => {
-                let Some(held) = self.find(&lot) else {
-                    return;
-                };
-                held.is_reclaiming = false;
-                held.claim = claim;
-                if claim.is_none() {
-                    log::info!(lot:% = lot; "lots: taken over by another daemon");
-                    held.is_closing = true;
-                    held.stop_items();
-                }
-            }
+            WorkerEvent::Reclaimed(lot, claim) => self.on_reclaimed(&lot, claim, now),
             WorkerEvent::Ended(lot, item, end) => {
                 self.running -= 1;
                 self.node.metrics.lot(end.as_str(), 1);
@@ -266,7 +257,7 @@
             WorkerEvent::Written(lot, answer) => self.on_written(&lot, answer, now),
             WorkerEvent::Listed(lots, asked_at) => {
                 for lot in &lots {
-                    self.add_candidate(lot.clone(), now);
+                    self.add_listed(lot, now);
                 }
                 self.close_ended(&lots, asked_at);
                 self.candidates.retain(|it| {
@@ -277,6 +268,28 @@
         }
     }
 
+    fn on_reclaimed(&mut self, lot: &str, claim: Result<ClaimEnd, StoreError>, now: Timestamp) {
+        let Some(held) = self.find(lot) else {
+            return;
+        };
+        held.is_reclaiming = false;
+        match claim {
+            Ok(ClaimEnd::Claimed(revision)) => held.claim = Some(revision),
+            Ok(end) => {
+                log::info!(lot = lot, end:? = end; "lots: not this daemon's any more");
+                held.is_closing = true;
+                held.stop_items();
+                if end == ClaimEnd::Taken {
+                    self.add_candidate_again(lot, now);
+                }
+            }
+            Err(error) => {
+                log::warn!(lot = lot, error:% = error; "lots: a claim isn't renewed yet");
+                self.no_write_before = now + WRITE_PAUSE;
+            }
+        }
+    }
+
     /// Stops lots that aren't open any more, though nobody told that they ended.
     fn close_ended(&mut self, open: &[String], asked_at: Timestamp) {
         for held in &mut self.held {
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -46,9 +46,10 @@
     let Some(lease) = node.lease() else {
         return ClaimAnswer::Unknown;
     };
-    let revision = match write_claim(node, lot, lease.id).await {
-        Ok(Some(revision)) => revision,
-        Ok(None) => return ClaimAnswer::Taken,
+    let revision = match write_claim(node, lot, lease.id, None).await {
+        Ok(ClaimEnd::Claimed(revision)) => revision,
+        Ok(ClaimEnd::Taken) => return ClaimAnswer::Taken,
+        Ok(ClaimEnd::Ended) => return ClaimAnswer::Gone,
         Err(error) => return unknown(node, lot, &error),
     };
     let range = KeyRange::Prefix(keys::data(lot));
@@ -86,53 +87,75 @@
     ClaimAnswer::Unknown
 }
 
-/// Writes a claim. Returns nothing if another daemon has one.
+/// How the write of a claim went.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ClaimEnd {
+    /// The lot is this daemon's, by the claim of this revision.
+    Claimed(Revision),
+    /// Another daemon has it, or has gone further with it.
+    Taken,
+    /// Its customer ended it.
+    Ended,
+}
+
+/// Writes a claim. A daemon that runs a lot already, and whose lease lapsed, says
+/// which group of results it would write next.
 ///
 /// The claim of a daemon that was restarted hangs on a lease that lapses only
 /// seconds later. Its new life runs nothing of the lot, as its number tells, so
 /// that such a claim is taken over at once.
+///
+/// A daemon behind a cut may miss that another one took its lot over, went on
+/// with it, or stopped it when its customer ended it, and left no claim behind.
+/// So a claim holds only where there is neither an end nor a further group.
 pub(super) async fn write_claim<D: Dialect>(
     node: &Node<D>,
     lot: &str,
     lease: LeaseId,
-) -> Result<Option<Revision>, StoreError> {
+    next_group: Option<usize>,
+) -> Result<ClaimEnd, StoreError> {
     let own = ClaimRecord {
         daemon: node.settings.name.clone(),
         incarnation: node.incarnation,
         lease: lease.0,
     };
     let key = keys::claim(lot);
-    let mut when = Comparison::Absent(key.clone());
+    let mut claim_is = Comparison::Absent(key.clone());
     loop {
+        let mut when = vec![claim_is.clone(), Comparison::Absent(keys::end(lot))];
+        when.extend(next_group.map(|it| Comparison::Absent(keys::group(lot, it))));
         let batch = WriteBatch {
-            when: vec![when.clone()],
+            when,
             then: vec![Write::Put {
                 key: key.clone(),
                 value: to_json(&own),
                 lease: Some(lease),
             }],
-            read_back: vec![key.clone()],
+            read_back: vec![key.clone(), keys::end(lot)],
         };
         let pace = RetryPace::new(node.incarnation).attempts(WRITE_TRIES);
         let found = match write_once(&node.store, batch, pace).await? {
-            OnceOutcome::Written(revision) => return Ok(Some(revision)),
+            OnceOutcome::Written(revision) => return Ok(ClaimEnd::Claimed(revision)),
             OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. } => found,
         };
+        if found.iter().any(|it| it.key == keys::end(lot)) {
+            return Ok(ClaimEnd::Ended);
+        }
         let Some(pair) = found.iter().find(|it| it.key == key) else {
-            return Ok(None);
+            return Ok(ClaimEnd::Taken);
         };
         let Ok(claim) = from_json::<ClaimRecord>(pair) else {
-            return Ok(None);
+            return Ok(ClaimEnd::Taken);
         };
         if claim == own {
-            return Ok(Some(pair.modified));
+            return Ok(ClaimEnd::Claimed(pair.modified));
         }
-        let is_first = matches!(when, Comparison::Absent(_));
+        let is_first = matches!(claim_is, Comparison::Absent(_));
         if !is_first || !node.is_former_life(&claim.daemon, claim.incarnation) {
-            return Ok(None);
+            return Ok(ClaimEnd::Taken);
         }
         log::info!(lot = lot, daemon = claim.daemon; "lots: a claim of a former life is taken over");
-        when = Comparison::ModifiedAt(key.clone(), pair.modified);
+        claim_is = Comparison::ModifiedAt(key.clone(), pair.modified);
     }
 }
 
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -22,7 +22,7 @@
     dialect::{Dialect, FleetRecords},
     fleet::{
         FleetView, HeldLease, KnownCustomer, MemberList, MemberRecord, PeerAddresses, PeerMessage,
-        RelayedStore, StoreView,
+        RelayedStore, StoreView, ViewRevisions,
     },
     lots::{LotCache, LotNotice, LotNotices},
     metrics::NodeMetrics,
@@ -63,6 +63,17 @@
     returned_at: Option<Timestamp>,
 }
 
+impl StoreViews {
+    /// The store's revisions at the last change of each.
+    pub fn revisions(&self) -> ViewRevisions {
+        ViewRevisions {
+            operators: self.operators.changed_revision(),
+            servers: self.servers.changed_revision(),
+            members: self.members.changed_revision(),
+        }
+    }
+}
+
 /// Lots that other daemons told of, until the worker takes them.
 #[derive(Debug, Default)]
 pub struct LotInbox {
@@ -318,7 +329,9 @@
         }
         let mut members = self.members.borrow_mut();
         members.set_listed(&records, now);
-        self.usage.borrow_mut().set_members(&members.ids(), now);
+        let mut usage = self.usage.borrow_mut();
+        usage.set_members(&members.ids(), now);
+        usage.set_interval(members.interval());
     }
 
     /// What is due by time.
@@ -360,8 +373,7 @@
         PeerMessage {
             from: self.member_record(),
             number,
-            operators_revision: views.operators.changed_revision(),
-            servers_revision: views.servers.changed_revision(),
+            revisions: views.revisions(),
             shares: self.servers.borrow().own_shares(),
             usage: self.usage.borrow_mut().own_counts(now),
             suspects: self.suspects.borrow().own_counts(now),
@@ -403,10 +415,25 @@
 
     /// A daemon that acts by newer settings or servers than this one.
     pub fn peer_ahead(&self) -> Option<SocketAddr> {
-        let views = self.views.borrow();
-        let operators = views.operators.changed_revision();
-        let servers = views.servers.changed_revision();
-        self.members.borrow().ahead_of(operators, servers)
+        let known = self.views.borrow().revisions();
+        self.members.borrow().ahead_of(known)
+    }
+
+    /// Whether this daemon watches the store itself.
+    pub fn is_watcher(&self) -> bool {
+        let now = self.clock.now();
+        self.members.borrow().is_watcher(&self.member_record(), now)
+    }
+
+    /// Whether this daemon looks for lots that nobody runs.
+    pub fn is_lister(&self) -> bool {
+        let now = self.clock.now();
+        self.members.borrow().is_lister(&self.settings.name, now)
+    }
+
+    /// How often daemons speak at least.
+    pub fn quiet_interval(&self) -> Duration {
+        self.members.borrow().interval()
     }
 
     /// Tells other daemons of a lot.
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -245,6 +245,7 @@
         match &news {
             FollowNews::Lost(error) => {
                 shared.note_store_trouble();
+                shared.store.note_failed();
                 if !is_lost {
                     log::warn!(prefix = prefix, error:% = error; "store: lost");
                 }
@@ -260,6 +261,9 @@
         }
         take(news);
     };
-    let following = follow_store(node.store.direct().clone(), prefix, sink, stop.clone());
+    let watching = node.clone();
+    let is_watcher = move || watching.is_watcher();
+    let store = node.store.direct().clone();
+    let following = follow_store(store, prefix, sink, is_watcher, stop.clone());
     tokio::task::spawn_local(following);
 }
