Few daemons of a large fleet share a server, and live requests ask for their slots at once

Cause: 24 daemons of a zone sent to the same 30 servers and heard of each other 170 ms late, so that all chose the server that had looked idle (late requests were placed at servers believed to have 1 to 7 of 8 slots taken). Each server is now used first by 4 daemons for callers and 2 for lots, chosen by hash; these tell each other often.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -16,9 +16,11 @@
 //! [`PlacementTable`] knows this daemon's requests exactly and those of other
 //! daemons from what they tell several times a second.
 
+mod home_set;
 mod placement_table;
 mod server_load;
 
+pub use home_set::home_daemons;
 pub use placement_table::{
     Placement, PlacementQuery, PlacementRefusal, PlacementTable, ServerListing, YieldOrder,
 };
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -13,6 +13,9 @@
 /// What another zone costs against the own one, in requests. Crossing takes a
 /// few milliseconds and bytes between zones are billed.
 const ZONE_PENALTY: f64 = 1.0;
+/// What a server costs that other daemons use first, in requests: about as much
+/// as a full one. What is known of it is old.
+const FOREIGN_PENALTY: f64 = 1.5;
 /// Slots of each server that items leave free for live requests that arrive
 /// while the daemons' counts are on their way to each other. In the replay of
 /// steps none would mean 7.3 starts an item instead of 3.5, for 0.92 instead of
@@ -92,6 +95,8 @@
     key: u64,
     load: ServerLoad,
     is_listed: bool,
+    /// Whether this daemon is one of those that use it first.
+    is_home: bool,
 }
 
 /// The servers as one daemon knows them.
@@ -136,6 +141,7 @@
                 load: ServerLoad::new(listing.slots),
                 listing: listing.clone(),
                 is_listed: true,
+                is_home: true,
             };
             // The place of a server that left, and on which nothing is open any
             // more, is free: servers come and go for as long as a daemon runs.
@@ -147,6 +153,19 @@
         }
     }
 
+    /// Sets which servers this daemon uses first, by the hashes of their names.
+    pub fn set_homes(&mut self, is_home: impl Fn(u64) -> bool) {
+        for entry in &mut self.servers {
+            entry.is_home = is_home(entry.key);
+        }
+    }
+
+    /// The servers in use, by the hashes of their names.
+    pub fn listed(&self) -> Vec<(u64, &ServerListing)> {
+        let listed = self.servers.iter().filter(|it| it.is_listed);
+        listed.map(|it| (it.key, &it.listing)).collect()
+    }
+
     /// A server's listing.
     pub fn listing(&self, id: ServerId) -> &ServerListing {
         &self.servers[id.index()].listing
@@ -213,12 +232,18 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<Placement> {
+        // A zone without servers of its own still has lots to run.
+        let has_home = self
+            .servers
+            .iter()
+            .any(|it| it.is_home && it.is_usable(query.service));
         let mut best: Option<(f64, usize)> = None;
         for (place, entry) in self.servers.iter().enumerate() {
             let id = ServerId(place as u32);
             let is_out = !entry.is_usable(query.service)
                 || query.exclude.contains(&id)
                 || entry.load.is_ejected(now)
+                || (has_home && !entry.is_home)
                 || !entry.load.may_start_bulk(now);
             if is_out || entry.free_for_bulk(now) < 1.0 {
                 continue;
@@ -261,6 +286,12 @@
         orders
     }
 
+    /// The other daemons whose items have to step aside at a server. They are told
+    /// at once: a live request waits for them.
+    pub fn yield_holders(&self, id: ServerId, now: Timestamp) -> Vec<PeerId> {
+        self.servers[id.index()].load.yield_holders(now)
+    }
+
     /// Counts a request in that is sent to a server.
     pub fn begin(&mut self, id: ServerId, kind: WorkKind, now: Timestamp) {
         let load = &mut self.servers[id.index()].load;
@@ -342,7 +373,8 @@
         let over = (live + 1.0 - slots).max(0.0) * 4.0;
         // Items have to step aside there first.
         let yielding = if live + bulk + 1.0 > slots { 1.0 } else { 0.0 };
-        used / slots * 2.0 + away + over + yielding
+        let foreign = if self.is_home { 0.0 } else { FOREIGN_PENALTY };
+        used / slots * 2.0 + away + foreign + over + yielding
     }
 
     fn free_for_bulk(&self, now: Timestamp) -> f64 {
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -237,6 +237,18 @@
         self.bulk_from = self.bulk_from.max(now + YIELD_PAUSE);
     }
 
+    /// The other daemons whose items have to step aside here.
+    pub(super) fn yield_holders(&self, now: Timestamp) -> Vec<PeerId> {
+        if self.missing_slots(now) == 0 {
+            return Vec::new();
+        }
+        let holders = self
+            .heard
+            .iter()
+            .filter(|it| it.share.bulk > 0 && now.since(it.at) < SHARE_LIFETIME);
+        holders.map(|it| it.peer).collect()
+    }
+
     /// How many slots are missing, which items have to give up. What only the
     /// server's report shows doesn't count: the report is as old as the answer
     /// that carried it.
--- a/crates/serving/src/fleet/announcer.rs
+++ b/crates/serving/src/fleet/announcer.rs
@@ -13,7 +13,7 @@
 const GATHER_SPAN: Duration = Duration::from_millis(30);
 /// With many daemons nearby changes gather for longer, by this much for each:
 /// what one daemon sends stays below 200 messages a second.
-const GATHER_FOR_EACH: Duration = Duration::from_millis(6);
+const GATHER_FOR_EACH: Duration = Duration::from_millis(5);
 /// The longest datagram that is read.
 const LONGEST_MESSAGE: usize = 60_000;
 
@@ -47,6 +47,23 @@
     announce(&node, &socket, peers.near.iter().chain(&peers.far)).await;
 }
 
+/// Tells daemons at once whose items a live request waits for, until `stop` is
+/// cancelled.
+pub async fn run_yield_asks<D: Dialect>(
+    node: Rc<Node<D>>,
+    socket: Rc<UdpSocket>,
+    stop: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = node.yield_wanted.notified() => {}
+            () = stop.cancelled() => return,
+        }
+        let holders = node.take_yield_asks();
+        announce(&node, &socket, holders.iter()).await;
+    }
+}
+
 async fn announce<D: Dialect>(
     node: &Node<D>,
     socket: &UdpSocket,
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use comfreyramp_policy::{Timestamp, lots::home_daemon, usage::PeerId};
+use comfreyramp_policy::{Timestamp, lots::home_daemon, placement::home_daemons, usage::PeerId};
 
 use super::{MemberRecord, PeerMessage, ViewRevisions};
 use crate::lots::LotProgress;
@@ -22,6 +22,11 @@
 /// Of each zone of a large fleet so many daemons watch the store; the others
 /// learn from them. Each call of a watch is billed.
 const WATCHERS_PER_ZONE: usize = 2;
+/// In a large fleet so many daemons for callers use a server first, and so many
+/// for lots. Fewer would leave a daemon with many callers too few servers; more
+/// would have more to tell each other.
+const ENTRIES_PER_SERVER: usize = 4;
+const RUNNERS_PER_SERVER: usize = 2;
 /// So many daemons look for lots that nobody runs.
 const LISTERS: usize = 2;
 /// A daemon holds its lots for so long after it was last heard; then its lease
@@ -51,6 +56,8 @@
     progress: Vec<LotProgress>,
     reaches_store: bool,
     is_leaving: bool,
+    /// Whether it uses servers first that this daemon uses first.
+    shares_servers: bool,
 }
 
 /// The other daemons.
@@ -190,10 +197,9 @@
     }
 
     /// Where the daemons are reached. In a small fleet all are near; in a large
-    /// one those of the own zone, who use the same servers.
-    pub fn addresses(&self, zone: &str) -> PeerAddresses {
-        let is_small = self.is_small();
-        let is_near = |it: &&KnownMember| is_small || it.record.zone == zone;
+    /// one those that use the same servers.
+    pub fn addresses(&self) -> PeerAddresses {
+        let is_near = |it: &&KnownMember| self.is_small() || it.shares_servers;
         let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) =
             self.members.iter().partition(is_near);
         PeerAddresses {
@@ -202,6 +208,43 @@
         }
     }
 
+    /// Works out which of a zone's servers, by the hashes of their names, the
+    /// daemon `own` uses first, and which others use the same. Returns nothing in
+    /// a small fleet, where everybody uses all.
+    pub fn share_servers(&mut self, own: &MemberRecord, servers: &[u64]) -> Option<Vec<u64>> {
+        if self.is_small() {
+            return None;
+        }
+        let of_zone = |runs_lots: bool| -> Vec<PeerId> {
+            let members = self.members.iter().filter(|it| {
+                it.record.zone == own.zone && it.record.runs_lots == runs_lots && !it.is_leaving
+            });
+            let own = (own.runs_lots == runs_lots).then_some(self.own);
+            members.map(|it| it.id).chain(own).collect()
+        };
+        let (entries, runners) = (of_zone(false), of_zone(true));
+        let mut homes = Vec::new();
+        let mut sharing = Vec::new();
+        for &server in servers {
+            let mut users = home_daemons(server, &entries, ENTRIES_PER_SERVER);
+            users.extend(home_daemons(server, &runners, RUNNERS_PER_SERVER));
+            if users.contains(&self.own) {
+                homes.push(server);
+                sharing.extend(users);
+            }
+        }
+        for member in &mut self.members {
+            member.shares_servers = sharing.contains(&member.id);
+        }
+        Some(homes)
+    }
+
+    /// Where some daemons are reached.
+    pub fn addresses_of(&self, ids: &[PeerId]) -> Vec<SocketAddr> {
+        let named = self.members.iter().filter(|it| ids.contains(&it.id));
+        named.map(|it| it.record.address).collect()
+    }
+
     /// Where the daemons are reached that say they reach the store.
     pub fn store_ways(&self, now: Timestamp) -> Vec<SocketAddr> {
         let fit = |it: &&KnownMember| {
@@ -322,6 +365,7 @@
             progress: Vec::new(),
             reaches_store: false,
             is_leaving: false,
+            shares_servers: false,
         }
     }
 
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod store_relay;
 mod store_view;
 
-pub use announcer::{listen_to_peers, run_announcer};
+pub use announcer::{listen_to_peers, run_announcer, run_yield_asks};
 pub use fleet_view::{FleetView, KnownCustomer, draw_service};
 pub use follow::{FollowNews, follow_store};
 pub use member_list::{MemberList, PeerAddresses};
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -10,7 +10,7 @@
 
 use comfreyramp_http::HttpClient;
 use comfreyramp_policy::{
-    Timestamp,
+    ServerId, Timestamp,
     placement::{PlacementTable, ServerListing},
     usage::{PeerId, UsageBook},
 };
@@ -110,6 +110,8 @@
     pub lot_notices: RefCell<LotNotices>,
     /// Told when something changed that other daemons should hear of.
     pub load_changed: Notify,
+    /// Told when items of other daemons have to step aside.
+    pub yield_wanted: Notify,
     /// Told when a slot became free, or lots have news.
     pub bulk_wake: Notify,
     /// Whether this VM is being emptied.
@@ -125,6 +127,7 @@
     store_health: Cell<StoreHealth>,
     missing: RefCell<Vec<(ServerListing, Timestamp)>>,
     message_number: Cell<u64>,
+    yield_asks: RefCell<Vec<PeerId>>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -142,6 +145,7 @@
             lot_cache: RefCell::default(),
             lot_notices: RefCell::default(),
             load_changed: Notify::new(),
+            yield_wanted: Notify::new(),
             bulk_wake: Notify::new(),
             is_retiring: Cell::new(false),
             is_stopping: Cell::new(false),
@@ -154,6 +158,7 @@
             store_health: Cell::default(),
             missing: RefCell::default(),
             message_number: Cell::new(0),
+            yield_asks: RefCell::default(),
             settings,
             clock,
         }
@@ -296,9 +301,23 @@
         log::info!(servers = listings.len(), ready = ready, revision = revision; "directory: changed");
         self.metrics.view_revision("servers", revision);
         self.servers.borrow_mut().set_listings(&listings);
+        self.share_servers();
         self.bulk_wake.notify_one();
     }
 
+    /// Works out which servers this daemon uses first.
+    fn share_servers(&self) {
+        let own = self.member_record();
+        let mut servers = self.servers.borrow_mut();
+        let of_zone = servers
+            .listed()
+            .into_iter()
+            .filter(|it| it.1.zone == own.zone);
+        let of_zone: Vec<u64> = of_zone.map(|it| it.0).collect();
+        let homes = self.members.borrow_mut().share_servers(&own, &of_zone);
+        servers.set_homes(|server| homes.as_ref().is_none_or(|it| it.contains(&server)));
+    }
+
     /// Takes over a whole list of daemons.
     pub fn take_members(&self, pairs: Vec<KeyValue>, revision: Revision) {
         let now = self.clock.now();
@@ -332,6 +351,8 @@
         let mut usage = self.usage.borrow_mut();
         usage.set_members(&members.ids(), now);
         usage.set_interval(members.interval());
+        drop(members);
+        self.share_servers();
     }
 
     /// What is due by time.
@@ -410,7 +431,26 @@
 
     /// Where the other daemons are reached.
     pub fn peer_addresses(&self) -> PeerAddresses {
-        self.members.borrow().addresses(&self.settings.zone)
+        self.members.borrow().addresses()
+    }
+
+    /// Has items of other daemons step aside at a server, if a live request there
+    /// would have to wait for them.
+    pub fn ask_to_yield(&self, server: ServerId) {
+        let now = self.clock.now();
+        let holders = self.servers.borrow().yield_holders(server, now);
+        if !holders.is_empty() {
+            self.yield_asks.borrow_mut().extend(holders);
+            self.yield_wanted.notify_one();
+        }
+    }
+
+    /// Where the daemons are reached whose items have to step aside.
+    pub fn take_yield_asks(&self) -> Vec<SocketAddr> {
+        let mut holders = std::mem::take(&mut *self.yield_asks.borrow_mut());
+        holders.sort_unstable();
+        holders.dedup();
+        self.members.borrow().addresses_of(&holders)
     }
 
     /// A daemon that acts by newer settings or servers than this one.
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -6,7 +6,7 @@
 use comfreyramp_http::{BodyError, collect_limited};
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    placement::{PlacementQuery, PlacementRefusal, WorkKind},
+    placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
 };
 use http::{Request, Response, StatusCode, request};
 use http_body_util::Full;
@@ -66,6 +66,10 @@
     /// Servers that ran it, or may have.
     pub(super) runs: u32,
     is_comeback: bool,
+    /// What all daemons had on the server that was chosen last.
+    load: LoadShare,
+    /// When the first bytes of the answer were here.
+    first_at: Option<Timestamp>,
 }
 
 type Answer<D> = Result<Response<FrontBody<D>>, Refusal>;
@@ -160,6 +164,8 @@
         tried: Vec::new(),
         runs: 0,
         is_comeback,
+        load: LoadShare::default(),
+        first_at: None,
     };
     request.run().await
 }
@@ -222,7 +228,9 @@
         is_admitted: &mut bool,
     ) -> Result<Result<OpenAnswer<D>, AttemptFailure>, Refusal> {
         let now = self.node.clock.now();
-        let server = self.place(now)?;
+        let placement = self.place(now)?;
+        let server = placement.server;
+        self.load = placement.load;
         if !*is_admitted {
             if let Some(customer) = &self.customer {
                 self.node.admit(customer, &self.request_id)?;
@@ -232,6 +240,7 @@
         self.tried.push(server);
         let request = self.build(server, last_event, now);
         let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        self.node.ask_to_yield(server);
         let within = self.patience(now);
         let opened = open_answer(guard, request, &self.request_id, within).await;
         if matches!(opened, Err(AttemptFailure::Broken)) {
@@ -240,10 +249,13 @@
         if !matches!(&opened, Err(failure) if !failure.may_have_run()) {
             self.runs += 1;
         }
+        if opened.is_ok() {
+            self.first_at.get_or_insert(self.node.clock.now());
+        }
         Ok(opened)
     }
 
-    fn place(&self, now: Timestamp) -> Result<ServerId, Refusal> {
+    fn place(&self, now: Timestamp) -> Result<Placement, Refusal> {
         let servers = self.node.servers.borrow();
         let mut random = rand::rng();
         let service = draw_service(&self.route, |it| servers.has_server(it), &mut random);
@@ -257,7 +269,7 @@
             longest_wait: self.longest_wait(now),
         };
         match servers.choose_live(query, now, &mut random) {
-            Ok(placement) => Ok(placement.server),
+            Ok(placement) => Ok(placement),
             Err(PlacementRefusal::NoServer) => {
                 Err(self.turned_away(RefusalCause::TurnedAway, UNKNOWN_RETRY))
             }
@@ -375,6 +387,7 @@
     pub(super) fn note_end(&self, outcome: &str, status: StatusCode) {
         let now = self.node.clock.now();
         let span = now.since(self.arrived);
+        let first = self.first_at.map_or(span, |it| it.since(self.arrived));
         self.node.metrics.whole(self.customer_name(), "live", span);
         let servers = self.node.servers.borrow();
         let server = self
@@ -388,6 +401,9 @@
             server = server,
             tried = self.tried.len(),
             status = status.as_u16(),
+            live = self.load.live,
+            bulk = self.load.bulk,
+            first_ms = first.as_millis() as u64,
             span_ms = span.as_millis() as u64;
             "callers: {outcome}"
         );
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -16,7 +16,7 @@
     dialect::{CallerDialect, Dialect, FleetRecords},
     fleet::{
         FollowNews, MEMBERS, answer_peer, follow_peers, follow_store, keep_membership,
-        listen_to_peers, run_announcer,
+        listen_to_peers, run_announcer, run_yield_asks,
     },
     lots::{follow_retire, run_lots, sweep_lots},
     node::Node,
@@ -228,6 +228,7 @@
         FollowNews::Lost(_) => {}
     });
     tokio::task::spawn_local(listen_to_peers(node.clone(), socket.clone(), stop.clone()));
+    tokio::task::spawn_local(run_yield_asks(node.clone(), socket.clone(), stop.clone()));
     tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
     tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
     tokio::task::spawn_local(log_calls(node.clone(), stop.clone()));
