Hold tokens back for daemons not heard; refused callers come back one after the other; take views over once

A part of the level was no bound, since a token is let in as long as one is left. Now tokens of the whole bucket are held back, from 100 ms without a word on, in full at 325 ms. - Callers refused over a rate were told to come back when the next token was due, all at the same moment (8 ms).

--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -13,17 +13,22 @@
 /// After so many intervals without a word a daemon counts as silent: that is one
 /// lost datagram and some delay.
 const SILENT_INTERVALS: f64 = 2.8;
-/// From this many intervals on, part of the tokens is left to a daemon, up to all
-/// that it may spend once it counts as silent. Both sides of a cut would otherwise
-/// spend the whole bucket before they notice: 690 requests in a window for 614 in
-/// `tests/usage.rs`.
-const DOUBTED_INTERVALS: f64 = 0.6;
+/// From the first of these many intervals without a word on, tokens are left to a
+/// daemon, and from the second on all that it may spend. Both sides of a cut would
+/// otherwise spend the whole bucket before they notice: 690 requests in a window
+/// for 614 in `tests/usage.rs`.
+const DOUBTED_INTERVALS: (f64, f64) = (0.4, 1.3);
 /// How much of its burst a customer has at a daemon that knows nothing of what
 /// was spent before it started. Should all daemons restart at once, this is all
 /// that can be spent twice; more of it would be more of an overshoot, less would
 /// refuse requests that are owed.
 const FRESH_PART: f64 = 0.3;
 
+/// The longest time after which a refused caller is told to come back.
+const LONGEST_PROMISE: Duration = Duration::from_secs(3);
+/// A daemon's part of a customer's tokens counts as no less than this when callers
+/// are told to come back.
+const LEAST_PART: f64 = 0.05;
 /// Over so long a daemon's part in a customer's requests is measured.
 const PART_SPAN: Duration = Duration::from_secs(5);
 
@@ -71,7 +76,7 @@
     peers: Vec<PeerUsage>,
     started_at: Timestamp,
     silent_after: Duration,
-    doubted_after: Duration,
+    doubted: (Duration, Duration),
 }
 
 #[derive(Clone, Debug)]
@@ -81,6 +86,8 @@
     own: u32,
     own_lately: RecentCount,
     last_used: Timestamp,
+    /// Until when refused callers were told to come back.
+    promised_until: Timestamp,
 }
 
 #[derive(Clone, Debug)]
@@ -125,7 +132,7 @@
         UsageBook {
             started_at: now,
             silent_after: USUAL_INTERVAL.mul_f64(SILENT_INTERVALS),
-            doubted_after: USUAL_INTERVAL.mul_f64(DOUBTED_INTERVALS),
+            doubted: doubted_spans(USUAL_INTERVAL),
             ..UsageBook::default()
         }
     }
@@ -133,7 +140,7 @@
     /// Sets how often daemons speak at least. In a large fleet they speak less.
     pub fn set_interval(&mut self, interval: Duration) {
         self.silent_after = interval.mul_f64(SILENT_INTERVALS);
-        self.doubted_after = interval.mul_f64(DOUBTED_INTERVALS);
+        self.doubted = doubted_spans(interval);
     }
 
     /// Takes over the limits of the settings in force.
@@ -159,6 +166,7 @@
                         own: 0,
                         own_lately: RecentCount::default(),
                         last_used: now,
+                        promised_until: now,
                     }
                 }
             };
@@ -177,8 +185,11 @@
         let reserved = self.reserved_part(customer, now);
         let doubted = self.doubted_part(customer, now);
         let usage = &mut self.customers[place];
-        usage.bucket.fill(reserved, now);
-        usage.bucket.take(doubted)?;
+        usage.bucket.fill((reserved + doubted).min(1.0), now);
+        if let Err(wait) = usage.bucket.take(doubted) {
+            return Err(self.promise(place, wait, now));
+        }
+        let usage = &mut self.customers[place];
         usage.own = usage.own.wrapping_add(1);
         usage.own_lately.add(1.0, now);
         usage.last_used = now;
@@ -193,9 +204,32 @@
         let reserved = self.reserved_part(customer, now);
         let doubted = self.doubted_part(customer, now);
         let bucket = &mut self.customers[place].bucket;
-        bucket.fill(reserved, now);
+        bucket.fill((reserved + doubted).min(1.0), now);
         let mut copy = *bucket;
-        copy.take(doubted)
+        match copy.take(doubted) {
+            Ok(()) => Ok(()),
+            Err(wait) => Err(self.promise(place, wait, now)),
+        }
+    }
+
+    /// When a refused caller may come back.
+    ///
+    /// The next token comes soon, but of the many callers that were refused within
+    /// the same second only one can have it. Told the same moment, they would all
+    /// be refused again. So each is told a moment of its own, as far apart as this
+    /// daemon's part of the customer's tokens comes in.
+    fn promise(&mut self, place: usize, wait: Duration, now: Timestamp) -> Duration {
+        let customer = self.customers[place].customer;
+        let others = (0..self.peers.len()).map(|it| self.part_of(it, customer, now));
+        let own_part = (1.0 - others.sum::<f64>()).max(LEAST_PART);
+        let usage = &mut self.customers[place];
+        let apart = Duration::from_secs_f64(1.0 / (usage.bucket.rate() * own_part).max(0.2));
+        let first = now + wait;
+        usage.promised_until = (usage.promised_until + apart).max(first);
+        if usage.promised_until.since(now) > LONGEST_PROMISE {
+            usage.promised_until = now + LONGEST_PROMISE;
+        }
+        usage.promised_until.since(now)
     }
 
     /// The tokens in this daemon's copy of a customer's bucket.
@@ -277,7 +311,7 @@
             for at in 0..self.customers.len() {
                 let customer = self.customers[at].customer;
                 let part = self.part_of(place, customer, now);
-                self.customers[at].bucket.keep_part(1.0 - part);
+                self.customers[at].bucket.set_aside(part);
             }
         }
     }
@@ -324,14 +358,14 @@
     /// The part of a customer's tokens that daemons may have spent since their
     /// last word. Those that count as silent had theirs set aside already.
     fn doubted_part(&self, customer: u64, now: Timestamp) -> f64 {
+        let (begin, full) = self.doubted;
         let mut doubted = 0.0;
         for (place, peer) in self.peers.iter().enumerate() {
             let age = now.since(peer.heard_at);
-            if peer.is_silent || age <= self.doubted_after {
+            if peer.is_silent || age <= begin {
                 continue;
             }
-            let span = (self.silent_after - self.doubted_after).as_secs_f64();
-            let doubt = (age - self.doubted_after).as_secs_f64() / span;
+            let doubt = (age - begin).as_secs_f64() / (full - begin).as_secs_f64();
             doubted += self.part_of(place, customer, now) * doubt.min(1.0);
         }
         doubted.min(1.0)
@@ -397,3 +431,8 @@
 /// A first count above this was not all let in since the daemon was last heard,
 /// so it isn't charged.
 const FIRST_COUNT: u32 = 20;
+
+fn doubted_spans(interval: Duration) -> (Duration, Duration) {
+    let (begin, full) = DOUBTED_INTERVALS;
+    (interval.mul_f64(begin), interval.mul_f64(full))
+}
--- a/crates/policy/src/usage/usage_bucket.rs
+++ b/crates/policy/src/usage/usage_bucket.rs
@@ -40,10 +40,11 @@
         self.filled_at = now;
     }
 
-    /// Takes one token, or tells when there will be one. A part of the tokens,
-    /// `doubted`, may be spent already by daemons that weren't heard just now.
+    /// Takes one token, or tells when there will be one. The part `doubted` of the
+    /// whole bucket is left to daemons that weren't heard just now: they may have
+    /// spent it.
     pub fn take(&mut self, doubted: f64) -> Result<(), Duration> {
-        let level = self.level * (1.0 - doubted);
+        let level = self.level - self.burst * doubted;
         if level >= 1.0 {
             self.level -= 1.0;
             return Ok(());
@@ -58,11 +59,10 @@
         self.level -= requests;
     }
 
-    /// Keeps only a part of what is in the bucket. Daemons that no longer hear
-    /// each other would otherwise each spend all of it.
-    pub fn keep_part(&mut self, part: f64) {
+    /// Sets aside the part of the whole bucket that a silent daemon may spend.
+    pub fn set_aside(&mut self, part: f64) {
         if self.level > 0.0 {
-            self.level *= part;
+            self.level = (self.level - self.burst * part).max(0.0);
         }
     }
 
@@ -79,6 +79,11 @@
         self.level = self.level.min(burst);
     }
 
+    /// Tokens a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// The tokens in the bucket.
     pub fn level(&self) -> f64 {
         self.level
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -210,3 +210,23 @@
     let most = fleet.most_in_window();
     assert!(most <= 85, "{most}");
 }
+
+/// Many callers of one customer are refused within a moment. Told to come back at
+/// the same time, all but one of them would be refused again.
+#[test]
+fn refused_callers_are_told_to_come_back_one_after_the_other() {
+    let now = Timestamp::from_micros(1_000_000);
+    let mut book = fresh_book(now);
+    while book.admit(CUSTOMER, now).is_ok() {}
+    let waits: Vec<Duration> = (0..40)
+        .filter_map(|_| book.check(CUSTOMER, now).err())
+        .collect();
+    assert_eq!(waits.len(), 40);
+    assert!(waits.is_sorted());
+    let span = waits[39].saturating_sub(waits[0]).as_secs_f64();
+    let served = span * RATE;
+    assert!(
+        (38.0..=41.0).contains(&served),
+        "{served} tokens come in over the 40 waits"
+    );
+}
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -72,6 +72,17 @@
             members: self.members.changed_revision(),
         }
     }
+
+    /// The store's revisions up to which each shows all changes. A daemon whose
+    /// last change is no newer has nothing to offer, though it may know of a
+    /// removal by its revision of which a list shows nothing.
+    pub fn complete_up_to(&self) -> ViewRevisions {
+        ViewRevisions {
+            operators: self.operators.revision(),
+            servers: self.servers.revision(),
+            members: self.members.revision(),
+        }
+    }
 }
 
 /// Lots that other daemons told of, until the worker takes them.
@@ -455,7 +466,7 @@
 
     /// A daemon that acts by newer settings or servers than this one.
     pub fn peer_ahead(&self) -> Option<SocketAddr> {
-        let known = self.views.borrow().revisions();
+        let known = self.views.borrow().complete_up_to();
         self.members.borrow().ahead_of(known)
     }
 
