Set nothing aside for daemons that let nobody in, or weren't heard since the start

Cause: after a restart of all daemons, and in a zone cut, customers well within their rates were refused: parts were set aside for daemons of lots and for daemons that started a moment later. Tests: a_fleet_that_restarts_refuses_no_usual_customer, a_cut_costs_a_usual_customer_little. Tried and dropped: parts drawn towards even ones so that they add up to the whole (888 requests in a window of 614 behind a cut).

--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -96,6 +96,8 @@
     incarnation: u64,
     heard_at: Timestamp,
     is_silent: bool,
+    /// Whether it was heard since this daemon started.
+    was_heard: bool,
     /// Sorted by the customer's hash.
     counts: Vec<PeerCount>,
 }
@@ -249,6 +251,7 @@
                     incarnation,
                     heard_at: now,
                     is_silent: false,
+                    was_heard: false,
                     counts: Vec::new(),
                 };
                 self.peers.insert(place, peer);
@@ -263,6 +266,7 @@
         }
         self.peers[place].heard_at = now;
         self.peers[place].is_silent = false;
+        self.peers[place].was_heard = true;
         let is_young = now.since(self.started_at) < self.silent_after * 2;
         for count in counts {
             let (spent, is_first) = self.peers[place].note(count, now);
@@ -293,6 +297,7 @@
                     incarnation: 0,
                     heard_at: now,
                     is_silent: false,
+                    was_heard: false,
                     counts: Vec::new(),
                 };
                 self.peers.insert(place, peer);
@@ -308,6 +313,12 @@
                 continue;
             }
             self.peers[place].is_silent = true;
+            // A daemon that starts has little of the burst anyway; were it to set
+            // aside for all that start after it, a fleet that restarts would refuse
+            // customers who are well within their rates.
+            if !self.peers[place].was_heard {
+                continue;
+            }
             for at in 0..self.customers.len() {
                 let customer = self.customers[at].customer;
                 let part = self.part_of(place, customer, now);
@@ -362,7 +373,7 @@
         let mut doubted = 0.0;
         for (place, peer) in self.peers.iter().enumerate() {
             let age = now.since(peer.heard_at);
-            if peer.is_silent || age <= begin {
+            if peer.is_silent || !peer.was_heard || age <= begin {
                 continue;
             }
             let doubt = (age - begin).as_secs_f64() / (full - begin).as_secs_f64();
@@ -371,8 +382,9 @@
         doubted.min(1.0)
     }
 
-    /// A daemon's part of a customer's rate: its part in the requests of the
-    /// last seconds, or an even part if that is more.
+    /// A daemon's part of a customer's rate: its part in the requests of the last
+    /// seconds, or an even part if that is more. What it was seen to use fades while
+    /// it isn't heard, but not what it may use.
     fn part_of(&self, place: usize, customer: u64, now: Timestamp) -> f64 {
         let even = 1.0 / (self.peers.len() as f64 + 1.0);
         let own = self
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -230,3 +230,45 @@
         "{served} tokens come in over the 40 waits"
     );
 }
+
+/// All daemons restart, some a second later than others, and customers send what
+/// they usually do. Nobody is over its rate, so nobody may be refused for what
+/// daemons that aren't up yet might let in.
+#[test]
+fn a_fleet_that_restarts_refuses_no_usual_customer() {
+    let mut fleet = CountingFleet::new(6);
+    fleet.run(Duration::from_secs(4), |_| RATE * 0.6 / 6.0);
+    for daemon in 0..6 {
+        fleet.books[daemon] = fresh_book(fleet.now);
+        fleet.incarnations[daemon] += 100;
+    }
+    fleet.introduce();
+    fleet.groups = vec![0, 0, 1, 2, 3, 4];
+    fleet.run(Duration::from_millis(800), |it| {
+        if it < 2 { RATE * 0.6 / 6.0 } else { 0.0 }
+    });
+    fleet.groups = vec![0; 6];
+    fleet.run(Duration::from_secs(4), |_| RATE * 0.6 / 6.0);
+    assert_eq!(fleet.refused, 0);
+}
+
+/// A zone with two of six daemons is cut off for some seconds, while customers
+/// send what they usually do, in steps of nearly twice the mean. Each side has the
+/// part of the rate that it used before.
+#[test]
+fn a_cut_costs_a_usual_customer_little() {
+    let mut fleet = CountingFleet::new(6);
+    let part = |daemon: usize| [0.05, 0.05, 0.2, 0.2, 0.2, 0.3][daemon];
+    fleet.run(Duration::from_secs(6), |it| RATE * 0.625 * part(it));
+    fleet.groups = vec![1, 1, 0, 0, 0, 0];
+    fleet.run(Duration::from_millis(1_500), |it| {
+        RATE * 0.625 * 0.38 * part(it)
+    });
+    fleet.run(Duration::from_millis(2_400), |it| {
+        RATE * 0.625 * 1.87 * part(it)
+    });
+    fleet.run(Duration::from_millis(1_500), |it| {
+        RATE * 0.625 * 0.38 * part(it)
+    });
+    assert!(fleet.refused <= 3, "{} refused", fleet.refused);
+}
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -187,11 +187,11 @@
         self.members.len() != before
     }
 
-    /// The ids of all daemons but this one.
-    pub fn ids(&self) -> Vec<PeerId> {
+    /// The ids of all other daemons that let requests in.
+    pub fn entries(&self) -> Vec<PeerId> {
         self.members
             .iter()
-            .filter(|it| !it.is_leaving)
+            .filter(|it| !it.is_leaving && !it.record.runs_lots)
             .map(|it| it.id)
             .collect()
     }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -360,7 +360,7 @@
         let mut members = self.members.borrow_mut();
         members.set_listed(&records, now);
         let mut usage = self.usage.borrow_mut();
-        usage.set_members(&members.ids(), now);
+        usage.set_members(&members.entries(), now);
         usage.set_interval(members.interval());
         drop(members);
         self.share_servers();
@@ -372,7 +372,7 @@
         self.usage.borrow_mut().tick(now);
         self.connections.tick(now);
         if self.members.borrow_mut().forget_silent(now) {
-            let ids = self.members.borrow().ids();
+            let ids = self.members.borrow().entries();
             self.usage.borrow_mut().set_members(&ids, now);
         }
         self.store.set_peers(self.members.borrow().store_ways(now));
@@ -423,8 +423,10 @@
             return;
         };
         self.servers.borrow_mut().hear(peer, &message.shares, now);
-        let mut usage = self.usage.borrow_mut();
-        usage.hear(peer, message.from.incarnation, &message.usage, now);
+        if !message.from.runs_lots {
+            let mut usage = self.usage.borrow_mut();
+            usage.hear(peer, message.from.incarnation, &message.usage, now);
+        }
         self.suspects
             .borrow_mut()
             .hear(peer, &message.suspects, now);
