--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -98,6 +98,8 @@
     is_silent: bool,
     /// Whether it was heard since this daemon started.
     was_heard: bool,
+    /// Whether it said that it stops: it spends nothing once it is gone.
+    is_leaving: bool,
     /// Sorted by the customer's hash.
     counts: Vec<PeerCount>,
 }
@@ -252,6 +254,7 @@
                     heard_at: now,
                     is_silent: false,
                     was_heard: false,
+                    is_leaving: false,
                     counts: Vec::new(),
                 };
                 self.peers.insert(place, peer);
@@ -260,6 +263,7 @@
         };
         if self.peers[place].incarnation != incarnation {
             self.peers[place].incarnation = incarnation;
+            self.peers[place].is_leaving = false;
             for count in &mut self.peers[place].counts {
                 count.admitted = 0;
             }
@@ -286,6 +290,14 @@
         }
     }
 
+    /// Notes that a daemon stops. What it lets in until then it still tells; after
+    /// that nothing has to be set aside for it.
+    pub fn leave(&mut self, id: PeerId) {
+        if let Ok(place) = self.peers.binary_search_by_key(&id, |it| it.id) {
+            self.peers[place].is_leaving = true;
+        }
+    }
+
     /// Notes the daemons that are expected to speak, and forgets all others:
     /// those that were lost for good must not hold back a part for ever.
     pub fn set_members(&mut self, members: &[PeerId], now: Timestamp) {
@@ -298,6 +310,7 @@
                     heard_at: now,
                     is_silent: false,
                     was_heard: false,
+                    is_leaving: false,
                     counts: Vec::new(),
                 };
                 self.peers.insert(place, peer);
@@ -309,7 +322,7 @@
     pub fn tick(&mut self, now: Timestamp) {
         for place in 0..self.peers.len() {
             let peer = &self.peers[place];
-            if peer.is_silent || now.since(peer.heard_at) < self.silent_after {
+            if peer.is_silent || peer.is_leaving || now.since(peer.heard_at) < self.silent_after {
                 continue;
             }
             self.peers[place].is_silent = true;
@@ -373,7 +386,7 @@
         let mut doubted = 0.0;
         for (place, peer) in self.peers.iter().enumerate() {
             let age = now.since(peer.heard_at);
-            if peer.is_silent || !peer.was_heard || age <= begin {
+            if peer.is_silent || peer.is_leaving || !peer.was_heard || age <= begin {
                 continue;
             }
             let doubt = (age - begin).as_secs_f64() / (full - begin).as_secs_f64();
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -272,3 +272,25 @@
     });
     assert!(fleet.refused <= 3, "{} refused", fleet.refused);
 }
+
+/// Daemons are stopped and started in turn. Each says so before it goes; a customer
+/// with a usual load must not notice.
+#[test]
+fn daemons_that_say_that_they_stop_cost_nothing() {
+    let mut fleet = CountingFleet::new(4);
+    fleet.run(Duration::from_secs(4), |_| RATE * 0.7 / 4.0);
+    for daemon in 0..4 {
+        for book in &mut fleet.books {
+            book.leave(id(daemon));
+        }
+        fleet.groups[daemon] = 1;
+        let others = |it: usize| if it == daemon { 0.0 } else { RATE * 0.7 / 3.0 };
+        fleet.run(Duration::from_millis(2_500), others);
+        fleet.books[daemon] = fresh_book(fleet.now);
+        fleet.incarnations[daemon] += 100;
+        fleet.introduce();
+        fleet.groups[daemon] = 0;
+        fleet.run(Duration::from_millis(500), |_| RATE * 0.7 / 4.0);
+    }
+    assert_eq!(fleet.refused, 0);
+}
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -426,6 +426,9 @@
         if !message.from.runs_lots {
             let mut usage = self.usage.borrow_mut();
             usage.hear(peer, message.from.incarnation, &message.usage, now);
+            if message.is_leaving {
+                usage.leave(peer);
+            }
         }
         self.suspects
             .borrow_mut()
