Don't charge a daemon's first count

Cause: a daemon that was started anew charged its customers what the others had let in over their whole lives, if that was 20 requests or less of a customer: levels of -31 at a rate of 15. Ruled out: parts set aside (the levels were negative). Test that failed first: a_new_daemon_does_not_charge_what_was_let_in_long_ago.

--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -273,17 +273,15 @@
         self.peers[place].was_heard = true;
         let is_young = now.since(self.started_at) < self.silent_after * 2;
         for count in counts {
-            let (spent, is_first) = self.peers[place].note(count, now);
+            let spent = self.peers[place].note(count, now);
             let Some(at) = self.find(count.customer) else {
                 continue;
             };
             let reserved = self.reserved_part(count.customer, now);
             let bucket = &mut self.customers[at].bucket;
             bucket.fill(reserved, now);
-            // What it spent before this daemon first heard of it is in its level.
-            if !is_first {
-                bucket.charge(f64::from(spent));
-            }
+            bucket.charge(f64::from(spent));
+            // What was spent before this daemon started is in the others' levels.
             if is_young {
                 bucket.lower_to(f64::from(count.level));
             }
@@ -413,31 +411,33 @@
 }
 
 impl PeerUsage {
-    /// Takes in a count. Returns what was let in since the last one, and whether
-    /// it is the first of this customer.
-    fn note(&mut self, count: &UsageCount, now: Timestamp) -> (u32, bool) {
-        match self
+    /// Takes in a count. Returns what was let in since the last one.
+    ///
+    /// Of a first count nobody knows how old it is: all of a daemon's life may be in
+    /// it. Charged, a daemon that has just started would refuse customers for
+    /// seconds for what they did minutes ago; so it counts from there on. What this
+    /// misses is the time between two words.
+    fn note(&mut self, count: &UsageCount, now: Timestamp) -> u32 {
+        let place = self
             .counts
-            .binary_search_by_key(&count.customer, |it| it.customer)
-        {
+            .binary_search_by_key(&count.customer, |it| it.customer);
+        match place {
             Ok(place) => {
                 let known = &mut self.counts[place];
                 // Datagrams may overtake each other; an older one says nothing new.
                 let spent = count.admitted.saturating_sub(known.admitted);
                 known.admitted = known.admitted.max(count.admitted);
                 known.lately.add(f64::from(spent), now);
-                (spent, false)
+                spent
             }
             Err(place) => {
-                let mut lately = RecentCount::default();
-                lately.add(f64::from(count.admitted), now);
                 let known = PeerCount {
                     customer: count.customer,
                     admitted: count.admitted,
-                    lately,
+                    lately: RecentCount::default(),
                 };
                 self.counts.insert(place, known);
-                (count.admitted, count.admitted > FIRST_COUNT)
+                0
             }
         }
     }
@@ -453,10 +453,6 @@
     }
 }
 
-/// A first count above this was not all let in since the daemon was last heard,
-/// so it isn't charged.
-const FIRST_COUNT: u32 = 20;
-
 fn doubted_spans(interval: Duration) -> (Duration, Duration) {
     let (begin, full) = DOUBTED_INTERVALS;
     (interval.mul_f64(begin), interval.mul_f64(full))
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -294,3 +294,18 @@
     }
     assert_eq!(fleet.refused, 0);
 }
+
+/// A daemon is replaced by a new one while the others have run for minutes. What
+/// they let in over all that time is none of its business: a customer with a usual
+/// load must get in at the new daemon as at any other.
+#[test]
+fn a_new_daemon_does_not_charge_what_was_let_in_long_ago() {
+    let mut fleet = CountingFleet::new(3);
+    // Few enough at each daemon to be taken for news, and more than its burst.
+    fleet.run(Duration::from_secs(60), |_| 0.3);
+    fleet.books[2] = fresh_book(fleet.now);
+    fleet.incarnations[2] += 100;
+    fleet.introduce();
+    fleet.run(Duration::from_secs(4), |_| RATE * 0.6 / 3.0);
+    assert_eq!(fleet.refused, 0);
+}
