Don't take a forgotten history for an outage

Cause: a watch that had waited as long as the store keeps history was told so (410); daemons took that for an outage, used the next server that left on for 2.5 s, and refused lots for a second. Ruled out: a lost watch (the removal was seen 0.1 s after it). Now the prefix is listed anew and nothing else follows, and a watch waits 12 s, less than the 20 s of history. Test that failed first: a_forgotten_history_is_no_outage.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -16,8 +16,10 @@
 /// How long a call to the store may take. The store answers in milliseconds; a
 /// slow one took a quarter of a second, one that is away never answers.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// How long a watch waits before it is asked anew. Each asking is billed.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// How long a watch waits before it is asked anew. Each asking is billed; but the
+/// store keeps 20 s of history, and a watch that waits as long has to list anew
+/// whenever anything else was written meanwhile.
+const WATCH_WAIT: Duration = Duration::from_secs(12);
 
 /// A daemon of comfreyramp on the users' platform.
 #[derive(FromArgs)]
--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -328,3 +328,21 @@
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     assert_eq!(count(), before);
 }
+
+/// The store forgets its history, as it does now and then without being away. Lots
+/// must be accepted as before, by daemons that all have to list anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forgotten_history_is_no_outage() {
+    let fleet = Fleet::started().await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet
+        .store
+        .put("lots/other", b"a change that watches don't show");
+    fleet.store.forget_history();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for node in [0, 1] {
+        let lot = format!("lot-i-{node}");
+        let status = fleet.hand_in(node, &lot, &["one"]).await.unwrap();
+        assert_eq!(status, StatusCode::ACCEPTED, "daemon {node}");
+    }
+}
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
+use comfreyramp_store::StoreError;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::{
@@ -244,6 +245,13 @@
     let mut is_lost = false;
     let sink = move |news: FollowNews| {
         match &news {
+            // The store answers; only what it kept of the past doesn't reach back far
+            // enough. Taken for an outage, lots were refused, and servers that left
+            // a moment later were used on.
+            FollowNews::Lost(StoreError::Compacted(revision)) => {
+                shared.note_store_answer();
+                log::info!(prefix = prefix, revision = *revision; "store: history dropped, listed anew");
+            }
             FollowNews::Lost(error) => {
                 shared.note_store_trouble();
                 shared.store.note_failed();
