--- a/crates/daemon/tests/operators_settings.rs
+++ b/crates/daemon/tests/operators_settings.rs
@@ -386,7 +386,7 @@
         "comfreyramp_state{name=\"ready\"} 1".to_owned(),
         "comfreyramp_first_token_seconds_count{class=\"live\",customer=\"press\"} 1".to_owned(),
         "comfreyramp_between_tokens_seconds_count{class=\"live\",customer=\"press\"} 2".to_owned(),
-        "comfreyramp_store_calls_total{kind=".to_owned(),
+        "comfreyramp_platform_calls_total{kind=".to_owned(),
         // A daemon alone holds every slot, whose burst is 10,000 in all.
         "comfreyramp_share{customer=\"press\",part=\"capacity\"} 10000".to_owned(),
         "comfreyramp_share{customer=\"market\",part=\"tokens\"} 10000".to_owned(),
