Keep a large fleet from working itself to death when a zone falls silent

Cause: with a third of the daemons silent, each message heard made the daemon work out the part of every silent one against all others, for each customer: peers times peers exponentials a count. Besides, who was behind was sent all views as a whole, by the first daemon that was ahead. Only those who have something on a server are kept there. Views: what is newer only, from any daemon of the own zone.

--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -108,8 +108,16 @@
         }
     }
 
-    /// Takes in what another daemon has on the server.
+    /// Takes in what another daemon has on the server. Only those that have
+    /// something there are kept: in a large fleet most have nothing, and each look
+    /// at the server goes through all that are kept.
     pub(super) fn hear(&mut self, peer: PeerId, share: LoadShare, now: Timestamp) {
+        if share == LoadShare::default() {
+            if let Ok(place) = self.heard.binary_search_by_key(&peer, |it| it.peer) {
+                self.heard.remove(place);
+            }
+            return;
+        }
         let heard = HeardShare {
             peer,
             share,
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -85,6 +85,9 @@
     bucket: UsageBucket,
     own: u32,
     own_lately: RecentCount,
+    /// What all daemons let in of it lately. It is kept as one count, since adding
+    /// up those of all daemons for each message takes a large fleet all of its time.
+    all_lately: RecentCount,
     last_used: Timestamp,
     /// Until when refused callers were told to come back.
     promised_until: Timestamp,
@@ -169,6 +172,7 @@
                         bucket: UsageBucket::new(limit.rate, limit.burst.max(1.0), level, now),
                         own: 0,
                         own_lately: RecentCount::default(),
+                        all_lately: RecentCount::default(),
                         last_used: now,
                         promised_until: now,
                     }
@@ -196,6 +200,7 @@
         let usage = &mut self.customers[place];
         usage.own = usage.own.wrapping_add(1);
         usage.own_lately.add(1.0, now);
+        usage.all_lately.add(1.0, now);
         usage.last_used = now;
         Ok(())
     }
@@ -223,9 +228,7 @@
     /// be refused again. So each is told a moment of its own, as far apart as this
     /// daemon's part of the customer's tokens comes in.
     fn promise(&mut self, place: usize, wait: Duration, now: Timestamp) -> Duration {
-        let customer = self.customers[place].customer;
-        let others = (0..self.peers.len()).map(|it| self.part_of(it, customer, now));
-        let own_part = (1.0 - others.sum::<f64>()).max(LEAST_PART);
+        let own_part = self.own_part(place, now).max(LEAST_PART);
         let usage = &mut self.customers[place];
         let apart = Duration::from_secs_f64(1.0 / (usage.bucket.rate() * own_part).max(0.2));
         let first = now + wait;
@@ -278,7 +281,9 @@
                 continue;
             };
             let reserved = self.reserved_part(count.customer, now);
-            let bucket = &mut self.customers[at].bucket;
+            let usage = &mut self.customers[at];
+            usage.all_lately.add(f64::from(spent), now);
+            let bucket = &mut usage.bucket;
             bucket.fill(reserved, now);
             bucket.charge(f64::from(spent));
             // What was spent before this daemon started is in the others' levels.
@@ -397,16 +402,29 @@
     /// seconds, or an even part if that is more. What it was seen to use fades while
     /// it isn't heard, but not what it may use.
     fn part_of(&self, place: usize, customer: u64, now: Timestamp) -> f64 {
-        let even = 1.0 / (self.peers.len() as f64 + 1.0);
-        let own = self
+        let even = self.even_part();
+        let all = self
             .find(customer)
-            .map_or(0.0, |at| self.customers[at].own_lately.at(now));
-        let of = |peer: &PeerUsage| peer.lately(customer, now);
-        let all = own + self.peers.iter().map(of).sum::<f64>();
+            .map_or(0.0, |at| self.customers[at].all_lately.at(now));
         if all < 1.0 {
             return even;
         }
-        even.max(of(&self.peers[place]) / all)
+        even.max(self.peers[place].lately(customer, now) / all)
+    }
+
+    /// What is left of a customer's rate to this daemon once all others have had
+    /// their parts of it.
+    fn own_part(&self, at: usize, now: Timestamp) -> f64 {
+        let usage = &self.customers[at];
+        let all = usage.all_lately.at(now);
+        match all < 1.0 {
+            true => self.even_part(),
+            false => (usage.own_lately.at(now) / all).min(1.0),
+        }
+    }
+
+    fn even_part(&self) -> f64 {
+        1.0 / (self.peers.len() as f64 + 1.0)
     }
 }
 
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -309,3 +309,53 @@
     fleet.run(Duration::from_secs(4), |_| RATE * 0.6 / 3.0);
     assert_eq!(fleet.refused, 0);
 }
+
+/// A zone of a large fleet is cut off, and a third of all daemons fall silent at
+/// once. Were the part of each of them worked out against all others, for each
+/// customer of each message, the daemons that are left would do nothing else: their
+/// callers would wait for seconds and be refused.
+#[test]
+fn hearing_costs_about_the_same_while_a_third_is_silent() {
+    const DAEMONS: usize = 90;
+    const CUSTOMERS: u64 = 90;
+    let span_of = |silent: usize| {
+        let mut now = Timestamp::from_micros(1_000_000);
+        let mut book = UsageBook::new(now);
+        let limits: Vec<CustomerLimit> = (0..CUSTOMERS)
+            .map(|customer| CustomerLimit {
+                customer,
+                rate: 10.0,
+                burst: 10.0,
+            })
+            .collect();
+        book.set_limits(&limits, now);
+        let mut admitted = 0;
+        let mut tell = |book: &mut UsageBook, speakers: std::ops::Range<usize>, now| {
+            admitted += 1;
+            let count = |customer| comfreyramp_policy::usage::UsageCount {
+                customer,
+                admitted,
+                level: 5.0,
+            };
+            let counts: Vec<_> = (0..CUSTOMERS).map(count).collect();
+            for daemon in speakers {
+                book.hear(id(daemon), 1, &counts, now);
+            }
+        };
+        tell(&mut book, 0..DAEMONS, now);
+        let mut heard = Duration::ZERO;
+        for _ in 0..6 {
+            now = now + Duration::from_millis(250);
+            let begin = std::time::Instant::now();
+            tell(&mut book, silent..DAEMONS, now);
+            heard += begin.elapsed();
+            book.tick(now);
+        }
+        heard.as_secs_f64() / (DAEMONS - silent) as f64
+    };
+    let calm = span_of(0);
+    let cut = span_of(DAEMONS / 3);
+    let times = cut / calm;
+    eprintln!("{times:.1} times what a calm message costs");
+    assert!(times < 30.0, "{times:.1} times what a calm message costs");
+}
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use comfreyramp_policy::{Timestamp, lots::home_daemon, placement::home_daemons, usage::PeerId};
+use rand::{Rng, seq::IndexedRandom};
 
 use super::{MemberRecord, PeerMessage, ViewRevisions};
 use crate::lots::{LotProgress, LotStage};
@@ -271,13 +272,23 @@
         Some(runner.record.address)
     }
 
-    /// A daemon that acts by a newer view than one with these revisions.
-    pub fn ahead_of(&self, known: ViewRevisions) -> Option<SocketAddr> {
+    /// A daemon that acts by a newer view than one with these revisions: any of
+    /// `zone` if there is one, else of another. Were all who are behind to ask the
+    /// same one, a small VM would be busy with them alone.
+    pub fn ahead_of(
+        &self,
+        known: ViewRevisions,
+        zone: &str,
+        random: &mut impl Rng,
+    ) -> Option<SocketAddr> {
         let is_ahead = |it: &&KnownMember| it.revisions.is_ahead_of(known);
-        self.members
+        let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) = self
+            .members
             .iter()
-            .find(is_ahead)
-            .map(|it| it.record.address)
+            .filter(is_ahead)
+            .partition(|it| it.record.zone == zone);
+        let chosen = near.choose(random).or_else(|| far.choose(random))?;
+        Some(chosen.record.address)
     }
 
     /// How many results a lot has, as the daemon that runs it tells.
--- a/crates/serving/src/fleet/peer_door.rs
+++ b/crates/serving/src/fleet/peer_door.rs
@@ -28,22 +28,30 @@
     request: Request<Incoming>,
 ) -> Response<FrontBody<D>> {
     let path = request.uri().path();
-    if path == VIEWS_PATH {
-        return Response::new(FrontBody::whole(show_views(&node)));
-    }
     if let Some(rest) = path.strip_prefix(LOT_PATH) {
         return match show_lot(&node, rest) {
             Some(shown) => Response::new(FrontBody::whole(shown)),
             None => with_status(StatusCode::NOT_FOUND),
         };
     }
-    if path != RELAY_PATH {
+    let is_view = path == VIEWS_PATH;
+    if !is_view && path != RELAY_PATH {
         return with_status(StatusCode::NOT_FOUND);
     }
-    match collect_limited(request.into_body(), CALL_LIMIT).await {
-        Ok(call) => node.store.answer(&call).await.map(FrontBody::whole),
+    let call = match collect_limited(request.into_body(), CALL_LIMIT).await {
+        Ok(call) => call,
         Err(error) => {
             log::warn!(error:% = error; "peers: a call can't be read");
+            return with_status(StatusCode::BAD_REQUEST);
+        }
+    };
+    if !is_view {
+        return node.store.answer(&call).await.map(FrontBody::whole);
+    }
+    match postcard::from_bytes(&call) {
+        Ok(known) => Response::new(FrontBody::whole(show_views(&node, known))),
+        Err(error) => {
+            log::warn!(error:% = error; "peers: a question for views can't be read");
             with_status(StatusCode::BAD_REQUEST)
         }
     }
--- a/crates/serving/src/fleet/peer_views.rs
+++ b/crates/serving/src/fleet/peer_views.rs
@@ -10,7 +10,7 @@
 use serde_with::{base64::Base64, serde_as};
 use tokio_util::sync::CancellationToken;
 
-use super::StoreView;
+use super::{StoreView, ViewRevisions};
 use crate::{dialect::Dialect, node::Node};
 
 /// The path at which a daemon shows its views to others.
@@ -41,11 +41,19 @@
     created: i64,
 }
 
+/// The views that the one who asks doesn't have as new.
 #[derive(Debug, Serialize, Deserialize)]
 struct ShownViews {
-    operators: ShownView,
-    servers: ShownView,
-    members: ShownView,
+    operators: Option<ShownView>,
+    servers: Option<ShownView>,
+    members: Option<ShownView>,
+}
+
+impl ShownView {
+    /// Nothing, if whoever asks knows the view up to its last change already.
+    fn if_newer(view: &StoreView, known: i64) -> Option<Self> {
+        (view.changed_revision() > known).then(|| view.into())
+    }
 }
 
 impl From<&StoreView> for ShownView {
@@ -76,13 +84,17 @@
     }
 }
 
-/// This daemon's views, as it shows them to others.
-pub(super) fn show_views<D: Dialect>(node: &Node<D>) -> Bytes {
+/// What this daemon's views have beyond those that another daemon knows.
+///
+/// While a fleet restarts the list of daemons changes dozens of times a second. To
+/// send all views each time, with settings of hundreds of customers and routes,
+/// would keep the daemons that watch the store from their callers.
+pub(super) fn show_views<D: Dialect>(node: &Node<D>, known: ViewRevisions) -> Bytes {
     let views = node.views.borrow();
     let shown = ShownViews {
-        operators: (&views.operators).into(),
-        servers: (&views.servers).into(),
-        members: (&views.members).into(),
+        operators: ShownView::if_newer(&views.operators, known.operators),
+        servers: ShownView::if_newer(&views.servers, known.servers),
+        members: ShownView::if_newer(&views.members, known.members),
     };
     serde_json::to_vec(&shown).unwrap_or_default().into()
 }
@@ -109,15 +121,21 @@
         let Some(peer) = ahead.filter(|_| is_due) else {
             continue;
         };
-        match ask(&client, peer).await {
+        let known = node.views.borrow().complete_up_to();
+        match ask(&client, peer, known).await {
             Ok(views) => take_over(&node, peer, views),
             Err(error) => log::warn!(peer:% = peer, error:% = error; "peers: no views from a peer"),
         }
     }
 }
 
-async fn ask(client: &HttpClient, peer: SocketAddr) -> anyhow::Result<ShownViews> {
-    let request = Request::get(format!("http://{peer}{VIEWS_PATH}")).body(MessageBody::empty())?;
+async fn ask(
+    client: &HttpClient,
+    peer: SocketAddr,
+    known: ViewRevisions,
+) -> anyhow::Result<ShownViews> {
+    let body = MessageBody::from(postcard::to_stdvec(&known)?);
+    let request = Request::post(format!("http://{peer}{VIEWS_PATH}")).body(body)?;
     let answer = client
         .exchange(request, ANSWER_TIMEOUT, ANSWER_LIMIT)
         .await?;
@@ -125,14 +143,22 @@
 }
 
 fn take_over<D: Dialect>(node: &Rc<Node<D>>, peer: SocketAddr, views: ShownViews) {
+    let revision_of = |view: &Option<ShownView>| view.as_ref().map(|it| it.revision);
     log::info!(
-        peer:% = peer, operators = views.operators.revision, servers = views.servers.revision;
+        peer:% = peer, operators:? = revision_of(&views.operators),
+        servers:? = revision_of(&views.servers), members:? = revision_of(&views.members);
         "peers: took over the views of a peer that is ahead"
     );
-    let revision = views.operators.revision;
-    node.take_operators(views.operators.into_pairs(), revision);
-    let revision = views.servers.revision;
-    node.take_servers(views.servers.into_pairs(), revision);
-    let revision = views.members.revision;
-    node.take_members(views.members.into_pairs(), revision);
+    if let Some(view) = views.operators {
+        let revision = view.revision;
+        node.take_operators(view.into_pairs(), revision);
+    }
+    if let Some(view) = views.servers {
+        let revision = view.revision;
+        node.take_servers(view.into_pairs(), revision);
+    }
+    if let Some(view) = views.members {
+        let revision = view.revision;
+        node.take_members(view.into_pairs(), revision);
+    }
 }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -472,7 +472,10 @@
     /// A daemon that acts by newer settings or servers than this one.
     pub fn peer_ahead(&self) -> Option<SocketAddr> {
         let known = self.views.borrow().complete_up_to();
-        self.members.borrow().ahead_of(known)
+        let zone = &self.settings.zone;
+        self.members
+            .borrow()
+            .ahead_of(known, zone, &mut rand::rng())
     }
 
     /// Whether this daemon watches the store itself.
