Measure how long plain calls take; don't refuse them for a queue of three

Cause: the span by which the wait at a full server is judged was only ever measured for streams, so that a plain service counted with the first guess of half a second a call. Before/after: calm_fleet, 32 calls at once to 8 slots: 13 served, now 32.

--- a/crates/node/tests/calm_fleet.rs
+++ b/crates/node/tests/calm_fleet.rs
@@ -155,3 +155,26 @@
     );
     assert!(text.contains("comfreyramp_store_calls_total"));
 }
+
+/// A plain service answers within milliseconds. More callers than it has slots come
+/// at once, and all of them would be answered well within their objective: a daemon
+/// that takes each call for as long as a stream would refuse most of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_wait_for_moments_are_not_refused() {
+    let fleet = Fleet::started().await;
+    let work = b"takes 30";
+    for number in 0..3 {
+        let id = format!("first-{number}");
+        let answer = fleet.ask(0, Ask::post("/proofs/1", &id, work)).await;
+        assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    }
+    let ids: Vec<String> = (0..32).map(|it| format!("burst-{it}")).collect();
+    let asking = ids
+        .iter()
+        .map(|id| fleet.ask(0, Ask::post("/proofs/1", id, work)));
+    let answers = futures::future::join_all(asking).await;
+    let served = answers
+        .iter()
+        .filter(|it| it.as_ref().is_ok_and(|it| it.status() == StatusCode::OK));
+    assert_eq!(served.count(), ids.len());
+}
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -292,9 +292,11 @@
         self.servers[id.index()].load.yield_holders(now)
     }
 
-    /// Counts a request in that is sent to a server.
-    pub fn begin(&mut self, id: ServerId, kind: WorkKind, now: Timestamp) {
+    /// Counts a request in that is sent to a server. Returns whether it should
+    /// find a free slot there: only then does its span tell what the server takes.
+    pub fn begin(&mut self, id: ServerId, kind: WorkKind, now: Timestamp) -> bool {
         let load = &mut self.servers[id.index()].load;
+        let has_slot = load.has_free_slot(now);
         match kind {
             WorkKind::Live => load.own.live += 1,
             WorkKind::Bulk => {
@@ -302,6 +304,7 @@
                 load.note_bulk_start(now);
             }
         }
+        has_slot
     }
 
     /// Counts a request out.
@@ -318,7 +321,9 @@
         self.servers[id.index()].load.note(outcome, now);
     }
 
-    /// Takes in how long a live request held its slot.
+    /// Takes in how long a live request held its slot, if it found one free. What
+    /// waited in the server's queue would make the next ones look hopeless, and a
+    /// server that answers within 60 ms would be refused for a queue of three.
     pub fn note_span(&mut self, id: ServerId, span: Duration) {
         self.servers[id.index()].load.note_span(span);
     }
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -89,7 +89,9 @@
     surplus_at: Timestamp,
     failures: u32,
     ejected_until: Timestamp,
-    held_secs: f64,
+    /// How long a live request takes there, queueing left out; nothing before the
+    /// first one was measured.
+    held_secs: Option<f64>,
     bulk_from: Timestamp,
 }
 
@@ -103,7 +105,7 @@
             surplus_at: Timestamp::ZERO,
             failures: 0,
             ejected_until: Timestamp::ZERO,
-            held_secs: FIRST_SPAN.as_secs_f64(),
+            held_secs: None,
             bulk_from: Timestamp::ZERO,
         }
     }
@@ -198,7 +200,15 @@
 
     /// Takes in how long a request held its slot.
     pub(super) fn note_span(&mut self, span: Duration) {
-        self.held_secs += SPAN_WEIGHT * (span.as_secs_f64() - self.held_secs);
+        let span = span.as_secs_f64();
+        let held = self.held_secs.get_or_insert(span);
+        *held += SPAN_WEIGHT * (span - *held);
+    }
+
+    /// Whether a request that is sent now gets a slot at once.
+    pub(super) fn has_free_slot(&self, now: Timestamp) -> bool {
+        let total = self.total(now);
+        u32::from(total.live) + u32::from(total.bulk) < self.slots
     }
 
     /// How many of this daemon's items have to step aside, of those that have to
@@ -272,7 +282,8 @@
         if ahead <= 0.0 {
             return Duration::ZERO;
         }
-        let wait = self.held_secs.max(0.0) * ahead / f64::from(self.slots.max(1));
+        let held = self.held_secs.unwrap_or(FIRST_SPAN.as_secs_f64());
+        let wait = held * ahead / f64::from(self.slots.max(1));
         Duration::from_secs_f64(wait.min(60.0))
     }
 }
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -130,7 +130,7 @@
             Ok(None | Some(Err(_))) | Err(_) => return broken(&open, run),
         }
     }
-    open.guard.note(ServerOutcomeKind::Answered);
+    open.guard.note_answered();
     let now = node.clock.now();
     node.connections
         .put_back(open.connection, open.answer.kept_for, now);
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -26,19 +26,21 @@
     pub server: ServerId,
     kind: WorkKind,
     begun: Timestamp,
+    has_slot: bool,
 }
 
 impl<D: Dialect> AttemptGuard<D> {
     /// Takes a place on a server.
     pub fn begin(node: Rc<Node<D>>, server: ServerId, kind: WorkKind) -> Self {
         let begun = node.clock.now();
-        node.servers.borrow_mut().begin(server, kind, begun);
+        let has_slot = node.servers.borrow_mut().begin(server, kind, begun);
         node.load_changed.notify_one();
         AttemptGuard {
             node,
             server,
             kind,
             begun,
+            has_slot,
         }
     }
 
@@ -51,9 +53,13 @@
             .note(self.server, outcome, now);
     }
 
-    /// How long the place has been held.
-    pub fn held(&self) -> Duration {
-        self.node.clock.now().since(self.begun)
+    /// Takes note that the server has answered to the end.
+    pub fn note_answered(&self) {
+        self.note(ServerOutcomeKind::Answered);
+        if self.has_slot && self.kind == WorkKind::Live {
+            let held = self.node.clock.now().since(self.begun);
+            self.node.servers.borrow_mut().note_span(self.server, held);
+        }
     }
 }
 
@@ -256,7 +262,7 @@
                 return Err(AttemptFailure::Broken);
             }
         }
-        self.guard.note(ServerOutcomeKind::Answered);
+        self.guard.note_answered();
         let node = self.guard.node.clone();
         let now = node.clock.now();
         node.connections
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -134,12 +134,8 @@
         else {
             return;
         };
-        reading.guard.note(ServerOutcomeKind::Answered);
+        reading.guard.note_answered();
         let node = &reading.request.node;
-        let held = reading.guard.held();
-        node.servers
-            .borrow_mut()
-            .note_span(reading.guard.server, held);
         reading.request.note_end("streamed", StatusCode::OK);
         let now = node.clock.now();
         let kept_for = reading.answer.kept_for;
--- a/crates/standins/src/runner/runner_server.rs
+++ b/crates/standins/src/runner/runner_server.rs
@@ -31,7 +31,7 @@
         /// The pause before each.
         pause: Duration,
     },
-    /// The request's body.
+    /// The request's body; one that reads `takes 40` after 40 ms.
     Plain,
 }
 
@@ -159,7 +159,10 @@
             *answer.status_mut() = StatusCode::UNPROCESSABLE_ENTITY;
         } else {
             match self.options.kind {
-                RunnerKind::Plain => *answer.body_mut() = MessageBody::from(body),
+                RunnerKind::Plain => {
+                    tokio::time::sleep(asked_work(&body)).await;
+                    *answer.body_mut() = MessageBody::from(body);
+                }
                 RunnerKind::Engine { events, pause } => {
                     let (sender, body) = MessageBody::stream();
                     *answer.body_mut() = body;
@@ -176,6 +179,13 @@
     }
 }
 
+/// The work that a body asks for.
+fn asked_work(body: &[u8]) -> Duration {
+    let text = std::str::from_utf8(body).unwrap_or_default();
+    let millis = text.strip_prefix("takes ").and_then(|it| it.parse().ok());
+    Duration::from_millis(millis.unwrap_or_default())
+}
+
 fn set(answer: &mut Response<MessageBody>, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         answer.headers_mut().insert(name, value);
