Tell the others at once when a customer spends much of its burst

Cause: changes gather for 30 ms before they are told (longer with many daemons near), and within that a customer could have its whole burst at each daemon. Ruled out: lost datagrams (loopback, none lost). In a build without optimization it passed before as well, since requests take longer there.

--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -24,6 +24,13 @@
 /// refuse requests that are owed.
 const FRESH_PART: f64 = 0.3;
 
+/// Of a customer's burst, the part that a daemon lets in before it tells the others
+/// at once. Within the time in which changes usually gather a customer could have
+/// its whole burst at each daemon.
+const UNTOLD_PART: f64 = 0.125;
+/// The same for customers with hardly any burst, in requests.
+const LEAST_UNTOLD: f64 = 2.0;
+
 /// The longest time after which a refused caller is told to come back.
 const LONGEST_PROMISE: Duration = Duration::from_secs(3);
 /// A daemon's part of a customer's tokens counts as no less than this when callers
@@ -84,6 +91,8 @@
     customer: u64,
     bucket: UsageBucket,
     own: u32,
+    /// Of these the others were told.
+    told: u32,
     own_lately: RecentCount,
     /// What all daemons let in of it lately. It is kept as one count, since adding
     /// up those of all daemons for each message takes a large fleet all of its time.
@@ -171,6 +180,7 @@
                         customer: limit.customer,
                         bucket: UsageBucket::new(limit.rate, limit.burst.max(1.0), level, now),
                         own: 0,
+                        told: 0,
                         own_lately: RecentCount::default(),
                         all_lately: RecentCount::default(),
                         last_used: now,
@@ -205,6 +215,17 @@
         Ok(())
     }
 
+    /// Whether the others have to hear at once of what was let in of a customer's
+    /// requests.
+    pub fn is_tell_urgent(&self, customer: u64) -> bool {
+        let Some(place) = self.find(customer) else {
+            return false;
+        };
+        let usage = &self.customers[place];
+        let most = (usage.bucket.burst() * UNTOLD_PART).max(LEAST_UNTOLD);
+        f64::from(usage.own.wrapping_sub(usage.told)) >= most
+    }
+
     /// Tells when a customer may come back, if a request of it wouldn't be let in.
     pub fn check(&mut self, customer: u64, now: Timestamp) -> Result<(), Duration> {
         let Some(place) = self.find(customer) else {
@@ -354,6 +375,7 @@
             let reserved = self.reserved_part(usage.customer, now);
             let usage = &mut self.customers[at];
             usage.bucket.fill(reserved, now);
+            usage.told = usage.own;
             counts.push(UsageCount {
                 customer: usage.customer,
                 admitted: usage.own,
--- a/crates/policy/src/usage/usage_bucket.rs
+++ b/crates/policy/src/usage/usage_bucket.rs
@@ -84,6 +84,11 @@
         self.rate
     }
 
+    /// The tokens that the bucket holds at most.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// The tokens in the bucket.
     pub fn level(&self) -> f64 {
         self.level
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -359,3 +359,20 @@
     eprintln!("{times:.1} times what a calm message costs");
     assert!(times < 30.0, "{times:.1} times what a calm message costs");
 }
+
+/// A customer sends its whole burst to one daemon within a moment. Were the others
+/// to hear of it only after changes have gathered, it could have as much at each of
+/// them: with nine daemons nine times its burst.
+#[test]
+fn a_burst_is_told_before_it_is_spent() {
+    let mut fleet = CountingFleet::new(2);
+    let book = &mut fleet.books[0];
+    let mut untold = 0;
+    while !book.is_tell_urgent(CUSTOMER) {
+        assert!(book.admit(CUSTOMER, fleet.now).is_ok());
+        untold += 1;
+    }
+    assert!(f64::from(untold) <= BURST * 0.15, "{untold} before a word");
+    book.own_counts(fleet.now);
+    assert!(!book.is_tell_urgent(CUSTOMER), "the others know");
+}
--- a/crates/serving/src/fleet/announcer.rs
+++ b/crates/serving/src/fleet/announcer.rs
@@ -25,17 +25,23 @@
 ) {
     let mut far_at = node.clock.now();
     while !stop.is_cancelled() {
-        tokio::select! {
-            () = node.load_changed.notified() => {}
-            () = tokio::time::sleep(node.quiet_interval()) => {}
-            () = stop.cancelled() => {}
-        }
+        let mut is_urgent = tokio::select! {
+            () = node.tell_wanted.notified() => true,
+            () = node.load_changed.notified() => false,
+            () = tokio::time::sleep(node.quiet_interval()) => false,
+            () = stop.cancelled() => false,
+        };
         let peers = node.peer_addresses();
-        let gathered = GATHER_FOR_EACH * peers.near.len() as u32;
-        tokio::time::sleep(gathered.max(GATHER_SPAN)).await;
+        if !is_urgent {
+            let gathered = GATHER_FOR_EACH * peers.near.len() as u32;
+            is_urgent = tokio::select! {
+                () = node.tell_wanted.notified() => true,
+                () = tokio::time::sleep(gathered.max(GATHER_SPAN)) => false,
+            };
+        }
         node.tick();
         let now = node.clock.now();
-        let is_far_due = now >= far_at;
+        let is_far_due = is_urgent || now >= far_at;
         if is_far_due {
             far_at = now + node.quiet_interval() - GATHER_SPAN;
         }
--- a/crates/serving/src/node.rs
+++ b/crates/serving/src/node.rs
@@ -121,6 +121,8 @@
     pub lot_notices: RefCell<LotNotices>,
     /// Told when something changed that other daemons should hear of.
     pub load_changed: Notify,
+    /// Told when other daemons have to hear at once of what was let in.
+    pub tell_wanted: Notify,
     /// Told when items of other daemons have to step aside.
     pub yield_wanted: Notify,
     /// Told when a slot became free, or lots have news.
@@ -156,6 +158,7 @@
             lot_cache: RefCell::default(),
             lot_notices: RefCell::default(),
             load_changed: Notify::new(),
+            tell_wanted: Notify::new(),
             yield_wanted: Notify::new(),
             bulk_wake: Notify::new(),
             is_retiring: Cell::new(false),
@@ -621,7 +624,12 @@
     /// Others may have used the rate up since it was checked.
     pub fn admit(&self, customer: &KnownCustomer, request_id: &str) -> Result<(), Refusal> {
         let now = self.clock.now();
-        let admitted = self.usage.borrow_mut().admit(customer.number, now);
+        let mut usage = self.usage.borrow_mut();
+        let admitted = usage.admit(customer.number, now);
+        if usage.is_tell_urgent(customer.number) {
+            self.tell_wanted.notify_one();
+        }
+        drop(usage);
         self.load_changed.notify_one();
         admitted.map_err(|retry_after| self.over_rate(customer, request_id, retry_after))
     }
