Repeat the end of a lot for longer than a claim outlives a cut

Cause: the end of a lot was told for 3 s. A daemon that was cut off for longer, but for less than its lease holds, kept its claim and learned of the end only when the store refused results. Before/after: serving/tests/lot_notices.rs fails with 3 s, passes with 12 s.

--- a/crates/serving/src/lots/notices.rs
+++ b/crates/serving/src/lots/notices.rs
@@ -5,8 +5,13 @@
 use comfreyramp_policy::Timestamp;
 use serde::{Deserialize, Serialize};
 
-/// How long a notice is repeated. Datagrams get lost; this many of them don't.
-const REPEATED_FOR: Duration = Duration::from_secs(3);
+/// How long it is repeated that a lot was accepted. Datagrams get lost; this many of
+/// them don't.
+const ACCEPTED_TOLD_FOR: Duration = Duration::from_secs(3);
+/// How long it is repeated that a lot was ended. A daemon that was cut off for less
+/// than its lease holds still has its claim, and learns of the end in no other way:
+/// it would go on starting items until the store refuses their results.
+const ENDED_TOLD_FOR: Duration = Duration::from_secs(12);
 /// How long the progress of a lot is told after its last change. A reader that
 /// comes later asks the store.
 const PROGRESS_TOLD_FOR: Duration = Duration::from_secs(8);
@@ -22,6 +27,15 @@
     Ended(String),
 }
 
+impl LotNotice {
+    fn told_for(&self) -> Duration {
+        match self {
+            LotNotice::Accepted(_) => ACCEPTED_TOLD_FOR,
+            LotNotice::Ended(_) => ENDED_TOLD_FOR,
+        }
+    }
+}
+
 /// What a daemon has to do with a lot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LotStage {
@@ -65,7 +79,7 @@
 
     /// What is to be told now.
     pub fn current(&mut self, now: Timestamp) -> (Vec<LotNotice>, Vec<LotProgress>) {
-        self.notices.retain(|it| now.since(it.1) < REPEATED_FOR);
+        self.notices.retain(|it| now.since(it.1) < it.0.told_for());
         self.progress
             .retain(|it| it.0.stage == LotStage::Held || now.since(it.1) < PROGRESS_TOLD_FOR);
         let notices = self.notices.iter().rev().take(MOST_NOTICES);
