Lot cache: one constructor, one way to add results; count requests on servers

The gauge of requests on servers was registered and never set; refusals were counted for customers over their rate only.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,6 +1,6 @@
 //! Calls to other servers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -112,6 +112,19 @@
         }
     }
 
+    /// Like [`HttpClient::exchange`], and tells how long it took, for whoever counts
+    /// calls.
+    pub async fn timed_exchange(
+        &self,
+        request: Request<MessageBody>,
+        limit: Duration,
+        body_limit: usize,
+    ) -> (Result<Response<Bytes>, CallError>, Duration) {
+        let begin = Instant::now();
+        let answer = self.exchange(request, limit, body_limit).await;
+        (answer, begin.elapsed())
+    }
+
     /// Like [`HttpClient::send`], with a limit on the wait for the head.
     pub async fn send_within(
         &self,
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -351,11 +351,6 @@
             .filter(|it| it.load.own != LoadShare::default());
         used.map(|it| (it.key, it.load.own)).collect()
     }
-
-    /// The servers in use, for those who drop what belongs to others.
-    pub fn is_listed(&self, id: ServerId) -> bool {
-        self.servers[id.index()].is_listed
-    }
 }
 
 impl ServerEntry {
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -39,6 +39,16 @@
     Bulk,
 }
 
+impl WorkKind {
+    /// The kind as a label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            WorkKind::Live => "live",
+            WorkKind::Bulk => "bulk",
+        }
+    }
+}
+
 /// How a request ended, as it tells on its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ServerOutcomeKind {
--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -27,8 +27,6 @@
     lot: String,
     /// Its head.
     pub head: LotHead,
-    /// The revision of its head's key.
-    pub head_revision: i64,
     /// Its results by position.
     pub results: Vec<ItemResult>,
     /// Whether its customer ended it.
@@ -41,6 +39,19 @@
 }
 
 impl KnownLot {
+    fn new(lot: &str, head: LotHead, now: Timestamp) -> Self {
+        KnownLot {
+            lot: lot.to_owned(),
+            head,
+            results: Vec::new(),
+            is_ended: false,
+            last_key: keys::before_results(lot),
+            bytes: 0,
+            asked_at: now,
+            used_at: now,
+        }
+    }
+
     /// Whether all of its items have their results.
     pub fn is_whole(&self) -> bool {
         self.results.len() >= self.head.total
@@ -68,22 +79,25 @@
     fn take(&mut self, pairs: &[KeyValue]) -> Result<(), DamagedRecord> {
         for pair in pairs {
             if keys::is_group(&pair.key) && pair.key > self.last_key {
-                let results: Vec<ItemResult> = from_packed(pair)?;
-                self.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
-                self.results.extend(results);
-                self.last_key.clone_from(&pair.key);
+                self.append(from_packed(pair)?, pair.key.clone());
             }
             self.is_ended |= pair.key == keys::end(&self.lot);
         }
         Ok(())
     }
+
+    /// Adds results up to those under a key.
+    fn append(&mut self, results: Vec<ItemResult>, last_key: String) {
+        self.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
+        self.results.extend(results);
+        self.last_key = last_key;
+    }
 }
 
 /// A lot as daemons show it to each other.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ShownLot {
     head: LotHead,
-    head_revision: i64,
     /// The position of the first result that is shown.
     after: usize,
     results: Vec<ItemResult>,
@@ -101,10 +115,7 @@
 impl LotCache {
     /// A lot as far as it was read.
     pub fn get(&self, lot: &str) -> Option<&KnownLot> {
-        let place = self
-            .lots
-            .binary_search_by(|it| it.lot.as_str().cmp(lot))
-            .ok()?;
+        let place = self.place(lot).ok()?;
         Some(&self.lots[place])
     }
 
@@ -126,25 +137,15 @@
         pairs: &[KeyValue],
         now: Timestamp,
     ) -> Result<(), DamagedRecord> {
-        let place = match self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
+        let place = match self.place(lot) {
             Ok(place) => place,
             Err(place) => {
                 let key = keys::head(lot);
                 let Some(pair) = pairs.iter().find(|it| it.key == key) else {
                     return Ok(());
                 };
-                let known = KnownLot {
-                    lot: lot.to_owned(),
-                    head: from_json(pair)?,
-                    head_revision: pair.modified,
-                    results: Vec::new(),
-                    is_ended: false,
-                    last_key: keys::before_results(lot),
-                    bytes: 0,
-                    asked_at: now,
-                    used_at: now,
-                };
-                self.lots.insert(place, known);
+                self.lots
+                    .insert(place, KnownLot::new(lot, from_json(pair)?, now));
                 place
             }
         };
@@ -164,13 +165,11 @@
         key: String,
         now: Timestamp,
     ) {
-        let Ok(place) = self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) else {
+        let Ok(place) = self.place(lot) else {
             return;
         };
         let known = &mut self.lots[place];
-        known.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
-        known.results.extend(results);
-        known.last_key = key;
+        known.append(results, key);
         known.used_at = now;
         self.shrink();
     }
@@ -180,7 +179,6 @@
         let known = self.get(lot)?;
         Some(ShownLot {
             head: known.head.clone(),
-            head_revision: known.head_revision,
             after,
             results: known.results.get(after..)?.to_vec(),
             last_key: known.last_key.clone(),
@@ -191,21 +189,10 @@
     /// Takes in what another daemon showed. Returns whether it had more than was
     /// known here.
     pub fn take_shown(&mut self, lot: &str, shown: ShownLot, now: Timestamp) -> bool {
-        let place = match self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
+        let place = match self.place(lot) {
             Ok(place) => place,
             Err(place) if shown.after == 0 => {
-                let known = KnownLot {
-                    lot: lot.to_owned(),
-                    head: shown.head,
-                    head_revision: shown.head_revision,
-                    results: Vec::new(),
-                    is_ended: false,
-                    last_key: keys::before_results(lot),
-                    bytes: 0,
-                    asked_at: now,
-                    used_at: now,
-                };
-                self.lots.insert(place, known);
+                self.lots.insert(place, KnownLot::new(lot, shown.head, now));
                 place
             }
             Err(_) => return false,
@@ -214,13 +201,7 @@
         if shown.after != known.results.len() || shown.last_key < known.last_key {
             return false;
         }
-        known.bytes += shown
-            .results
-            .iter()
-            .map(|it| it.output.len())
-            .sum::<usize>();
-        known.results.extend(shown.results);
-        known.last_key = shown.last_key;
+        known.append(shown.results, shown.last_key);
         known.is_ended |= shown.is_ended;
         known.asked_at = now;
         known.used_at = now;
@@ -230,11 +211,15 @@
 
     /// Notes that a lot was ended.
     pub fn end(&mut self, lot: &str) {
-        if let Ok(place) = self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot)) {
+        if let Ok(place) = self.place(lot) {
             self.lots[place].is_ended = true;
         }
     }
 
+    fn place(&self, lot: &str) -> Result<usize, usize> {
+        self.lots.binary_search_by(|it| it.lot.as_str().cmp(lot))
+    }
+
     /// Drops the lots that were left alone for longest.
     fn shrink(&mut self) {
         let bytes = |lots: &[KnownLot]| lots.iter().map(|it| it.bytes).sum::<usize>();
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -77,7 +77,7 @@
             )?,
             in_flight: gauge(
                 "comfreyramp_in_flight",
-                "Requests that are being served.",
+                "Requests that are on servers.",
                 &["kind"],
             )?,
             view_revision: gauge(
@@ -132,7 +132,7 @@
         self.lots.with_label_values(&[event]).inc_by(count);
     }
 
-    /// Sets how many requests of a kind are being served.
+    /// Counts requests of a kind on servers in and out.
     pub fn in_flight(&self, kind: &str, change: i64) {
         self.in_flight.with_label_values(&[kind]).add(change);
     }
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -92,6 +92,10 @@
     let answer = dispatch(&node, caller, head, body, arrived).await;
     answer.unwrap_or_else(|refusal| {
         let span = node.clock.now().since(arrived);
+        // Refusals over a rate are counted by customer where they are decided.
+        if refusal.cause != RefusalCause::OverRate {
+            node.metrics.refusal("", refusal.cause.as_str());
+        }
         log::info!(
             request = request_id,
             cause = refusal.cause.as_str(),
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -34,6 +34,7 @@
     pub fn begin(node: Rc<Node<D>>, server: ServerId, kind: WorkKind) -> Self {
         let begun = node.clock.now();
         let has_slot = node.servers.borrow_mut().begin(server, kind, begun);
+        node.metrics.in_flight(kind.as_str(), 1);
         node.load_changed.notify_one();
         AttemptGuard {
             node,
@@ -66,6 +67,7 @@
 impl<D: Dialect> Drop for AttemptGuard<D> {
     fn drop(&mut self) {
         self.node.servers.borrow_mut().end(self.server, self.kind);
+        self.node.metrics.in_flight(self.kind.as_str(), -1);
         self.node.load_changed.notify_one();
         self.node.bulk_wake.notify_one();
     }
