Soak with links that are delayed, silenced, cut one way and reset

Between daemons and servers, daemons and the store, callers and daemons stands a relay on loopback; what daemons tell each other (datagrams) has none, so that silence between them still comes from stopped processes only. No clock is stepped (that needs root) and no storage is used.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -19,6 +19,7 @@
 use comfreyramp_http::{Bytes, HttpClient, MessageBody, Method, Request, Response, StatusCode};
 use comfreyramp_standins::{
     kv::{KvDoor, KvState},
+    link::FaultLink,
     runner::{RunnerKind, RunnerOptions, RunnerServer},
 };
 use rustix::process::{Pid, Signal, kill_process};
@@ -60,6 +61,9 @@
     pub(crate) nodes: Vec<NodeProcess>,
     /// The servers.
     pub(crate) runners: Vec<Arc<RunnerServer>>,
+    /// The links to servers, to the store and from callers, if there are any.
+    pub(crate) links: Vec<FaultLink>,
+    has_links: bool,
     version: u64,
     stop: CancellationToken,
     client: HttpClient,
@@ -132,6 +136,8 @@
             store,
             nodes: Vec::new(),
             runners,
+            links: Vec::new(),
+            has_links: false,
             version: 0,
             stop,
             client: HttpClient::default(),
@@ -142,12 +148,39 @@
 
     /// A fleet with two daemons for callers and one for lots, all ready.
     pub(crate) async fn started() -> Fleet {
+        Fleet::new().await.with_nodes().await
+    }
+
+    /// The same with a link between any two parts, but for what daemons tell each
+    /// other.
+    pub(crate) async fn linked() -> Fleet {
         let mut fleet = Fleet::new().await;
+        fleet.has_links = true;
+        for place in 0..fleet.runners.len() {
+            let shown = fleet.link_to(fleet.runners[place].address).await;
+            fleet.runners[place].show_at(shown, &fleet.store);
+        }
+        fleet.with_nodes().await
+    }
+
+    /// Where something is reached by way of a link, if this fleet has links.
+    async fn link_to(&mut self, address: SocketAddr) -> SocketAddr {
+        if !self.has_links {
+            return address;
+        }
+        let link = FaultLink::open(address, self.stop.clone()).await.unwrap();
+        let shown = link.address;
+        self.links.push(link);
+        shown
+    }
+
+    async fn with_nodes(mut self) -> Fleet {
+        let fleet = &mut self;
         fleet.add_node("entry-1", "zone-1", true).await;
         fleet.add_node("entry-2", "zone-2", true).await;
         fleet.add_node("lots-1", "zone-1", false).await;
         fleet.wait_ready().await;
-        fleet
+        self
     }
 
     /// Writes the operators' settings: the customer has these keys and this rate.
@@ -185,11 +218,12 @@
             .await
             .unwrap();
         let [callers, health, peers, metrics] = own_addresses();
+        let store = self.link_to(door.address).await;
         let mut settings = json!({
             "name": name, "zone": zone, "peers": peers, "metrics": metrics,
             "runs_lots": !has_callers,
             "store": {
-                "address": door.address, "value_bytes": 1_048_576, "shortest_lease_s": 1.0,
+                "address": store, "value_bytes": 1_048_576, "shortest_lease_s": 1.0,
             },
             "stop_grace_s": 8, "results_kept_s": 120,
         });
@@ -200,9 +234,13 @@
         let folder = tempfile::tempdir().unwrap();
         std::fs::write(folder.path().join("settings"), settings.to_string()).unwrap();
         let child = start_process(&folder);
+        let shown_callers = match has_callers {
+            true => Some(self.link_to(callers).await),
+            false => None,
+        };
         self.nodes.push(NodeProcess {
             child,
-            callers: has_callers.then_some(callers),
+            callers: shown_callers,
             health,
             peers,
             metrics,
--- a/crates/node/tests/soak.rs
+++ b/crates/node/tests/soak.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use comfreyramp_http::StatusCode;
+use comfreyramp_standins::link::LinkMode;
 use fleet::{Ask, Fleet, whole_output, whole_stream};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -38,23 +39,45 @@
     FillServer(usize),
     EmptyServer(usize),
     ForgetHistory,
+    HarmLink(usize, LinkMode),
+    ResetLink(usize),
+    HealLink(usize),
+}
+
+/// Links of the fleet: three servers, the store for four daemons, callers of two.
+const LINKS: usize = 9;
+
+/// Draws how a link is harmed.
+fn harm(random: &mut StdRng) -> LinkMode {
+    match random.random_range(0..4) {
+        0 => LinkMode::Delayed(Duration::from_millis(random.random_range(50..300))),
+        1 => LinkMode::Silent,
+        2 => LinkMode::CutToServer,
+        _ => LinkMode::CutToClient,
+    }
 }
 
 /// Draws faults with their ends, by time.
 fn timeline(random: &mut StdRng) -> Vec<(Duration, Fault)> {
     let mut faults = Vec::new();
-    for _ in 0..10 {
+    for _ in 0..14 {
         let at = TROUBLE.mul_f64(random.random_range(0.0..0.8));
         let end = at + Duration::from_millis(random.random_range(200..2_000));
         let (node, server) = (random.random_range(0..4), random.random_range(0..2));
-        let (begin, after) = match random.random_range(0..7) {
+        let link = random.random_range(0..LINKS);
+        let (begin, after) = match random.random_range(0..11) {
             0 => (Fault::TurnAway(node), Some(Fault::Serve(node))),
             1 => (Fault::LoseAnswers(node), None),
             2 => (Fault::Pause(node), Some(Fault::Resume(node))),
             3 => (Fault::Kill(node), Some(Fault::Restart(node))),
             4 => (Fault::BreakServer(server), None),
             5 => (Fault::FillServer(server), Some(Fault::EmptyServer(server))),
-            _ => (Fault::ForgetHistory, None),
+            6 => (Fault::ForgetHistory, None),
+            7 => (Fault::ResetLink(link), None),
+            _ => {
+                let harm = Fault::HarmLink(link, harm(random));
+                (harm, Some(Fault::HealLink(link)))
+            }
         };
         faults.push((at, begin));
         faults.extend(after.map(|it| (end, it)));
@@ -83,6 +106,9 @@
         Fault::FillServer(server) => fleet.runners[server].set_full(true),
         Fault::EmptyServer(server) => fleet.runners[server].set_full(false),
         Fault::ForgetHistory => fleet.store.forget_history(),
+        Fault::HarmLink(link, mode) => fleet.links[link].faults.set_mode(mode),
+        Fault::ResetLink(link) => fleet.links[link].faults.reset(),
+        Fault::HealLink(link) => fleet.links[link].faults.set_mode(LinkMode::Open),
         Fault::Pause(_) | Fault::Resume(_) | Fault::Kill(_) | Fault::Restart(_) => {}
     }
 }
@@ -97,8 +123,9 @@
     let mut random = StdRng::seed_from_u64(seed);
     let faults = timeline(&mut random);
     eprintln!("soak: seed {seed}: {faults:?}");
-    let mut fleet = Fleet::started().await;
+    let mut fleet = Fleet::linked().await;
     fleet.add_node("lots-2", "zone-2", false).await;
+    assert_eq!(fleet.links.len(), LINKS);
     let mut is_up = [true; 4];
     let mut due = faults.into_iter().peekable();
     let mut told = Vec::new();
--- /dev/null
+++ b/crates/policy/tests/usage_large.rs
@@ -0,0 +1,177 @@
+//! Customers' rates in a large fleet, where daemons speak at intervals only.
+
+use std::time::Duration;
+
+use comfreyramp_policy::{
+    Timestamp,
+    usage::{CustomerLimit, PeerId, UsageBook},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const DAEMONS: usize = 60;
+const CUSTOMER: u64 = 7;
+const RATE: f64 = 20.0;
+const BURST: f64 = 20.0;
+/// How often daemons speak.
+const INTERVAL: Duration = Duration::from_millis(750);
+const STEP: Duration = Duration::from_millis(10);
+
+struct LargeFleet {
+    books: Vec<UsageBook>,
+    told_at: Vec<Timestamp>,
+    /// Daemons of different groups don't hear each other.
+    groups: Vec<usize>,
+    now: Timestamp,
+    random: StdRng,
+    admitted: Vec<Timestamp>,
+    refused: usize,
+}
+
+impl LargeFleet {
+    fn new(seed: u64) -> Self {
+        let now = Timestamp::from_micros(1_000_000);
+        let mut random = StdRng::seed_from_u64(seed);
+        let ids: Vec<PeerId> = (0..DAEMONS).map(id).collect();
+        let books = (0..DAEMONS).map(|own| {
+            let mut book = UsageBook::new(now);
+            let limit = CustomerLimit {
+                customer: CUSTOMER,
+                rate: RATE,
+                burst: BURST,
+            };
+            book.set_limits(&[limit], now);
+            let others = ids.iter().copied().filter(|it| *it != id(own));
+            book.set_members(&others.collect::<Vec<_>>(), now);
+            book.set_interval(INTERVAL);
+            book
+        });
+        let mut fleet = LargeFleet {
+            books: books.collect(),
+            told_at: Vec::new(),
+            groups: vec![0; DAEMONS],
+            now,
+            admitted: Vec::new(),
+            refused: 0,
+            random: StdRng::seed_from_u64(seed + 1),
+        };
+        let phase = |_| now + INTERVAL.mul_f64(random.random_range(0.0..1.0));
+        fleet.told_at = (0..DAEMONS).map(phase).collect();
+        fleet.run(Duration::from_secs(4), |_| 0.0);
+        fleet
+    }
+
+    /// Lets time pass; the customer sends so many requests a second to all daemons.
+    fn run(&mut self, span: Duration, rate: impl Fn(f64) -> f64) {
+        let begin = self.now;
+        while self.now < begin + span {
+            self.now = self.now + STEP;
+            let expected = rate(self.now.since(begin).as_secs_f64()) * STEP.as_secs_f64();
+            let mut count = expected.floor() as usize;
+            count += usize::from(self.random.random_bool(expected.fract()));
+            for _ in 0..count {
+                let daemon = self.random.random_range(0..DAEMONS);
+                self.ask(daemon);
+            }
+            for daemon in 0..DAEMONS {
+                let is_due = self.now.since(self.told_at[daemon]) >= INTERVAL;
+                if is_due || self.books[daemon].is_tell_urgent(CUSTOMER) {
+                    self.tell(daemon);
+                }
+                self.books[daemon].tick(self.now);
+            }
+        }
+    }
+
+    fn ask(&mut self, daemon: usize) {
+        match self.books[daemon].admit(CUSTOMER, self.now) {
+            Ok(()) => self.admitted.push(self.now),
+            Err(_) => self.refused += 1,
+        }
+    }
+
+    fn tell(&mut self, from: usize) {
+        // Word comes a little later than it should, as in a busy fleet.
+        self.told_at[from] = self.now + Duration::from_millis(self.random.random_range(0..100));
+        let counts = self.books[from].own_counts(self.now);
+        for to in (0..DAEMONS).filter(|it| *it != from) {
+            if self.groups[to] == self.groups[from] {
+                self.books[to].hear(id(from), 1, &counts, self.now);
+            }
+        }
+    }
+
+    /// The most requests let in within any five seconds.
+    fn most_in_window(&self) -> usize {
+        let window = Duration::from_secs(5);
+        let ends = self.admitted.iter().enumerate().map(|(first, begin)| {
+            let end = self.admitted.partition_point(|it| *it < *begin + window);
+            end - first
+        });
+        ends.max().unwrap_or_default()
+    }
+}
+
+fn id(daemon: usize) -> PeerId {
+    PeerId(daemon as u64 + 1)
+}
+
+/// Load in steps, less than the rate on average.
+fn steps(seconds: f64) -> f64 {
+    let is_high = seconds % 5.8 >= 3.4;
+    RATE / 1.6 * if is_high { 1.87 } else { 0.383 }
+}
+
+/// A customer stays within its rate on average and uses its burst at the height of
+/// each step. A part of the burst is left to daemons that spoke half an interval ago,
+/// which costs such a customer a few requests; without it the next test's customer
+/// would have 150 to 167 requests in a window for 152.
+#[test]
+fn a_customer_may_use_most_of_its_burst_in_a_large_fleet() {
+    let mut refused = 0;
+    let mut asked = 0;
+    for seed in 1..=3 {
+        let mut fleet = LargeFleet::new(seed);
+        fleet.run(Duration::from_secs(29), steps);
+        refused += fleet.refused;
+        asked += fleet.refused + fleet.admitted.len();
+    }
+    assert!(refused * 25 <= asked, "{refused} of {asked} refused");
+}
+
+/// A zone with a third of the daemons is cut off at the moment at which a customer
+/// begins to send eight times its usual. Both sides know of a full bucket, and
+/// neither hears what the other lets in.
+#[test]
+fn a_cut_and_a_hot_customer_stay_within_the_bound() {
+    let bound = (RATE * 5.0 + BURST) * 1.1 + 20.0;
+    for seed in 1..=5 {
+        let mut fleet = LargeFleet::new(seed);
+        fleet.run(Duration::from_secs(6), steps);
+        for daemon in 0..DAEMONS / 3 {
+            fleet.groups[daemon] = 1;
+        }
+        fleet.run(Duration::from_secs(10), |_| RATE / 1.6 * 8.0);
+        let most = fleet.most_in_window();
+        assert!(most as f64 <= bound, "seed {seed}: {most} of {bound}");
+    }
+}
+
+/// A zone with a third of the daemons is cut off from the others for some seconds,
+/// while its customer sends as much as ever, well within its rate. Each side has its
+/// part of the rate, so that hardly anybody in either of them is refused.
+#[test]
+fn a_cut_costs_a_usual_customer_of_a_large_fleet_little() {
+    let (mut refused, mut asked) = (0, 0);
+    for seed in 1..=5 {
+        let mut fleet = LargeFleet::new(seed);
+        fleet.run(Duration::from_secs(6), |_| RATE * 0.6);
+        for daemon in 0..DAEMONS / 3 {
+            fleet.groups[daemon] = 1;
+        }
+        let (admitted, before) = (fleet.admitted.len(), fleet.refused);
+        fleet.run(Duration::from_secs(6), |_| RATE * 0.6);
+        refused += fleet.refused - before;
+        asked += fleet.refused - before + fleet.admitted.len() - admitted;
+    }
+    assert!(refused * 20 <= asked, "{refused} of {asked} refused");
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod kv;
+pub mod link;
 pub mod platform;
 pub mod process;
 pub mod request_log;
--- /dev/null
+++ b/crates/standins/src/link/fault_link.rs
@@ -0,0 +1,123 @@
+//! A relay of TCP connections on loopback.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use comfreyramp_http::bind;
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::watch,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::{LinkFaults, LinkMode, link_faults::Direction};
+
+/// The most that is read at once.
+const CHUNK: usize = 16 << 10;
+
+/// A relay of TCP connections on loopback, which stands between two processes.
+#[derive(Clone, Debug)]
+pub struct FaultLink {
+    /// What goes wrong on it.
+    pub faults: Arc<LinkFaults>,
+    /// Where clients connect.
+    pub address: SocketAddr,
+}
+
+impl FaultLink {
+    /// Opens a link to a server, until `stop` is cancelled.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no free port.
+    pub async fn open(server: SocketAddr, stop: CancellationToken) -> anyhow::Result<FaultLink> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let address = listener.local_addr()?;
+        let faults = Arc::new(LinkFaults::default());
+        let shared = faults.clone();
+        tokio::spawn(async move {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = stop.cancelled() => return,
+                };
+                let Ok((client, _)) = accepted else {
+                    continue;
+                };
+                tokio::spawn(relay(client, server, shared.clone(), stop.clone()));
+            }
+        });
+        Ok(FaultLink { faults, address })
+    }
+}
+
+async fn relay(
+    client: TcpStream,
+    server: SocketAddr,
+    faults: Arc<LinkFaults>,
+    stop: CancellationToken,
+) {
+    let mut resets = faults.resets();
+    // A server that is gone resets its clients' connections.
+    let Ok(server) = TcpStream::connect(server).await else {
+        return reset(&client);
+    };
+    let sockets = [dup(&client), dup(&server)];
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let forth = pump(from_client, to_server, faults.modes(), Direction::ToServer);
+    let back = pump(from_server, to_client, faults.modes(), Direction::ToClient);
+    let both = async {
+        tokio::join!(forth, back);
+    };
+    tokio::select! {
+        () = both => {}
+        _ = resets.changed() => {
+            for socket in sockets.iter().flatten() {
+                // A socket that is closed already needs no reset.
+                let _ = socket.set_linger(Some(Duration::ZERO));
+            }
+        }
+        () = stop.cancelled() => {}
+    }
+}
+
+/// A second handle on a socket, to set it up for a reset while it is in use.
+fn dup(stream: &TcpStream) -> Option<socket2::Socket> {
+    SockRef::from(stream).try_clone().ok()
+}
+
+fn reset(stream: &TcpStream) {
+    // A socket that is closed already needs no reset.
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut modes: watch::Receiver<LinkMode>,
+    direction: Direction,
+) {
+    let mut chunk = vec![0; CHUNK];
+    loop {
+        let read = from.read(&mut chunk).await;
+        // The end of a connection doesn't pass a cut either.
+        if modes.wait_for(|it| !it.blocks(direction)).await.is_err() {
+            return;
+        }
+        let delay = modes.borrow().delay();
+        tokio::time::sleep(delay).await;
+        let Ok(length @ 1..) = read else {
+            break;
+        };
+        if to.write_all(&chunk[..length]).await.is_err() {
+            break;
+        }
+    }
+    // Whoever reads there learns of the end; it may have gone already.
+    let _ = to.shutdown().await;
+}
--- a/crates/standins/src/runner/runner_server.rs
+++ b/crates/standins/src/runner/runner_server.rs
@@ -67,6 +67,8 @@
     options: RunnerOptions,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where its entry says that it listens.
+    shown_at: Mutex<SocketAddr>,
     arrivals: Mutex<Vec<RunnerArrival>>,
     is_full: AtomicBool,
     break_after: AtomicU32,
@@ -84,8 +86,10 @@
         stop: CancellationToken,
     ) -> anyhow::Result<Arc<RunnerServer>> {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let address = listener.local_addr()?;
         let server = Arc::new(RunnerServer {
-            address: listener.local_addr()?,
+            address,
+            shown_at: Mutex::new(address),
             options,
             arrivals: Mutex::default(),
             is_full: AtomicBool::new(false),
@@ -100,10 +104,17 @@
         Ok(server)
     }
 
+    /// Has its entry say that it listens elsewhere, as behind a link.
+    pub fn show_at(&self, address: SocketAddr, store: &KvState) {
+        *self.shown_at.lock().unwrap_or_else(PoisonError::into_inner) = address;
+        self.register(store, "ready");
+    }
+
     /// Writes its entry with a state.
     pub fn register(&self, store: &KvState, state: &str) {
+        let address = *self.shown_at.lock().unwrap_or_else(PoisonError::into_inner);
         let entry = json!({
-            "service": self.options.service, "address": self.address.to_string(),
+            "service": self.options.service, "address": address.to_string(),
             "zone": self.options.zone, "version": "v1", "slots": 8, "state": state,
             "cold_left_ms": 0, "seq": 0, "born": 1,
         });
