Fewer watches of the store: one VM a zone in large fleets, none before it is known who watches

Ruled out: fewer results a write; results would be shown later. Tried: to settle before the daemons' own prefix is watched as well.

--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -17,7 +17,12 @@
 /// After a change others often follow: servers that are replaced one by one, or
 /// a fleet that starts. Each call of a watch is billed, so it waits this long
 /// before it asks again. An operator's change has two seconds to be in force.
-const GATHER_SPAN: Duration = Duration::from_millis(250);
+const GATHER_SPAN: Duration = Duration::from_millis(400);
+/// A daemon that starts has listed everything, and watches operators' keys and the
+/// directory only once it has had the time to hear who else does. In a large fleet
+/// each of them would open watches of its own just to leave them: 2 of 8 calls of a
+/// start. The daemons it watches at once: those that start together need each other.
+pub const SETTLE_SPAN: Duration = Duration::from_millis(1_000);
 
 /// What following a prefix brings.
 #[derive(Debug)]
@@ -31,7 +36,8 @@
 }
 
 /// Follows a prefix until `stop` is cancelled: lists it, then waits for changes
-/// as long as this daemon is one of those that watch.
+/// as long as this daemon is one of those that watch; after the first list only once
+/// `settle` has passed.
 ///
 /// A watch that lost its history may have missed changes, so the prefix is
 /// listed anew, and from the store itself, never from a copy that may be behind.
@@ -40,6 +46,7 @@
     prefix: &'static str,
     mut sink: impl FnMut(FollowNews),
     is_watcher: impl Fn() -> bool,
+    settle: Duration,
     stop: CancellationToken,
 ) {
     let mut pause = FIRST_PAUSE;
@@ -49,8 +56,14 @@
             tokio::time::sleep(IDLE_LOOK).await;
             continue;
         }
+        let settle = if is_known { Duration::ZERO } else { settle };
         is_known = true;
-        let round = follow_round(&store, prefix, &mut sink, &is_watcher, &mut pause);
+        let round = async {
+            let mut watch = list_prefix(&store, prefix, &mut sink).await?;
+            pause = FIRST_PAUSE;
+            tokio::time::sleep(settle).await;
+            watch_prefix(&mut watch, &mut sink, &is_watcher).await
+        };
         let error = tokio::select! {
             Err(error) = round => error,
             () = stop.cancelled() => return,
@@ -68,20 +81,25 @@
     }
 }
 
-/// Lists and watches until a call fails, or others watch.
-async fn follow_round<S: PlatformStore>(
+/// Lists a prefix, and returns a watch from there on.
+async fn list_prefix<S: PlatformStore>(
     store: &S,
     prefix: &str,
     sink: &mut impl FnMut(FollowNews),
-    is_watcher: &impl Fn() -> bool,
-    pause: &mut Duration,
-) -> Result<(), StoreError> {
+) -> Result<S::Watch, StoreError> {
     let range = KeyRange::Prefix(prefix.to_owned());
     let listed = store.range(range.clone(), 0).await?;
-    *pause = FIRST_PAUSE;
     let from = listed.revision + 1;
     sink(FollowNews::Whole(listed.pairs, listed.revision));
-    let mut watch = store.watch(range, from).await?;
+    store.watch(range, from).await
+}
+
+/// Watches until a call fails, or others watch.
+async fn watch_prefix(
+    watch: &mut impl WatchStream,
+    sink: &mut impl FnMut(FollowNews),
+    is_watcher: &impl Fn() -> bool,
+) -> Result<(), StoreError> {
     while is_watcher() {
         let batch = watch.next().await?;
         let is_change = !batch.written.is_empty() || !batch.deleted.is_empty();
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -20,9 +20,11 @@
 /// The same in a large fleet, so that a daemon sends some 250 messages a second
 /// and not 600 (88 daemons in 3 zones).
 const LARGE_INTERVAL: Duration = Duration::from_millis(750);
-/// Of each zone of a large fleet so many daemons watch the store; the others
-/// learn from them. Each call of a watch is billed.
-const WATCHERS_PER_ZONE: usize = 2;
+/// So many daemons of a large fleet watch the store at least; the others learn from
+/// them, those of other zones included. Each call of a watch is billed; with three,
+/// two may be lost or turned away before anybody has to wait for another to take
+/// over. Each zone has one in any case, since it may be cut off from the others.
+const LEAST_WATCHERS: usize = 3;
 /// In a large fleet so many daemons for callers use a server first, and so many
 /// for lots. Fewer would leave a daemon with many callers too few servers; more
 /// would have more to tell each other.
@@ -109,7 +111,16 @@
                 && it.was_heard(self.heard_lately(), now)
                 && score(&it.record.name) < score(&own.name)
         });
-        before.count() < WATCHERS_PER_ZONE
+        before.count() < LEAST_WATCHERS.div_ceil(self.zones(&own.zone))
+    }
+
+    /// How many zones the fleet has, that of this daemon included.
+    fn zones(&self, own: &str) -> usize {
+        let others = self.members.iter().map(|it| it.record.zone.as_str());
+        let mut zones: Vec<&str> = others.chain([own]).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.len()
     }
 
     /// Whether the daemon `own` is one of those that look for lots which nobody
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -16,7 +16,7 @@
 use crate::{
     dialect::{CallerDialect, Dialect, FleetRecords},
     fleet::{
-        FollowNews, MEMBERS, answer_peer, follow_peers, follow_store, keep_membership,
+        FollowNews, MEMBERS, SETTLE_SPAN, answer_peer, follow_peers, follow_store, keep_membership,
         listen_to_peers, run_announcer, run_yield_asks,
     },
     lots::{follow_retire, run_lots, sweep_lots},
@@ -273,6 +273,10 @@
     let watching = node.clone();
     let is_watcher = move || watching.is_watcher();
     let store = node.store.direct().clone();
-    let following = follow_store(store, prefix, sink, is_watcher, stop.clone());
+    let settle = match prefix {
+        MEMBERS => Duration::ZERO,
+        _ => SETTLE_SPAN,
+    };
+    let following = follow_store(store, prefix, sink, is_watcher, settle, stop.clone());
     tokio::task::spawn_local(following);
 }
