Explain failures from the logs alone, as tests; say why an item is given up

Cause: an item that was given up left no line, so that a customer's missing page couldn't be traced by its id.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -261,6 +261,33 @@
         self.nodes[node].child = child;
     }
 
+    /// Starts a daemon again whose log nobody reads.
+    pub(crate) fn restart_unread(&mut self, node: usize) {
+        self.kill(node);
+        let mut command = node_command(&self.nodes[node].settings);
+        self.nodes[node].child = command.stdout(Stdio::piped()).spawn().unwrap();
+    }
+
+    /// What all daemons logged of a request, a lot or an item, as an operator would
+    /// find it by its id.
+    pub(crate) async fn logged(&self, id: &str) -> Vec<Value> {
+        // Lines are gathered before they are written.
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let mut found = Vec::new();
+        for node in &self.nodes {
+            let log = std::fs::read_to_string(node.settings.path().join("log")).unwrap();
+            let lines = log
+                .lines()
+                .filter_map(|it| serde_json::from_str::<Value>(it).ok());
+            let named = |it: &Value| {
+                let fields = it["kvs"].as_object();
+                fields.is_some_and(|it| it.values().any(|value| value == id))
+            };
+            found.extend(lines.filter(named));
+        }
+        found
+    }
+
     /// Asks a daemon to stop.
     pub(crate) fn terminate(&self, node: usize) {
         self.signal(node, Signal::TERM);
@@ -447,15 +474,18 @@
         .append(true)
         .open(folder.path().join("log"))
         .unwrap();
-    Command::new(env!("CARGO_BIN_EXE_comfreyramp-node"))
+    node_command(folder).stdout(log).spawn().unwrap()
+}
+
+fn node_command(folder: &tempfile::TempDir) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_comfreyramp-node"));
+    command
         .arg("serve")
         .arg("--settings")
         .arg(folder.path().join("settings"))
         .stdin(Stdio::null())
-        .stdout(log)
-        .stderr(Stdio::inherit())
-        .spawn()
-        .unwrap()
+        .stderr(Stdio::inherit());
+    command
 }
 
 /// Addresses of a daemon's own, of the loopback range. With one address for all,
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -195,15 +195,13 @@
                 let output = String::from_utf8_lossy(&progress.output).into_owned();
                 self.end_item(place, ItemState::Done, output, now);
             }
-            ItemEnd::Impossible => {
-                self.end_item(place, ItemState::GivenUp, String::new(), now);
-            }
+            ItemEnd::Impossible => self.give_up_item(place, "impossible", now),
             ItemEnd::Failed => {
                 item.faults += 1;
                 item.progress = ItemProgress::default();
                 item.phase = ItemPhase::Waiting(now + FAULT_PAUSE);
                 if item.faults >= attempts {
-                    self.end_item(place, ItemState::GivenUp, String::new(), now);
+                    self.give_up_item(place, "failed too often", now);
                 }
             }
             ItemEnd::NotRun(progress) => {
@@ -227,15 +225,25 @@
         }
     }
 
-    /// Gives up what has no result yet.
-    pub(super) fn give_up_waiting(&mut self, now: Timestamp) {
+    /// Gives up what has no result yet, for a cause that the log tells.
+    pub(super) fn give_up_waiting(&mut self, cause: &str, now: Timestamp) {
         for place in 0..self.items.len() {
             if matches!(self.items[place].phase, ItemPhase::Waiting(_)) {
-                self.end_item(place, ItemState::GivenUp, String::new(), now);
+                self.give_up_item(place, cause, now);
             }
         }
     }
 
+    fn give_up_item(&mut self, place: usize, cause: &str, now: Timestamp) {
+        let item = &self.items[place];
+        log::info!(
+            lot:% = self.id, item = item.item.id, cause = cause,
+            faults = item.faults, breaks = item.breaks, events = item.progress.events;
+            "lots: an item is given up"
+        );
+        self.end_item(place, ItemState::GivenUp, String::new(), now);
+    }
+
     pub(super) fn end_item(
         &mut self,
         place: usize,
--- a/crates/serving/src/lots/worker.rs
+++ b/crates/serving/src/lots/worker.rs
@@ -387,7 +387,7 @@
         let millis = unix_millis();
         for held in &mut self.held {
             if millis + LEAST_TIME.as_millis() as u64 >= held.head.given_up {
-                held.give_up_waiting(now);
+                held.give_up_waiting("out of time", now);
             }
         }
     }
@@ -437,7 +437,7 @@
                 let path = &held.items[item].item.path;
                 let Some(route) = fleet.route(&held.head.host, path) else {
                     log::info!(lot:% = held.id; "lots: its route is gone");
-                    self.held[place].give_up_waiting(now);
+                    self.held[place].give_up_waiting("no route", now);
                     break;
                 };
                 let Some(server) = self.choose_server(&route, now) else {
