--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -1,11 +1,14 @@
 //! Customers' rates by exchanged counts: what all daemons together let in.
 
+mod usage_window;
+
 use std::time::Duration;
 
 use comfreyramp_policy::{
     Timestamp,
     usage::{CustomerLimit, PeerId, UsageBook},
 };
+use usage_window::most_in_window;
 
 const CUSTOMER: u64 = 7;
 const RATE: f64 = 90.0;
@@ -91,16 +94,6 @@
             book.tick(self.now);
         }
     }
-
-    /// The most requests let in within any five seconds.
-    fn most_in_window(&self) -> usize {
-        let window = Duration::from_secs(5);
-        let ends = self.admitted.iter().enumerate().map(|(first, begin)| {
-            let end = self.admitted.partition_point(|it| *it < *begin + window);
-            end - first
-        });
-        ends.max().unwrap_or_default()
-    }
 }
 
 fn id(daemon: usize) -> PeerId {
@@ -129,7 +122,7 @@
 fn a_hot_customer_gets_its_rate_over_all_daemons() {
     let mut fleet = CountingFleet::new(6);
     fleet.run(Duration::from_secs(12), |_| RATE * 5.0 / 6.0);
-    let most = fleet.most_in_window();
+    let most = most_in_window(&fleet.admitted);
     assert!(most <= bound(), "{most} of {}", bound());
     assert!(
         most as f64 >= RATE * 5.0 * 0.9,
@@ -160,7 +153,7 @@
     fleet.run(Duration::from_secs(10), |_| RATE * 5.0 / 6.0);
     fleet.groups = vec![0; 6];
     fleet.run(Duration::from_secs(4), |_| RATE * 5.0 / 6.0);
-    let most = fleet.most_in_window();
+    let most = most_in_window(&fleet.admitted);
     assert!(most <= bound(), "{most} of {}", bound());
 }
 
@@ -176,7 +169,7 @@
     }
     fleet.introduce();
     fleet.run(Duration::from_secs(8), |_| RATE * 5.0 / 6.0);
-    let most = fleet.most_in_window();
+    let most = most_in_window(&fleet.admitted);
     assert!(most <= bound(), "{most} of {}", bound());
 }
 
@@ -207,7 +200,7 @@
         book.set_limits(&[limit], fleet.now);
     }
     fleet.run(Duration::from_secs(10), |_| RATE);
-    let most = fleet.most_in_window();
+    let most = most_in_window(&fleet.admitted);
     assert!(most <= 85, "{most}");
 }
 
--- a/crates/policy/tests/usage_large.rs
+++ b/crates/policy/tests/usage_large.rs
@@ -1,5 +1,7 @@
 //! Customers' rates in a large fleet, where daemons speak at intervals only.
 
+mod usage_window;
+
 use std::time::Duration;
 
 use comfreyramp_policy::{
@@ -7,6 +9,7 @@
     usage::{CustomerLimit, PeerId, SpeakSchedule, UsageBook},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use usage_window::most_in_window;
 
 const DAEMONS: usize = 60;
 const CUSTOMER: u64 = 7;
@@ -97,16 +100,6 @@
             }
         }
     }
-
-    /// The most requests let in within any five seconds.
-    fn most_in_window(&self) -> usize {
-        let window = Duration::from_secs(5);
-        let ends = self.admitted.iter().enumerate().map(|(first, begin)| {
-            let end = self.admitted.partition_point(|it| *it < *begin + window);
-            end - first
-        });
-        ends.max().unwrap_or_default()
-    }
 }
 
 fn id(daemon: usize) -> PeerId {
@@ -149,7 +142,7 @@
             fleet.groups[daemon] = 1;
         }
         fleet.run(Duration::from_secs(10), |_| RATE / 1.6 * 8.0);
-        let most = fleet.most_in_window();
+        let most = most_in_window(&fleet.admitted);
         assert!(most as f64 <= bound, "seed {seed}: {most} of {bound}");
     }
 }
