Log by what a read of a lot was answered

A caller was shown fewer results of a lot than another caller had been shown before. The logs couldn't tell why: reads left no line, so neither the age and the source of the daemon's copy nor what it had heard of the daemon that runs the lot were known, and three explanations stood side by side (a copy taken for current, an answer of a daemon that no longer ran the lot, a copy with a hole).

Each read now leaves one line with all of these. No decision changes.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -49,6 +49,19 @@
     pub far: Vec<SocketAddr>,
 }
 
+/// What a daemon says of a lot that it runs or ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerWord {
+    /// The daemon.
+    pub daemon: String,
+    /// Which of its lives.
+    pub incarnation: u64,
+    /// How many results it says there are.
+    pub results: usize,
+    /// How long ago it said so.
+    pub age: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct KnownMember {
     id: PeerId,
@@ -312,6 +325,20 @@
         results.max().unwrap_or_default()
     }
 
+    /// What is said of a lot, by the daemon that knows of the most results.
+    pub fn runner_word(&self, lot: &str, now: Timestamp) -> Option<RunnerWord> {
+        let words = self.members.iter().filter_map(|member| {
+            let told = member.progress.iter().find(|it| it.lot == lot)?;
+            Some(RunnerWord {
+                daemon: member.record.name.clone(),
+                incarnation: member.record.incarnation,
+                results: usize::from(told.results),
+                age: now.since(member.heard_at?),
+            })
+        });
+        words.max_by_key(|it| it.results)
+    }
+
     /// Whether a daemon tells that it ran a lot to its end.
     pub fn told_finished(&self, lot: &str) -> bool {
         let mut told = self.members.iter().flat_map(|it| &it.progress);
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -14,7 +14,7 @@
 pub use announcer::{listen_to_peers, run_announcer, run_yield_asks};
 pub use fleet_view::{FleetView, KnownCustomer, draw_service};
 pub use follow::{FollowNews, SETTLE_SPAN, follow_store};
-pub use member_list::{MemberList, PeerAddresses};
+pub use member_list::{MemberList, PeerAddresses, RunnerWord};
 pub use membership::{HeldLease, MEMBERS, keep_membership};
 pub use peer_door::answer_peer;
 pub use peer_message::{MemberRecord, PeerMessage, SuspectCount, ViewRevisions};
--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -1,7 +1,7 @@
 //! What a daemon has read of lots. Heads and results never change, so that what
 //! is here needs no second look at the store.
 
-use std::time::Duration;
+use std::{fmt, net::SocketAddr, time::Duration};
 
 use comfreyramp_policy::Timestamp;
 use comfreyramp_store::KeyValue;
@@ -21,6 +21,24 @@
 /// The bytes of results that one answer holds at most.
 const PAGE_BYTES: usize = 900_000;
 
+/// Where a daemon learnt last what there is of a lot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopySource {
+    /// The store.
+    Store,
+    /// Another daemon, at this address.
+    Daemon(SocketAddr),
+}
+
+impl fmt::Display for CopySource {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CopySource::Store => formatter.write_str("store"),
+            CopySource::Daemon(address) => address.fmt(formatter),
+        }
+    }
+}
+
 /// A lot as far as it was read.
 #[derive(Clone, Debug)]
 pub struct KnownLot {
@@ -33,8 +51,10 @@
     pub is_ended: bool,
     last_key: String,
     bytes: usize,
-    /// When the store was last asked for it.
+    /// When it was last asked what there is of it.
     pub asked_at: Timestamp,
+    /// Who was asked.
+    pub source: CopySource,
     used_at: Timestamp,
 }
 
@@ -48,6 +68,7 @@
             last_key: keys::before_results(lot),
             bytes: 0,
             asked_at: now,
+            source: CopySource::Store,
             used_at: now,
         }
     }
@@ -151,6 +172,7 @@
         };
         let known = &mut self.lots[place];
         known.asked_at = now;
+        known.source = CopySource::Store;
         known.used_at = now;
         known.take(pairs)?;
         self.shrink();
@@ -188,7 +210,13 @@
 
     /// Takes in what another daemon showed. Returns whether it had more than was
     /// known here.
-    pub fn take_shown(&mut self, lot: &str, shown: ShownLot, now: Timestamp) -> bool {
+    pub fn take_shown(
+        &mut self,
+        lot: &str,
+        shown: ShownLot,
+        daemon: SocketAddr,
+        now: Timestamp,
+    ) -> bool {
         let place = match self.place(lot) {
             Ok(place) => place,
             Err(place) if shown.after == 0 => {
@@ -204,6 +232,7 @@
         known.append(shown.results, shown.last_key);
         known.is_ended |= shown.is_ended;
         known.asked_at = now;
+        known.source = CopySource::Daemon(daemon);
         known.used_at = now;
         self.shrink();
         true
--- a/crates/serving/src/lots/peer_read.rs
+++ b/crates/serving/src/lots/peer_read.rs
@@ -59,7 +59,10 @@
     };
     let now = node.clock.now();
     match shown {
-        Ok(shown) => node.lot_cache.borrow_mut().take_shown(lot, shown, now),
+        Ok(shown) => node
+            .lot_cache
+            .borrow_mut()
+            .take_shown(lot, shown, peer, now),
         Err(error) => {
             log::warn!(lot = lot, error:% = error; "lots: a daemon shows what can't be read");
             false
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -43,11 +43,16 @@
 pub async fn answer_reader<D: Dialect>(
     node: &Rc<Node<D>>,
     customer: &Arc<KnownCustomer>,
+    request: &str,
     ask: CallerAsk,
 ) -> Answer<D> {
     let name = customer.settings.name.as_str();
     match ask {
-        CallerAsk::ReadLot { lot, after, wait } => read_lot(node, name, &lot, after, wait).await,
+        CallerAsk::ReadLot { lot, after, wait } => {
+            let answer = read_lot(node, name, &lot, after, wait).await;
+            log_shown(node, request, &lot, after);
+            answer
+        }
         CallerAsk::ReadItem { lot, item } => read_item(node, name, &lot, &item).await,
         CallerAsk::EndLot { lot } => end_lot(node, name, &lot).await,
         CallerAsk::Forward => Err(RefusalCause::NoRoute.into()),
@@ -91,6 +96,28 @@
     Ok(<D::Callers as CallerDialect>::lot_page(&page).map(FrontBody::whole))
 }
 
+/// Logs by what a read was answered: how far the copy of the lot went, how old it
+/// was and whose, and what the daemon that runs the lot had said by then.
+fn log_shown<D: Dialect>(node: &Node<D>, request: &str, lot: &str, after: usize) {
+    let cache = node.lot_cache.borrow();
+    let Some(known) = cache.get(lot) else {
+        return;
+    };
+    let age = node.clock.now().since(known.asked_at);
+    let word = node.runner_word(lot);
+    let word = word.as_ref();
+    log::info!(
+        request = request, lot = lot, after = after,
+        known = known.results.len(), total = known.head.total,
+        copy_age_ms = age.as_millis() as u64, copy_from:% = known.source,
+        runner = word.map_or("", |it| &it.daemon),
+        runner_life = word.map_or(0, |it| it.incarnation),
+        runner_results = word.map_or(0, |it| it.results),
+        heard_ms = word.map_or(0, |it| it.age.as_millis() as u64);
+        "lots: read"
+    );
+}
+
 /// Whether the store may hold more of a lot than was read.
 fn may_have_more<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
     let cache = node.lot_cache.borrow();
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -7,6 +7,7 @@
 use super::{LotInbox, Node};
 use crate::{
     dialect::{Dialect, FleetRecords},
+    fleet::RunnerWord,
     lots::LotNotice,
     model::RetireOrder,
 };
@@ -41,6 +42,11 @@
         self.members.borrow().told_results(lot)
     }
 
+    /// What is said of a lot, by the daemon that knows of the most results.
+    pub fn runner_word(&self, lot: &str) -> Option<RunnerWord> {
+        self.members.borrow().runner_word(lot, self.clock.now())
+    }
+
     /// Where the daemon is reached that tells of a lot's results.
     pub fn lot_runner(&self, lot: &str) -> Option<SocketAddr> {
         self.members.borrow().lot_runner(lot, self.clock.now())
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -126,7 +126,7 @@
             return Err(RefusalCause::NoRoute.into());
         }
         let customer = known_customer(&fleet, &caller)?;
-        return lots::answer_reader(node, &customer, caller.ask).await;
+        return lots::answer_reader(node, &customer, &caller.request_id, caller.ask).await;
     }
     let route = fleet.route(&caller.host, head.uri.path());
     let route = route.ok_or(RefusalCause::NoRoute)?;
