Tests that show a lot's results missing at one daemon after another showed them

What callers saw: 12 results of a lot had been read at one daemon, and another one answered a second and more later that there is none at position 11.

How the tests bring it about: the store takes a lot's results and holds its answer back. In the first the daemon that runs the lot is killed in that moment and started again; its next life is heard and says nothing of the lot. In the second it lives on without the answer. A daemon that had looked at the lot before shows its old copy in both.

What settled it, from the first test's logs: entry-2 lots: read after=0 known=2 copy_from=store copy_age_ms=0 entry-1 lots: read after=0 known=0 copy_from=store copy_age_ms=1615 runner="" runner_results=0 The copy at entry-1 had been taken before the results were written, was 1.6 s old, nobody told of the lot any more, and the store wasn't asked. That leaves the first of three explanations; in neither test was a daemon asked that no longer ran the lot, nor did the copy have a hole.

The stand-in of the store can hold back answers for this.

--- /dev/null
+++ b/crates/node/tests/lot_reads.rs
@@ -0,0 +1,90 @@
+//! What a caller was shown of a lot is there for every later reader, at any daemon.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "tests end where something is missing"
+)]
+
+mod fleet;
+
+use std::time::Duration;
+
+use comfreyramp_http::StatusCode;
+use fleet::Fleet;
+
+/// The places of the daemons in the fleet.
+const FIRST_ENTRY: usize = 0;
+const SECOND_ENTRY: usize = 1;
+const LOTS: usize = 2;
+/// What one reader was shown, others have to be shown after so long at the latest.
+const SETTLE: Duration = Duration::from_millis(1_000);
+
+/// A fleet in which the results of a lot are in the store, and the daemon that runs
+/// it has no answer to that write yet. Before there were any, somebody read the lot
+/// at the first daemon.
+async fn with_undecided_results(lot: &str) -> Fleet {
+    let fleet = Fleet::started().await;
+    let status = fleet.hand_in(SECOND_ENTRY, lot, &["one", "two"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    let claim = format!("lots/claim/{lot}");
+    fleet
+        .eventually("the lot is claimed", async || {
+            !fleet.store.keys(&claim).is_empty()
+        })
+        .await;
+    hold_answers(&fleet, true);
+    let page = fleet.read_lot(FIRST_ENTRY, lot, 0).await.unwrap();
+    assert_eq!(page["next"], 0, "nothing is written yet");
+    let results = format!("lots/data/{lot}/results/");
+    fleet
+        .eventually("the results are written", async || {
+            !fleet.store.keys(&results).is_empty()
+        })
+        .await;
+    fleet
+}
+
+/// Holds back the store's answers to writes, also to those that one daemon makes for
+/// another.
+fn hold_answers(fleet: &Fleet, is_on: bool) {
+    for node in &fleet.nodes {
+        node.door.faults.hold_answers(is_on);
+    }
+}
+
+/// The positions that a daemon shows of a lot.
+async fn shown(fleet: &Fleet, node: usize, lot: &str) -> u64 {
+    let page = fleet.read_lot(node, lot, 0).await.unwrap();
+    page["next"].as_u64().unwrap()
+}
+
+/// The VM that runs a lot is lost in the moment in which its last results are in
+/// the store, and is back within a second. Nobody heard of these results; the daemon
+/// says nothing of the lot in its next life. A customer reads them at one daemon, and
+/// a colleague, who asks another one that had looked at the lot before, is told that
+/// there are none.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_that_were_shown_stay_after_their_daemon_was_restarted() {
+    let mut fleet = with_undecided_results("lot-r").await;
+    fleet.kill(LOTS);
+    hold_answers(&fleet, false);
+    fleet.restart(LOTS);
+    fleet.whole_lot(SECOND_ENTRY, "lot-r").await;
+    tokio::time::sleep(SETTLE).await;
+    assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-r").await, 2);
+}
+
+/// The VM that runs a lot stands still while its results are written, and wakes up
+/// a moment later without an answer from the store. Meanwhile the store has shown the
+/// results to somebody. The daemon is heard again and says that there are none, as far
+/// as it knows.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_that_were_shown_stay_while_their_daemon_waits_for_the_store() {
+    let fleet = with_undecided_results("lot-w").await;
+    fleet.pause(LOTS);
+    fleet.whole_lot(SECOND_ENTRY, "lot-w").await;
+    fleet.resume(LOTS);
+    tokio::time::sleep(SETTLE).await;
+    assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-w").await, 2);
+}
--- a/crates/standins/src/kv/door.rs
+++ b/crates/standins/src/kv/door.rs
@@ -165,6 +165,9 @@
         return json_response(StatusCode::BAD_REQUEST, &json!({}));
     };
     let end = state.transact(body);
+    while faults.holds_answers() {
+        tokio::time::sleep(LOOK_INTERVAL).await;
+    }
     if faults.loses_answer() {
         let (sender, body) = MessageBody::stream();
         sender.cut_short("the answer is lost").await;
--- a/crates/standins/src/kv/faults.rs
+++ b/crates/standins/src/kv/faults.rs
@@ -7,6 +7,7 @@
 pub struct KvFaults {
     turned_away: AtomicBool,
     lost_answers: AtomicU32,
+    held_answers: AtomicBool,
 }
 
 impl KvFaults {
@@ -20,6 +21,15 @@
         self.lost_answers.store(count, Ordering::SeqCst);
     }
 
+    /// Does writes, and holds the answers to them back until this is switched off.
+    pub fn hold_answers(&self, is_on: bool) {
+        self.held_answers.store(is_on, Ordering::SeqCst);
+    }
+
+    pub(super) fn holds_answers(&self) -> bool {
+        self.held_answers.load(Ordering::SeqCst)
+    }
+
     pub(super) fn turns_away(&self) -> bool {
         self.turned_away.load(Ordering::SeqCst)
     }
