Prove a lot's copy by the store or by its runner in this life, not by who is heard

What callers saw: results of a lot that one daemon had shown were missing at another one, for up to five seconds. Two tests show it, in crates/node/tests/lot_reads.rs.

Cause: a daemon answered readers from its copy for 5 s as long as it heard all daemons that run lots, since these tell of each result. But one that is lost right after a write has told nobody, its next life is heard within a second and knows nothing of the write, and one that waits for the store's answer, or whose claim is gone, tells an old count. The class: a belief about data that rests on a process being heard, without asking which life of it, and whether it was entitled to speak.

Now results that are there are shown as they are, and that there is none at a position is said only within 0.4 s of a proof: the store's answer, or the word of the daemon that runs the lot, in this life, while its lease certainly holds and no write of it has been unanswered for 0.2 s. A daemon that can't vouch shows its copy to nobody, so that the store is asked instead. A reader that asks for more than the copy has had it elsewhere: the store is asked at once. Proofs count from the moment of the question, not of the answer. A lot whose end was read from the store needs no proof.

Ruled out by the logs of the tests: an answer of a daemon that ran the lot before (nobody was asked), and a copy with a hole (it had all results that were written when it was made).

--- a/crates/node/tests/lot_reads.rs
+++ b/crates/node/tests/lot_reads.rs
@@ -63,7 +63,14 @@
 /// the store, and is back within a second. Nobody heard of these results; the daemon
 /// says nothing of the lot in its next life. A customer reads them at one daemon, and
 /// a colleague, who asks another one that had looked at the lot before, is told that
-/// there are none.
+/// there are none. That daemon took its copy for complete because it heard every
+/// daemon that runs lots, the new life of the lost one included, and the logs had both
+/// answers side by side:
+///
+/// ```text
+/// entry-2 lots: read after=0 known=2 copy_from=store copy_age_ms=0
+/// entry-1 lots: read after=0 known=0 copy_from=store copy_age_ms=1615 runner=""
+/// ```
 #[tokio::test(flavor = "multi_thread")]
 async fn results_that_were_shown_stay_after_their_daemon_was_restarted() {
     let mut fleet = with_undecided_results("lot-r").await;
@@ -78,7 +85,7 @@
 /// The VM that runs a lot stands still while its results are written, and wakes up
 /// a moment later without an answer from the store. Meanwhile the store has shown the
 /// results to somebody. The daemon is heard again and says that there are none, as far
-/// as it knows.
+/// as it knows; whoever asks a daemon that goes by its word is told the same.
 #[tokio::test(flavor = "multi_thread")]
 async fn results_that_were_shown_stay_while_their_daemon_waits_for_the_store() {
     let fleet = with_undecided_results("lot-w").await;
--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -8,11 +8,13 @@
 //! - [`TryPolicy`] tells an item that can never be done from a server's fault.
 //! - [`home_daemon`] says through which daemon bulk work reaches a server; how
 //!   much it gets is decided by [`crate::bulk`].
+//! - [`CopyState`] says when a copy of a lot's results may be shown.
 //! - [`StartRank`] orders items that wait while all slots are taken.
 //! - [`ResultGrouping`] says when a group of results is written.
 //!
 //! See `docs/LOTS.md`.
 
+mod copy_proof;
 mod home_daemon;
 mod item_tries;
 mod lot_forecast;
@@ -21,6 +23,7 @@
 mod segment_choice;
 mod start_order;
 
+pub use copy_proof::{CopyState, ReaderPosition, RunnerVouch, knows_all_results};
 pub use home_daemon::home_daemon;
 pub use item_tries::{GiveUpReason, ItemTries, TryPolicy, TryVerdict};
 pub use lot_forecast::{LotForecast, PaceMeter};
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -2,7 +2,12 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use comfreyramp_policy::{Timestamp, lots::home_daemon, placement::home_daemons, usage::PeerId};
+use comfreyramp_policy::{
+    Timestamp,
+    lots::{RunnerVouch, home_daemon},
+    placement::home_daemons,
+    usage::PeerId,
+};
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{MemberRecord, PeerMessage, ViewRevisions};
@@ -283,17 +288,15 @@
             .collect()
     }
 
-    /// Where the daemon is reached that tells of a lot's results.
+    /// Where the daemon is reached that knows of all results of a lot. One that ran it
+    /// before may know of fewer, and one whose claim may be gone too.
     pub fn lot_runner(&self, lot: &str, now: Timestamp) -> Option<SocketAddr> {
-        let tells = |it: &&KnownMember| {
-            it.was_heard(self.heard_lately(), now) && it.progress.iter().any(|told| told.lot == lot)
+        let knows = |it: &&KnownMember| {
+            let told = it.told_of(lot);
+            it.was_heard(self.heard_lately(), now) && told.is_some_and(|it| it.stage.knows_all())
         };
-        // Where several tell, as after a hand-over, the one with the most results.
-        let results = |it: &&KnownMember| {
-            let told = it.progress.iter().filter(|told| told.lot == lot);
-            told.map(|told| told.results).max()
-        };
-        let runner = self.members.iter().filter(tells).max_by_key(results)?;
+        let results = |it: &&KnownMember| it.told_of(lot).map(|told| told.results);
+        let runner = self.members.iter().filter(knows).max_by_key(results)?;
         Some(runner.record.address)
     }
 
@@ -316,19 +319,23 @@
         Some(chosen.record.address)
     }
 
-    /// How many results a lot has, as the daemon that runs it tells.
-    pub fn told_results(&self, lot: &str) -> usize {
-        let told = self.members.iter().flat_map(|it| &it.progress);
-        let results = told
-            .filter(|it| it.lot == lot)
-            .map(|it| usize::from(it.results));
-        results.max().unwrap_or_default()
+    /// What the daemon says that knows of all results of a lot. What a former life of
+    /// it said was forgotten with that life.
+    pub fn runner_vouch(&self, lot: &str) -> Option<RunnerVouch> {
+        let vouches = self.members.iter().filter_map(|member| {
+            let told = member.told_of(lot).filter(|it| it.stage.knows_all())?;
+            Some(RunnerVouch {
+                results: usize::from(told.results),
+                heard_at: member.heard_at?,
+            })
+        });
+        vouches.max_by_key(|it| it.results)
     }
 
     /// What is said of a lot, by the daemon that knows of the most results.
     pub fn runner_word(&self, lot: &str, now: Timestamp) -> Option<RunnerWord> {
         let words = self.members.iter().filter_map(|member| {
-            let told = member.progress.iter().find(|it| it.lot == lot)?;
+            let told = member.told_of(lot)?;
             Some(RunnerWord {
                 daemon: member.record.name.clone(),
                 incarnation: member.record.incarnation,
@@ -352,7 +359,7 @@
             .iter()
             .filter(|it| it.was_heard(HOLDS_LOTS_FOR, now));
         let mut told = heard.flat_map(|it| &it.progress);
-        told.any(|it| it.lot == lot && it.stage == LotStage::Held)
+        told.any(|it| it.lot == lot && it.stage.is_running())
     }
 
     /// The lots that daemons heard not long ago say they run.
@@ -362,7 +369,7 @@
             .iter()
             .filter(|it| it.was_heard(HOLDS_LOTS_FOR, now));
         let told = heard.flat_map(|it| &it.progress);
-        let held = told.filter(|it| it.stage == LotStage::Held);
+        let held = told.filter(|it| it.stage.is_running());
         held.map(|it| it.lot.clone()).collect()
     }
 
@@ -393,16 +400,6 @@
         home_daemon(lot, &daemons) == Some(own)
     }
 
-    /// Whether all daemons that run lots were heard lately.
-    pub fn hears_lot_runners(&self, now: Timestamp) -> bool {
-        let mut runners = self
-            .members
-            .iter()
-            .filter(|it| it.record.runs_lots)
-            .peekable();
-        runners.peek().is_some() && runners.all(|it| it.was_heard(self.heard_lately(), now))
-    }
-
     /// Whether the daemon `own` is the first by name of those that run lots.
     pub fn is_first_lot_runner(&self, own: &str) -> bool {
         let mut runners = self.members.iter().filter(|it| it.record.runs_lots);
@@ -426,6 +423,11 @@
         }
     }
 
+    /// What it says of a lot.
+    fn told_of(&self, lot: &str) -> Option<&LotProgress> {
+        self.progress.iter().find(|it| it.lot == lot)
+    }
+
     fn was_heard(&self, within: Duration, now: Timestamp) -> bool {
         self.heard_at.is_some_and(|it| now.since(it) < within)
     }
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -12,6 +12,7 @@
 use super::{
     item_run::{ItemEnd, ItemProgress},
     keys,
+    notices::ClaimBasis,
     records::{DamagedRecord, LotHead, from_json, from_packed},
 };
 use crate::model::{ItemResult, ItemState, LotItem};
@@ -73,6 +74,8 @@
     pub(super) unwritten_since: Timestamp,
     /// How many of the unwritten results a write under way holds.
     pub(super) writing: usize,
+    /// When the write was begun whose outcome isn't known yet.
+    pub(super) writing_since: Option<Timestamp>,
     /// Whether a write is on its way.
     pub(super) is_writing: bool,
     /// It isn't run any further here.
@@ -122,11 +125,20 @@
             unwritten: Vec::new(),
             unwritten_since: now,
             writing: 0,
+            writing_since: None,
             is_writing: false,
             is_closing: false,
         }))
     }
 
+    /// What entitles this daemon to speak for the lot.
+    pub(super) fn basis(&self) -> ClaimBasis {
+        ClaimBasis {
+            lease: self.lease.filter(|_| self.claim.is_some()),
+            undecided_since: self.writing_since,
+        }
+    }
+
     /// Whether every item has its result, written or not.
     pub(super) fn is_done(&self) -> bool {
         self.items
--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -3,7 +3,7 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use comfreyramp_policy::Timestamp;
+use comfreyramp_policy::{Timestamp, lots::CopyState};
 use comfreyramp_store::KeyValue;
 use serde::{Deserialize, Serialize};
 
@@ -51,9 +51,11 @@
     pub is_ended: bool,
     last_key: String,
     bytes: usize,
-    /// When it was last asked what there is of it.
-    pub asked_at: Timestamp,
-    /// Who was asked.
+    /// Whether its end was read from the store. Nothing is written behind that.
+    is_closed: bool,
+    /// When this was last certainly all there is.
+    pub proved_at: Timestamp,
+    /// Who said so.
     pub source: CopySource,
     used_at: Timestamp,
 }
@@ -65,9 +67,10 @@
             head,
             results: Vec::new(),
             is_ended: false,
+            is_closed: false,
             last_key: keys::before_results(lot),
             bytes: 0,
-            asked_at: now,
+            proved_at: now,
             source: CopySource::Store,
             used_at: now,
         }
@@ -78,6 +81,15 @@
         self.results.len() >= self.head.total
     }
 
+    /// What decides whether it may be shown as it is.
+    pub fn state(&self) -> CopyState {
+        CopyState {
+            results: self.results.len(),
+            is_final: self.is_whole() || self.is_closed,
+            proved_at: self.proved_at,
+        }
+    }
+
     /// Results from a position on; one at least, if there is one.
     pub fn page(&self, after: usize) -> LotPage {
         let mut page = LotPage {
@@ -102,11 +114,19 @@
             if keys::is_group(&pair.key) && pair.key > self.last_key {
                 self.append(from_packed(pair)?, pair.key.clone());
             }
-            self.is_ended |= pair.key == keys::end(&self.lot);
+            self.is_closed |= pair.key == keys::end(&self.lot);
         }
+        self.is_ended |= self.is_closed;
         Ok(())
     }
 
+    /// Notes that this was all there is at `asked_at`, the moment at which that was
+    /// asked. Its answer may have been on its way for long.
+    fn prove(&mut self, source: CopySource, asked_at: Timestamp) {
+        self.proved_at = self.proved_at.max(asked_at);
+        self.source = source;
+    }
+
     /// Adds results up to those under a key.
     fn append(&mut self, results: Vec<ItemResult>, last_key: String) {
         self.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
@@ -150,12 +170,13 @@
         self.get(lot).map(|it| it.last_key.clone())
     }
 
-    /// Takes in what the store holds after [`LotCache::last_key`]. Without a
-    /// head there is no such lot.
+    /// Takes in what the store holds after [`LotCache::last_key`], asked at `asked_at`.
+    /// Without a head there is no such lot.
     pub fn take(
         &mut self,
         lot: &str,
         pairs: &[KeyValue],
+        asked_at: Timestamp,
         now: Timestamp,
     ) -> Result<(), DamagedRecord> {
         let place = match self.place(lot) {
@@ -166,15 +187,14 @@
                     return Ok(());
                 };
                 self.lots
-                    .insert(place, KnownLot::new(lot, from_json(pair)?, now));
+                    .insert(place, KnownLot::new(lot, from_json(pair)?, asked_at));
                 place
             }
         };
         let known = &mut self.lots[place];
-        known.asked_at = now;
-        known.source = CopySource::Store;
         known.used_at = now;
         known.take(pairs)?;
+        known.prove(CopySource::Store, asked_at);
         self.shrink();
         Ok(())
     }
@@ -208,31 +228,35 @@
         })
     }
 
-    /// Takes in what another daemon showed. Returns whether it had more than was
-    /// known here.
+    /// Takes in what a daemon showed that knows of all results, asked at `asked_at`.
+    /// Returns whether it fits to what is known here.
     pub fn take_shown(
         &mut self,
         lot: &str,
         shown: ShownLot,
         daemon: SocketAddr,
+        asked_at: Timestamp,
         now: Timestamp,
     ) -> bool {
         let place = match self.place(lot) {
             Ok(place) => place,
             Err(place) if shown.after == 0 => {
-                self.lots.insert(place, KnownLot::new(lot, shown.head, now));
+                self.lots
+                    .insert(place, KnownLot::new(lot, shown.head, asked_at));
                 place
             }
             Err(_) => return false,
         };
         let known = &mut self.lots[place];
-        if shown.after != known.results.len() || shown.last_key < known.last_key {
+        // Another reader's answer may have brought a part of it meanwhile.
+        let Some(overlap) = known.results.len().checked_sub(shown.after) else {
             return false;
+        };
+        if overlap < shown.results.len() {
+            known.append(shown.results[overlap..].to_vec(), shown.last_key);
         }
-        known.append(shown.results, shown.last_key);
         known.is_ended |= shown.is_ended;
-        known.asked_at = now;
-        known.source = CopySource::Daemon(daemon);
+        known.prove(CopySource::Daemon(daemon), asked_at);
         known.used_at = now;
         self.shrink();
         true
--- a/crates/serving/src/lots/notices.rs
+++ b/crates/serving/src/lots/notices.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use comfreyramp_policy::Timestamp;
+use comfreyramp_policy::{Timestamp, lots::knows_all_results};
+use comfreyramp_store::LeaseId;
 use serde::{Deserialize, Serialize};
 
 /// How long it is repeated that a lot was accepted. Datagrams get lost; this many of
@@ -39,14 +40,29 @@
 /// What a daemon has to do with a lot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LotStage {
-    /// It runs it.
+    /// It runs it, and knows of all its results.
     Held,
+    /// It runs it, but the store may hold more results than it knows of: its claim may
+    /// be gone, or a write of its own has no answer.
+    Unsure,
     /// It ran it, and left it to others.
     Left,
     /// It ran it to the end: there is nothing more to do.
     Finished,
 }
 
+impl LotStage {
+    /// Whether a daemon in this stage runs the lot.
+    pub fn is_running(self) -> bool {
+        matches!(self, LotStage::Held | LotStage::Unsure)
+    }
+
+    /// Whether a daemon in this stage knows of all results.
+    pub fn knows_all(self) -> bool {
+        matches!(self, LotStage::Held | LotStage::Finished)
+    }
+}
+
 /// How far a lot is, told by the daemon that runs it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LotProgress {
@@ -58,11 +74,42 @@
     pub stage: LotStage,
 }
 
+/// What entitles a daemon to speak for a lot that it runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClaimBasis {
+    /// The lease that its claim hangs on, if it has one.
+    pub lease: Option<LeaseId>,
+    /// When it began a write of results that has no answer yet.
+    pub undecided_since: Option<Timestamp>,
+}
+
+#[derive(Debug)]
+struct ToldProgress {
+    progress: LotProgress,
+    basis: ClaimBasis,
+    told_at: Timestamp,
+}
+
+impl ToldProgress {
+    /// The stage as of now. A claim lapses and a write stays unanswered by the mere
+    /// passing of time, also while this daemon stands still: told as it was before,
+    /// readers would take an old count of results for all there is.
+    fn stage(&self, lease: Option<LeaseId>, now: Timestamp) -> LotStage {
+        let is_entitled = self.basis.lease.is_some()
+            && self.basis.lease == lease
+            && knows_all_results(self.basis.undecided_since, now);
+        match self.progress.stage {
+            LotStage::Held if !is_entitled => LotStage::Unsure,
+            stage => stage,
+        }
+    }
+}
+
 /// The notices of one daemon that are still being repeated.
 #[derive(Debug, Default)]
 pub struct LotNotices {
     notices: Vec<(LotNotice, Timestamp)>,
-    progress: Vec<(LotProgress, Timestamp)>,
+    progress: Vec<ToldProgress>,
 }
 
 impl LotNotices {
@@ -72,21 +119,50 @@
     }
 
     /// Tells how far a lot is.
-    pub fn tell_progress(&mut self, progress: LotProgress, now: Timestamp) {
-        self.progress.retain(|it| it.0.lot != progress.lot);
-        self.progress.push((progress, now));
+    pub fn tell_progress(&mut self, progress: LotProgress, basis: ClaimBasis, now: Timestamp) {
+        self.progress.retain(|it| it.progress.lot != progress.lot);
+        self.progress.push(ToldProgress {
+            progress,
+            basis,
+            told_at: now,
+        });
+    }
+
+    /// Notes on what this daemon's word on a lot rests from now on.
+    pub fn set_basis(&mut self, lot: &str, basis: ClaimBasis) {
+        if let Some(told) = self.progress.iter_mut().find(|it| it.progress.lot == lot) {
+            told.basis = basis;
+        }
+    }
+
+    /// Whether this daemon runs a lot and knows of all its results, where `lease` is
+    /// the lease that it certainly holds.
+    pub fn vouches_for(&self, lot: &str, lease: Option<LeaseId>, now: Timestamp) -> bool {
+        let told = self.progress.iter().find(|it| it.progress.lot == lot);
+        told.is_some_and(|it| it.stage(lease, now) == LotStage::Held)
     }
 
-    /// What is to be told now.
-    pub fn current(&mut self, now: Timestamp) -> (Vec<LotNotice>, Vec<LotProgress>) {
+    /// What is to be told now, where `lease` is the lease that this daemon certainly
+    /// holds.
+    pub fn current(
+        &mut self,
+        lease: Option<LeaseId>,
+        now: Timestamp,
+    ) -> (Vec<LotNotice>, Vec<LotProgress>) {
         self.notices.retain(|it| now.since(it.1) < it.0.told_for());
-        self.progress
-            .retain(|it| it.0.stage == LotStage::Held || now.since(it.1) < PROGRESS_TOLD_FOR);
+        self.progress.retain(|it| {
+            it.progress.stage.is_running() || now.since(it.told_at) < PROGRESS_TOLD_FOR
+        });
         let notices = self.notices.iter().rev().take(MOST_NOTICES);
         let progress = self.progress.iter().rev().take(MOST_NOTICES);
         (
             notices.map(|it| it.0.clone()).collect(),
-            progress.map(|it| it.0.clone()).collect(),
+            progress
+                .map(|it| LotProgress {
+                    stage: it.stage(lease, now),
+                    ..it.progress.clone()
+                })
+                .collect(),
         )
     }
 }
--- a/crates/serving/src/lots/peer_read.rs
+++ b/crates/serving/src/lots/peer_read.rs
@@ -19,9 +19,16 @@
 
 /// Shows a lot to another daemon: `rest` is the lot, a slash, and the position
 /// of the first result that is wanted.
+///
+/// The other daemon takes this for all there is. So nothing is shown where the store
+/// may hold more, as after a claim that may be gone; the store is asked instead.
 pub fn show_lot<D: Dialect>(node: &Node<D>, rest: &str) -> Option<Bytes> {
     let (lot, after) = rest.split_once('/')?;
-    let shown = node.lot_cache.borrow().show(lot, after.parse().ok()?)?;
+    let cache = node.lot_cache.borrow();
+    if !cache.get(lot)?.is_whole() && !node.vouches_for(lot) {
+        return None;
+    }
+    let shown = cache.show(lot, after.parse().ok()?)?;
     Some(serde_json::to_vec(&shown).unwrap_or_default().into())
 }
 
@@ -34,6 +41,7 @@
     let Some(peer) = node.lot_runner(lot) else {
         return false;
     };
+    let asked_at = node.clock.now();
     let after = node
         .lot_cache
         .borrow()
@@ -62,7 +70,7 @@
         Ok(shown) => node
             .lot_cache
             .borrow_mut()
-            .take_shown(lot, shown, peer, now),
+            .take_shown(lot, shown, peer, asked_at, now),
         Err(error) => {
             log::warn!(lot = lot, error:% = error; "lots: a daemon shows what can't be read");
             false
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use comfreyramp_policy::lots::{CopyState, ReaderPosition};
 use comfreyramp_store::{
     Comparison, KeyRange, PlatformStore, RetryPace, StoreError, Write, WriteBatch, write_once,
 };
@@ -11,6 +12,7 @@
 
 use super::{
     keys,
+    lot_cache::KnownLot,
     notices::LotNotice,
     peer_read::ask_runner,
     records::{DamagedRecord, from_packed, to_json},
@@ -27,11 +29,6 @@
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
 /// How often a reader that waits looks whether there is news.
 const LOOK_INTERVAL: Duration = Duration::from_millis(150);
-/// What was read of a lot counts as current for so long while the daemons that
-/// run lots are heard: they tell of each result.
-const TRUSTED_FOR: Duration = Duration::from_secs(5);
-/// The same while one of them isn't heard.
-const DOUBTED_FOR: Duration = Duration::from_millis(450);
 /// When a reader may come back while the store can't be reached.
 const STORE_RETRY: Duration = Duration::from_millis(500);
 /// How often a lot's end is written at most.
@@ -66,36 +63,71 @@
     after: usize,
     wait: Duration,
 ) -> Answer<D> {
-    let until = node.clock.now() + wait.min(LONGEST_WAIT);
+    let asked_at = node.clock.now();
+    let reader = ReaderPosition { after, asked_at };
+    let until = asked_at + wait.min(LONGEST_WAIT);
     know_lot(node, customer, lot).await?;
     loop {
-        let has_news = |node: &Node<D>| {
-            let cache = node.lot_cache.borrow();
-            cache
-                .get(lot)
-                .is_none_or(|it| it.results.len() > after || it.is_whole())
-        };
         // A reader that begins anew gets all there is, not just what somebody else
         // has read here before. Where no more can be had, what is known will do.
-        if may_have_more(node, lot)
-            && let Err(refusal) = refresh(node, lot).await
-            && !has_news(node)
+        if is_doubtful(node, lot, reader)
+            && let Err(refusal) = look_further(node, lot, reader).await
+            && !serves(node, lot, reader)
         {
             return Err(refusal);
         }
-        if has_news(node) || node.clock.now() >= until {
+        if serves(node, lot, reader) || is_final(node, lot) || node.clock.now() >= until {
             break;
         }
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
     let cache = node.lot_cache.borrow();
-    let Some(known) = cache.get(lot) else {
-        return Err(Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY));
-    };
+    let away = || Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY);
+    let known = cache.get(lot).ok_or_else(away)?;
+    let state = known.state();
+    // A look that took long tells of how it was then. Whoever can't be sure says so.
+    if !state.serves(reader)
+        && !state.proves_nothing_there(node.runner_vouch(lot), node.clock.now())
+    {
+        return Err(away());
+    }
     let page = known.page(after);
     Ok(<D::Callers as CallerDialect>::lot_page(&page).map(FrontBody::whole))
 }
 
+fn copy_state<D: Dialect>(node: &Node<D>, lot: &str) -> Option<CopyState> {
+    let cache = node.lot_cache.borrow();
+    cache.get(lot).map(KnownLot::state)
+}
+
+fn serves<D: Dialect>(node: &Node<D>, lot: &str, reader: ReaderPosition) -> bool {
+    copy_state(node, lot).is_some_and(|it| it.serves(reader))
+}
+
+fn is_final<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
+    copy_state(node, lot).is_none_or(|it| it.is_final)
+}
+
+fn is_doubtful<D: Dialect>(node: &Node<D>, lot: &str, reader: ReaderPosition) -> bool {
+    let vouch = node.runner_vouch(lot);
+    let now = node.clock.now();
+    copy_state(node, lot).is_none_or(|it| it.is_doubtful(reader, vouch, now))
+}
+
+/// Learns what there is of a lot for a reader. One that knows more than the copy here
+/// knows more than the daemon that runs the lot, as a rule: that one proved the copy.
+async fn look_further<D: Dialect>(
+    node: &Rc<Node<D>>,
+    lot: &str,
+    reader: ReaderPosition,
+) -> Result<(), Refusal> {
+    let is_behind = copy_state(node, lot).is_some_and(|it| it.is_behind(reader));
+    if !is_behind && ask_runner(node, lot).await {
+        return Ok(());
+    }
+    ask_store(node, lot).await
+}
+
 /// Logs by what a read was answered: how far the copy of the lot went, how old it
 /// was and whose, and what the daemon that runs the lot had said by then.
 fn log_shown<D: Dialect>(node: &Node<D>, request: &str, lot: &str, after: usize) {
@@ -103,7 +135,7 @@
     let Some(known) = cache.get(lot) else {
         return;
     };
-    let age = node.clock.now().since(known.asked_at);
+    let age = node.clock.now().since(known.proved_at);
     let word = node.runner_word(lot);
     let word = word.as_ref();
     log::info!(
@@ -118,26 +150,6 @@
     );
 }
 
-/// Whether the store may hold more of a lot than was read.
-fn may_have_more<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
-    let cache = node.lot_cache.borrow();
-    let Some(known) = cache.get(lot) else {
-        return true;
-    };
-    if known.is_whole() {
-        return false;
-    }
-    if node.told_results(lot) > known.results.len() {
-        return true;
-    }
-    let age = node.clock.now().since(known.asked_at);
-    let trusted = match node.hears_lot_runners() {
-        true => TRUSTED_FOR,
-        false => DOUBTED_FOR,
-    };
-    age > trusted
-}
-
 /// Makes sure that a lot is known and belongs to a customer.
 async fn know_lot<D: Dialect>(
     node: &Rc<Node<D>>,
@@ -147,8 +159,9 @@
     if !keys::is_usable_id(lot) {
         return Err(RefusalCause::NoSuchLot.into());
     }
-    if node.lot_cache.borrow().get(lot).is_none() {
-        refresh(node, lot).await?;
+    let is_known = node.lot_cache.borrow().get(lot).is_some();
+    if !is_known && !ask_runner(node, lot).await {
+        ask_store(node, lot).await?;
     }
     // A store that was asked without a copy in between can be sure.
     match node.lot_cache.borrow().belongs_to(lot, customer) {
@@ -157,12 +170,9 @@
     }
 }
 
-/// Learns what there is of a lot beyond what is known: from the daemon that runs
-/// it, or else from the store.
-async fn refresh<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> Result<(), Refusal> {
-    if ask_runner(node, lot).await {
-        return Ok(());
-    }
+/// Learns what there is of a lot beyond what is known from the store.
+async fn ask_store<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> Result<(), Refusal> {
+    let asked_at = node.clock.now();
     let prefix = keys::data(lot);
     let range = match node.lot_cache.borrow().last_key(lot) {
         Some(after) => KeyRange::After { prefix, after },
@@ -174,7 +184,8 @@
         .await
         .map_err(|error| away(node, lot, &error))?;
     let now = node.clock.now();
-    let taken = node.lot_cache.borrow_mut().take(lot, &answer.pairs, now);
+    let mut cache = node.lot_cache.borrow_mut();
+    let taken = cache.take(lot, &answer.pairs, asked_at, now);
     taken.map_err(|error| damaged(&error))
 }
 
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -5,7 +5,7 @@
 use comfreyramp_policy::Timestamp;
 use comfreyramp_store::{KeyRange, PlatformStore, StoreError};
 
-use super::{Candidate, ListedLots, LotWorker, WRITE_PAUSE, WorkerEvent};
+use super::{Candidate, ListedLots, LotWorker, WRITE_PAUSE, WorkerEvent, results::note_basis};
 use crate::{
     dialect::Dialect,
     lots::{
@@ -152,6 +152,7 @@
             held.is_reclaiming = true;
             held.claim = None;
             held.lease = Some(lease.id);
+            note_basis(&self.node, held);
             let node = self.node.clone();
             let sender = self.sender.clone();
             let (lot, next_group) = (held.id.clone(), held.groups);
@@ -174,7 +175,11 @@
         };
         held.is_reclaiming = false;
         match claim {
-            Ok(ClaimEnd::Claimed(revision)) => held.claim = Some(revision),
+            Ok(ClaimEnd::Claimed(revision)) => {
+                held.claim = Some(revision);
+                let basis = held.basis();
+                self.node.lot_notices.borrow_mut().set_basis(lot, basis);
+            }
             Ok(end) => {
                 log::info!(lot = lot, end:? = end; "lots: not this daemon's any more");
                 held.is_closing = true;
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -14,6 +14,7 @@
         writer::{self, WriteAnswer},
     },
     model::ItemResult,
+    node::Node,
 };
 
 /// Results wait this long for others of their lot, since each write is billed.
@@ -36,6 +37,7 @@
                     .add_results(lot, results, key, now);
                 held.listed += held.writing;
                 held.writing = 0;
+                held.writing_since = None;
                 held.groups += 1;
                 held.unwritten_since = now;
                 self.node.metrics.lot("group_written", 1);
@@ -52,7 +54,9 @@
                 held.claim = None;
                 held.unwritten.clear();
                 held.writing = 0;
+                held.writing_since = None;
                 held.stop_items();
+                note_basis(&self.node, &self.held[place]);
                 self.add_candidate_again(lot, now);
             }
             WriteAnswer::Unknown => self.no_write_before = now + WRITE_PAUSE,
@@ -78,6 +82,8 @@
             // A write without an answer is repeated as it was: it may yet take effect.
             if held.writing == 0 {
                 held.writing = held.unwritten.len();
+                held.writing_since = Some(now);
+                note_basis(&self.node, held);
             }
             held.is_writing = true;
             let results = held.unwritten[..held.writing].to_vec();
@@ -132,7 +138,13 @@
             stage,
         };
         let mut notices = self.node.lot_notices.borrow_mut();
-        notices.tell_progress(progress, now);
+        notices.tell_progress(progress, held.basis(), now);
         self.node.load_changed.notify_one();
     }
 }
+
+/// Has this daemon speak for a lot only while what it says of it is all there is.
+pub(super) fn note_basis<D: Dialect>(node: &Node<D>, held: &HeldLot) {
+    let mut notices = node.lot_notices.borrow_mut();
+    notices.set_basis(&held.id, held.basis());
+}
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -53,6 +53,7 @@
         Err(error) => return unknown(node, lot, &error),
     };
     let range = KeyRange::Prefix(keys::data(lot));
+    let asked_at = node.clock.now();
     let listed = match node.store.range(range, 0).await {
         Ok(listed) => listed,
         Err(error) => {
@@ -61,7 +62,11 @@
         }
     };
     let now = node.clock.now();
-    if let Err(error) = node.lot_cache.borrow_mut().take(lot, &listed.pairs, now) {
+    let taken = node
+        .lot_cache
+        .borrow_mut()
+        .take(lot, &listed.pairs, asked_at, now);
+    if let Err(error) = taken {
         log::error!(lot = lot, error:% = error; "lots: damaged");
     }
     match HeldLot::load(lot, &listed.pairs, node.clock.now()) {
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use comfreyramp_policy::lots::RunnerVouch;
 use comfreyramp_store::KeyValue;
 
 use super::{LotInbox, Node};
@@ -37,9 +38,16 @@
         std::mem::take(&mut self.lot_inbox.borrow_mut())
     }
 
-    /// How many results a lot has, as the daemon that runs it tells.
-    pub fn told_results(&self, lot: &str) -> usize {
-        self.members.borrow().told_results(lot)
+    /// What the daemon says that knows of all results of a lot.
+    pub fn runner_vouch(&self, lot: &str) -> Option<RunnerVouch> {
+        self.members.borrow().runner_vouch(lot)
+    }
+
+    /// Whether this daemon runs a lot and knows of all its results.
+    pub fn vouches_for(&self, lot: &str) -> bool {
+        let lease = self.lease().map(|it| it.id);
+        let notices = self.lot_notices.borrow();
+        notices.vouches_for(lot, lease, self.clock.now())
     }
 
     /// What is said of a lot, by the daemon that knows of the most results.
@@ -47,7 +55,7 @@
         self.members.borrow().runner_word(lot, self.clock.now())
     }
 
-    /// Where the daemon is reached that tells of a lot's results.
+    /// Where the daemon is reached that knows of all results of a lot.
     pub fn lot_runner(&self, lot: &str) -> Option<SocketAddr> {
         self.members.borrow().lot_runner(lot, self.clock.now())
     }
@@ -86,11 +94,6 @@
             .is_own_lot(lot, &self.settings.name, now)
     }
 
-    /// Whether all daemons that run lots are heard, so that no news is news.
-    pub fn hears_lot_runners(&self) -> bool {
-        self.members.borrow().hears_lot_runners(self.clock.now())
-    }
-
     /// Whether this daemon is the first by name of those that run lots.
     pub fn is_first_lot_runner(&self) -> bool {
         self.members
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -67,7 +67,8 @@
         let number = self.message_number.get() + 1;
         self.message_number.set(number);
         let views = self.views.borrow();
-        let (lots, progress) = self.lot_notices.borrow_mut().current(now);
+        let lease = self.lease().map(|it| it.id);
+        let (lots, progress) = self.lot_notices.borrow_mut().current(lease, now);
         PeerMessage {
             from: self.member_record(),
             number,
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -51,3 +51,39 @@
     members.hear(&message(2, progress(LotStage::Finished)), begin);
     assert!(members.held_lots(begin).is_empty(), "it is done");
 }
+
+/// A daemon that runs a lot is restarted, and is heard again before anybody noticed.
+/// What it said in its former life tells nothing of what the store holds by now, and
+/// a reader must not be told that a result isn't there on the strength of it.
+#[test]
+fn what_a_former_life_said_of_a_lot_is_forgotten() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("entry-1");
+    members.hear(&message(9, progress(LotStage::Held)), begin);
+    assert_eq!(members.runner_vouch("lot-1").map(|it| it.results), Some(3));
+    let mut next_life = message(1, Vec::new());
+    next_life.from.incarnation = 2;
+    members.hear(&next_life, begin + Duration::from_millis(500));
+    assert_eq!(members.runner_vouch("lot-1"), None);
+    assert_eq!(
+        members.lot_runner("lot-1", begin + Duration::from_millis(500)),
+        None
+    );
+}
+
+/// Two daemons tell of a lot: one that left it to others, and one that isn't sure of
+/// its claim. Neither may be asked in place of the store, though both are heard.
+#[test]
+fn only_a_daemon_that_knows_all_results_is_asked_for_them() {
+    let now = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("entry-1");
+    for stage in [LotStage::Left, LotStage::Unsure] {
+        members.hear(&message(stage as u64 + 1, progress(stage)), now);
+        assert_eq!(members.runner_vouch("lot-1"), None, "{stage:?}");
+        assert_eq!(members.lot_runner("lot-1", now), None, "{stage:?}");
+    }
+    members.hear(&message(9, progress(LotStage::Unsure)), now);
+    assert!(members.is_held("lot-1", now), "it still runs there");
+    members.hear(&message(10, progress(LotStage::Finished)), now);
+    assert!(members.lot_runner("lot-1", now).is_some());
+}
