Take results into a lot's copy only where they follow on it

What callers could see: an item at two positions of a lot, and more results than items, at one daemon.

Cause: a daemon took the results that it had written into its copy when the store's answer came, whatever the copy held by then. A read of the store that came back in between had brought them already; or the copy had been dropped for want of memory and read anew.

On today's fleets the daemons that run lots have no callers, which hides the first way.

Why it holds: results are appended at their position only, and under a later key than the last. A daemon whose copy reaches less far than what it wrote shows it to nobody as all there is.

--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -199,10 +199,13 @@
         Ok(())
     }
 
-    /// Takes in results that this daemon has just written under a key.
+    /// Takes in results that this daemon has just written under a key, from a
+    /// position on. A read of the store may have brought them already; a copy that
+    /// lacks what was before them stays as it is.
     pub fn add_results(
         &mut self,
         lot: &str,
+        after: usize,
         results: Vec<ItemResult>,
         key: String,
         now: Timestamp,
@@ -211,8 +214,10 @@
             return;
         };
         let known = &mut self.lots[place];
-        known.append(results, key);
         known.used_at = now;
+        if known.results.len() == after && key > known.last_key {
+            known.append(results, key);
+        }
         self.shrink();
     }
 
--- a/crates/serving/src/lots/peer_read.rs
+++ b/crates/serving/src/lots/peer_read.rs
@@ -21,11 +21,14 @@
 /// of the first result that is wanted.
 ///
 /// The other daemon takes this for all there is. So nothing is shown where the store
-/// may hold more, as after a claim that may be gone; the store is asked instead.
+/// may hold more, as after a claim that may be gone, or where the copy here doesn't
+/// reach as far as this daemon wrote; the store is asked instead.
 pub fn show_lot<D: Dialect>(node: &Node<D>, rest: &str) -> Option<Bytes> {
     let (lot, after) = rest.split_once('/')?;
     let cache = node.lot_cache.borrow();
-    if !cache.get(lot)?.is_whole() && !node.vouches_for(lot) {
+    let known = cache.get(lot)?;
+    let has_all = |results| known.results.len() >= results;
+    if !known.is_whole() && !node.vouched_results(lot).is_some_and(has_all) {
         return None;
     }
     let shown = cache.show(lot, after.parse().ok()?)?;
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -34,7 +34,7 @@
                 self.node
                     .lot_cache
                     .borrow_mut()
-                    .add_results(lot, results, key, now);
+                    .add_results(lot, held.listed, results, key, now);
                 held.listed += held.writing;
                 held.writing = 0;
                 held.writing_since = None;
