--- a/crates/node/tests/explained.rs
+++ b/crates/node/tests/explained.rs
@@ -99,3 +99,20 @@
     let dropped: u64 = dropped.unwrap().parse().unwrap();
     assert!(dropped > 0, "a pipe doesn't take 6,000 lines");
 }
+
+/// Something else on the VM has the port of the metrics. The daemon says so in its log
+/// and serves its callers all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_without_its_metrics_port_serves_callers() {
+    let mut fleet = Fleet::started().await;
+    fleet.kill(0);
+    let taken = fleet.take_metrics_port(0);
+    fleet.restart(0);
+    fleet.wait_ready().await;
+    let answer = fleet
+        .ask(0, Ask::post("/proofs/1", "no-metrics", b"x"))
+        .await;
+    assert_eq!(answer.unwrap().status(), StatusCode::OK);
+    let lines = fleet.logged(&taken.local_addr().unwrap().to_string()).await;
+    assert_eq!(lines[0]["message"], "node: metrics can't be shown");
+}
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -261,6 +261,11 @@
         self.nodes[node].child = child;
     }
 
+    /// Takes the port at which a daemon shows its metrics, while it isn't running.
+    pub(crate) fn take_metrics_port(&self, node: usize) -> std::net::TcpListener {
+        std::net::TcpListener::bind(self.nodes[node].metrics).unwrap()
+    }
+
     /// Starts a daemon again whose log nobody reads.
     pub(crate) fn restart_unread(&mut self, node: usize) {
         self.kill(node);
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -138,18 +138,7 @@
         limits.clone(),
         move |request| answer_peer(shared.clone(), request),
     ));
-    let listener = TcpListener::bind(settings.metrics)
-        .await
-        .context("the metrics' address")?;
-    let shared = node.clone();
-    tokio::task::spawn_local(serve_connections(
-        listener,
-        limits.clone(),
-        move |request| {
-            let answer = answer_metrics(&shared, &request);
-            async move { answer }
-        },
-    ));
+    open_metrics(node, limits).await;
     if let Some(address) = settings.health {
         let listener = TcpListener::bind(address)
             .await
@@ -167,6 +156,28 @@
     Ok(())
 }
 
+/// Shows what is counted. A daemon serves callers also where something else has the
+/// port, and says so.
+async fn open_metrics<D: Dialect>(node: &Rc<Node<D>>, limits: &LoopLimits) {
+    let address = node.settings.metrics;
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!(address:% = address, error:% = error; "node: metrics can't be shown");
+            return;
+        }
+    };
+    let shared = node.clone();
+    tokio::task::spawn_local(serve_connections(
+        listener,
+        limits.clone(),
+        move |request| {
+            let answer = answer_metrics(&shared, &request);
+            async move { answer }
+        },
+    ));
+}
+
 fn answer_health<D: Dialect>(
     node: &Node<D>,
     request: &Request<Incoming>,
