Tests that show a former life of a daemon taken for the one that lives

Four cases fail: a list of daemons that is behind brings a former life back, heard or not heard before; a late datagram of a former life is heard; and a claim counts as a leftover because another life was listed or heard.

--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -87,3 +87,88 @@
     members.hear(&message(10, progress(LotStage::Finished)), now);
     assert!(members.lot_runner("lot-1", now).is_some());
 }
+
+/// What a daemon says in one of its lives.
+fn of_life(incarnation: u64, number: u64, progress: Vec<LotProgress>) -> PeerMessage {
+    let mut message = message(number, progress);
+    message.from.incarnation = incarnation;
+    message
+}
+
+/// A daemon is restarted, speaks, and has not registered yet. Meanwhile a further
+/// daemon registers, and the list of all that the store has then names the former
+/// life: its lease runs on for seconds. A daemon that goes back to it takes the claim
+/// of the living one for a leftover and runs the lot as well; both then tell readers
+/// that they know of all its results.
+#[test]
+fn a_list_that_is_behind_brings_no_former_life_back() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let later = begin + Duration::from_millis(300);
+    let mut members = MemberList::new("lots-1");
+    members.set_listed(&[of_life(1, 0, Vec::new()).from], begin);
+    members.hear(&of_life(1, 9, Vec::new()), begin);
+    members.hear(&of_life(2, 1, progress(LotStage::Held)), later);
+    members.set_listed(&[of_life(1, 0, Vec::new()).from], later);
+    assert!(members.is_held("lot-1", later), "the living one runs it");
+    assert!(!members.is_former_life("lots-2", 2, later), "it lives");
+    assert!(members.is_former_life("lots-2", 1, later));
+    assert_eq!(members.hear(&of_life(2, 1, Vec::new()), later), None);
+}
+
+/// The same where this daemon has never heard the former life: it started after it
+/// was lost, heard the next one, and reads the list of all only then.
+#[test]
+fn a_list_that_is_behind_brings_back_no_life_that_was_never_heard() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("lots-1");
+    members.hear(&of_life(2, 1, progress(LotStage::Held)), begin);
+    members.set_listed(&[of_life(1, 0, Vec::new()).from], begin);
+    assert!(members.is_held("lot-1", begin), "the living one runs it");
+    assert!(!members.is_former_life("lots-2", 2, begin), "it lives");
+}
+
+/// A daemon is restarted, and a datagram of its former life is late: it waited in a
+/// queue, or at a VM that stood still. It says that the daemon runs a lot and how many
+/// results there are, which was so before, and it comes after what the next life said.
+#[test]
+fn a_late_word_of_a_former_life_is_not_heard() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let later = begin + Duration::from_millis(300);
+    let mut members = MemberList::new("entry-1");
+    members.hear(&of_life(1, 8, Vec::new()), begin);
+    members.hear(&of_life(2, 1, Vec::new()), later);
+    let late = of_life(1, 9, progress(LotStage::Held));
+    assert_eq!(members.hear(&late, later), None);
+    assert_eq!(members.runner_vouch("lot-1"), None);
+    assert!(!members.is_held("lot-1", later));
+    assert!(!members.is_former_life("lots-2", 2, later), "it lives");
+}
+
+/// Which of two lives is the later one is told by the order in which they are heard.
+/// Should that be wrong once, the one that goes on speaking has to be heard again, or
+/// a living daemon would be left out for ever.
+#[test]
+fn a_life_that_goes_on_speaking_is_heard_again() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("entry-1");
+    members.hear(&of_life(2, 1, Vec::new()), begin);
+    members.hear(&of_life(1, 9, Vec::new()), begin);
+    let later = begin + Duration::from_millis(1_200);
+    let heard = members.hear(&of_life(2, 6, progress(LotStage::Held)), later);
+    assert!(heard.is_some());
+    assert!(members.is_held("lot-1", later));
+}
+
+/// All daemons are restarted in turn. One of them reads the list of all, which names a
+/// life that is lost already, and the next life of that daemon claims a lot without
+/// having been heard here. Who was only listed has proved nothing: the claim is no
+/// leftover, and the lot must be left to the one that runs it.
+#[test]
+fn a_claim_is_no_leftover_because_another_life_was_listed_or_heard() {
+    let now = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("lots-1");
+    members.set_listed(&[of_life(1, 0, Vec::new()).from], now);
+    assert!(!members.is_former_life("lots-2", 2, now), "listed only");
+    members.hear(&of_life(1, 9, Vec::new()), now);
+    assert!(!members.is_former_life("lots-2", 2, now), "it may be later");
+}
