Tell the lives of a daemon apart by what was heard, not by any list or datagram

What callers could see: a lot that a daemon runs is taken from it while it lives, run twice, and shown by two daemons that each vouch for all of its results.

Cause: any record with another number replaced what was known of a daemon. The entry of a lost daemon stays until its lease lapses, and its next life speaks before it registers; a list of that moment brought the former life back, as heard now, and forgot what the living one had said of its lots. A late datagram did the same. With the former life back, the claim of the living one counted as a leftover.

Now a list replaces no life that is heard, a life that was replaced is remembered by its number and isn't heard again while the later one speaks or is registered, and a claim is a leftover only if a later life was heard after that one. A daemon that never heard the former life waits for its lease, as with any lost daemon; the next life itself takes its claims over at once, as before.

Why it holds: numbers are drawn anew and have no order, so that the order in which lives are heard is the only sign; should it mislead, the life that goes on speaking is heard again a moment after the other falls silent.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -42,6 +42,10 @@
 /// has lapsed, or nearly.
 const HOLDS_LOTS_FOR: Duration = Duration::from_secs(3);
 
+/// So many former lives of a daemon are known by their numbers, so that what they
+/// said, and comes late, isn't taken for news.
+const MOST_FORMER: usize = 8;
+
 /// In a fleet of so many daemons each speaks to all others with every change.
 const SMALL_FLEET: usize = 16;
 
@@ -71,8 +75,12 @@
 struct KnownMember {
     id: PeerId,
     record: MemberRecord,
-    is_listed: bool,
+    /// The life that the store's list names, if it is registered.
+    listed_life: Option<u64>,
+    /// The lives before this one, the latest last.
+    former_lives: Vec<u64>,
     heard_at: Option<Timestamp>,
+    /// The number of the last message; 0 while none was heard of this life.
     number: u64,
     revisions: ViewRevisions,
     progress: Vec<LotProgress>,
@@ -155,15 +163,26 @@
     }
 
     /// Takes over the daemons that are registered.
+    ///
+    /// The entry of a lost daemon stays until its lease lapses, and its next life
+    /// speaks before it registers. So a list tells of another life only where none is
+    /// heard: else the living one, and what it said of its lots, would be forgotten.
     pub fn set_listed(&mut self, records: &[MemberRecord], now: Timestamp) {
+        let lately = self.heard_lately();
         for member in &mut self.members {
-            member.is_listed = false;
+            member.listed_life = None;
         }
         for record in records {
             let Some(member) = self.member_of(record) else {
                 continue;
             };
-            member.is_listed = true;
+            let is_older = member.is_former(record.incarnation) || member.speaks(lately, now);
+            if member.record.incarnation == record.incarnation {
+                member.record.clone_from(record);
+            } else if !is_older {
+                member.begin_life(record);
+            }
+            member.listed_life = Some(record.incarnation);
             member.heard_at.get_or_insert(now);
         }
         self.forget_silent(now);
@@ -172,10 +191,21 @@
     /// Takes in what a daemon says. Returns its id, or nothing if the message is
     /// this daemon's own, or older than one that came before.
     pub fn hear(&mut self, message: &PeerMessage, now: Timestamp) -> Option<PeerId> {
+        let lately = self.heard_lately();
         let member = self.member_of(&message.from)?;
+        let life = message.from.incarnation;
+        if member.record.incarnation != life {
+            // A datagram that was on its way for long tells how it was in a life that
+            // is over: lots that run no more, and too few results.
+            if member.is_former(life) && member.is_certain(lately, now) {
+                return None;
+            }
+            member.begin_life(&message.from);
+        }
         if member.number >= message.number {
             return None;
         }
+        member.record.clone_from(&message.from);
         member.number = message.number;
         member.heard_at = Some(now);
         member.revisions = message.revisions;
@@ -185,6 +215,7 @@
         Some(member.id)
     }
 
+    /// What is known of a daemon, in whichever of its lives.
     fn member_of(&mut self, record: &MemberRecord) -> Option<&mut KnownMember> {
         let id = PeerId::of_name(&record.name);
         if id == self.own {
@@ -197,12 +228,7 @@
                 place
             }
         };
-        let member = &mut self.members[place];
-        if member.record.incarnation != record.incarnation {
-            *member = KnownMember::new(id, record);
-        }
-        member.record = record.clone();
-        Some(member)
+        Some(&mut self.members[place])
     }
 
     /// Forgets daemons that are neither registered nor heard. Returns whether
@@ -213,7 +239,7 @@
             let is_heard = it
                 .heard_at
                 .is_some_and(|at| now.since(at) < FORGOTTEN_AFTER);
-            it.is_listed || (is_heard && !it.is_leaving)
+            it.listed_life.is_some() || (is_heard && !it.is_leaving)
         });
         self.members.len() != before
     }
@@ -373,13 +399,16 @@
         held.map(|it| it.lot.clone()).collect()
     }
 
-    /// Whether a daemon is heard under another number than this one.
+    /// Whether a life of a daemon is certainly over: a later one was heard after it,
+    /// and goes on speaking. That another life is listed or heard proves nothing, since
+    /// this one may be later still. Its claim would be taken from it while it lives, and
+    /// two daemons would each say that they know of all results of a lot.
     pub fn is_former_life(&self, daemon: &str, incarnation: u64, now: Timestamp) -> bool {
         let id = PeerId::of_name(daemon);
         let place = self.members.binary_search_by_key(&id, |it| it.id);
         place.is_ok_and(|it| {
             let member = &self.members[it];
-            member.record.incarnation != incarnation && member.was_heard(self.heard_lately(), now)
+            member.is_former(incarnation) && member.speaks(self.heard_lately(), now)
         })
     }
 
@@ -412,7 +441,8 @@
         KnownMember {
             id,
             record: record.clone(),
-            is_listed: false,
+            listed_life: None,
+            former_lives: Vec::new(),
             heard_at: None,
             number: 0,
             revisions: ViewRevisions::default(),
@@ -423,6 +453,37 @@
         }
     }
 
+    /// Forgets what was known of the life before this one, but for its number.
+    fn begin_life(&mut self, record: &MemberRecord) {
+        let mut former_lives = std::mem::take(&mut self.former_lives);
+        former_lives.retain(|it| *it != record.incarnation);
+        former_lives.push(self.record.incarnation);
+        let excess = former_lives.len().saturating_sub(MOST_FORMER);
+        former_lives.drain(..excess);
+        *self = KnownMember {
+            listed_life: self.listed_life,
+            former_lives,
+            ..KnownMember::new(self.id, record)
+        };
+    }
+
+    /// Whether a life came before the one that is known.
+    fn is_former(&self, incarnation: u64) -> bool {
+        self.former_lives.contains(&incarnation)
+    }
+
+    /// Whether the life that is known was heard, and not just listed.
+    fn speaks(&self, within: Duration, now: Timestamp) -> bool {
+        self.number > 0 && self.was_heard(within, now)
+    }
+
+    /// Whether the life that is known is the present one. Where it is neither heard nor
+    /// registered, a life that was taken for a former one may be: the order in which
+    /// datagrams arrive was all that told them apart.
+    fn is_certain(&self, within: Duration, now: Timestamp) -> bool {
+        self.speaks(within, now) || self.listed_life == Some(self.record.incarnation)
+    }
+
     /// What it says of a lot.
     fn told_of(&self, lot: &str) -> Option<&LotProgress> {
         self.progress.iter().find(|it| it.lot == lot)
