--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -346,3 +346,20 @@
         assert_eq!(status, StatusCode::ACCEPTED, "daemon {node}");
     }
 }
+
+/// A daemon is stopped for a planned change of its VM. Its entry, and each claim that it
+/// couldn't give back, has to go with it: else others go on counting on it, and its lots
+/// lie until the lease lapses.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_takes_the_entry_of_a_daemon_away() {
+    let mut fleet = Fleet::started().await;
+    let entry = "fleet/members/entry-1";
+    fleet
+        .eventually("the daemon is registered", async || {
+            !fleet.store.keys(entry).is_empty()
+        })
+        .await;
+    fleet.terminate(0);
+    assert!(fleet.ended(0).await);
+    assert!(fleet.store.keys(entry).is_empty(), "it is gone");
+}
