Give a stopped daemon's lease back

What operators could see: the entry of a daemon that was stopped as planned stayed in the store, 4 s where it runs lots and 10 s otherwise, and a claim that the drain couldn't give back lay as long.

Cause: the lease was forgotten before it was given back, so that there was none to give back. Nothing was logged.

Now the round of renewals returns the lease that it held. It is forgotten first and given back then: nothing is said on the strength of it meanwhile.

--- a/crates/serving/src/fleet/membership.rs
+++ b/crates/serving/src/fleet/membership.rs
@@ -38,24 +38,29 @@
 /// Keeps this daemon registered until `stop` is cancelled.
 pub async fn keep_membership<D: Dialect>(node: Rc<Node<D>>, stop: CancellationToken) {
     while !stop.is_cancelled() {
-        let round = registered_round(&node, &stop);
-        if let Err(error) = round.await {
-            node.note_store_trouble();
-            log::warn!(error:% = error; "membership: lost the lease");
-        }
+        let round = registered_round(&node, &stop).await;
+        // No claim holds by this lease any more, and nothing may be said on the strength
+        // of it from now on.
         node.set_lease(None);
+        match round {
+            Ok(lease) => return leave(&node, lease).await,
+            Err(error) => {
+                node.note_store_trouble();
+                log::warn!(error:% = error; "membership: lost the lease");
+            }
+        }
         if !stop.is_cancelled() {
             tokio::time::sleep(FAILED_PAUSE).await;
         }
     }
-    leave(&node).await;
 }
 
-/// Registers, and renews the lease until that fails or `stop` is cancelled.
+/// Registers, and renews the lease until that fails or `stop` is cancelled. Returns the
+/// lease that still holds then.
 async fn registered_round<D: Dialect>(
     node: &Rc<Node<D>>,
     stop: &CancellationToken,
-) -> Result<(), StoreError> {
+) -> Result<LeaseId, StoreError> {
     let (term, interval) = match node.settings.runs_lots {
         true => (LEASE_TERM, RENEW_INTERVAL),
         false => (LONG_TERM, LONG_RENEW_INTERVAL),
@@ -75,7 +80,7 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
-            () = stop.cancelled() => return Ok(()),
+            () = stop.cancelled() => return Ok(id),
         }
         let asked = node.clock.now();
         // A VM that was suspended wakes up here: its lease may be gone.
@@ -111,12 +116,10 @@
     node.store.transact(batch).await.map(|_| ())
 }
 
-/// Takes the entry away, so that others needn't wait for the lease to lapse.
-async fn leave<D: Dialect>(node: &Rc<Node<D>>) {
-    let Some(lease) = node.lease() else {
-        return;
-    };
-    if let Err(error) = node.store.revoke(lease.id).await {
+/// Takes the entry away, and the claims that are left, so that others needn't wait for
+/// the lease to lapse.
+async fn leave<D: Dialect>(node: &Rc<Node<D>>, lease: LeaseId) {
+    if let Err(error) = node.store.revoke(lease).await {
         log::warn!(error:% = error; "membership: the entry stays until its lease lapses");
     }
 }
