--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -363,3 +363,61 @@
     assert!(fleet.ended(0).await);
     assert!(fleet.store.keys(entry).is_empty(), "it is gone");
 }
+
+/// A daemon keeps a lot in the store and is lost before it has told anybody to run it,
+/// here because the store's answer never comes. The customer hands the lot in again at
+/// another daemon, which finds it in the store. Unless that one tells of it, the lot
+/// lies until somebody happens to list all open lots, and its results come late.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_that_a_lost_daemon_accepted_is_run_at_once() {
+    let mut fleet = Fleet::started().await;
+    // What is claimed at once one time may have been listed at that moment.
+    for lot in ["lot-l1", "lot-l2", "lot-l3", "lot-l4"] {
+        fleet.nodes[0].door.faults.hold_answers(true);
+        let head = format!("lots/data/{lot}/head");
+        let asking = fleet.hand_in(0, lot, &["one"]);
+        let kept = fleet.eventually("the lot is kept", async || {
+            !fleet.store.keys(&head).is_empty()
+        });
+        tokio::select! {
+            _ = asking => panic!("no answer can have come"),
+            () = kept => {}
+        }
+        fleet.kill(0);
+        let status = fleet.hand_in(1, lot, &["one"]).await;
+        assert_eq!(status, Ok(StatusCode::ACCEPTED));
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let claims = format!("lots/claim/{lot}");
+        let results = format!("lots/data/{lot}/results/");
+        let is_run = !fleet.store.keys(&claims).is_empty();
+        assert!(is_run || !fleet.store.keys(&results).is_empty(), "{lot}");
+        fleet.nodes[0].door.faults.hold_answers(false);
+        fleet.restart(0);
+        fleet.wait_ready().await;
+    }
+}
+
+/// A customer hands a lot in and leaves while the store's answer is on its way. The lot
+/// is kept, and has to be run at once as if the customer had waited.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_whose_customer_left_is_run_at_once() {
+    let fleet = Fleet::started().await;
+    for lot in ["lot-m1", "lot-m2", "lot-m3", "lot-m4"] {
+        fleet.nodes[0].door.faults.hold_answers(true);
+        let head = format!("lots/data/{lot}/head");
+        let asking = fleet.hand_in(0, lot, &["one"]);
+        let kept = fleet.eventually("the lot is kept", async || {
+            !fleet.store.keys(&head).is_empty()
+        });
+        tokio::select! {
+            _ = asking => panic!("no answer can have come"),
+            () = kept => {}
+        }
+        fleet.nodes[0].door.faults.hold_answers(false);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        let claims = format!("lots/claim/{lot}");
+        let results = format!("lots/data/{lot}/results/");
+        let is_run = !fleet.store.keys(&claims).is_empty();
+        assert!(is_run || !fleet.store.keys(&results).is_empty(), "{lot}");
+    }
+}
