Tell of an accepted lot wherever it is found kept

What callers saw: a lot was accepted, and nothing ran for up to two seconds and more, so that its results were late.

Cause: the daemon that took a lot in told others of it only at the end of the caller's request. Where the caller had left, the write went on and nobody was told; where the daemon was lost right after the write, the next one found the lot kept, answered so, and told nobody either. The lots were found by the listing of all open ones, each two seconds.

Now the task that writes the lot tells of it, whoever wrote it, as the end of a lot is told.

--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -73,21 +73,11 @@
     {
         return accepted();
     }
-    let batch = lot_batch(node, &submission, &lot);
     let now = node.clock.now();
     let span = submission.deadline.since(now).mul_f64(STORE_PART);
-    let outcome = write_lot(node, batch, span).await;
+    let outcome = write_lot(node, &submission, &lot, span).await;
     match outcome {
-        Ok(OnceOutcome::Written(revision)) => {
-            log::info!(
-                lot = submission.lot, customer = submission.customer.settings.name,
-                items = lot.items.len(), revision = revision;
-                "lots: accepted"
-            );
-            node.metrics.lot("accepted", 1);
-            node.tell_lot(LotNotice::Accepted(submission.lot));
-            accepted()
-        }
+        Ok(OnceOutcome::Written(_)) => accepted(),
         Ok(OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) => {
             accepted_before(&submission, &found)?;
             accepted()
@@ -101,17 +91,31 @@
     }
 }
 
-/// Writes a lot within `span`. A caller that leaves meanwhile doesn't stop it
-/// half-way: the lot would be kept, and no daemon told to run it.
+/// Writes a lot within `span`, and has it run. A caller that leaves meanwhile doesn't
+/// stop it half-way: the lot would be kept, and no daemon told to run it.
 async fn write_lot<D: Dialect>(
     node: &Rc<Node<D>>,
-    batch: WriteBatch,
+    submission: &Submission,
+    lot: &NewLot,
     span: Duration,
 ) -> Result<OnceOutcome, StoreError> {
-    let shared = node.clone();
+    let batch = lot_batch(node, submission, lot);
+    let (shared, id) = (node.clone(), submission.lot.clone());
+    let (customer, items) = (submission.customer.clone(), lot.items.len());
     let writing = tokio::task::spawn_local(async move {
         let pace = RetryPace::new(shared.incarnation).attempts(STORE_TRIES);
-        write_once(&shared.store, batch, pace).await
+        let outcome = write_once(&shared.store, batch, pace).await?;
+        if let OnceOutcome::Written(revision) = outcome {
+            log::info!(
+                lot = id, customer = customer.settings.name, items = items, revision = revision;
+                "lots: accepted"
+            );
+            shared.metrics.lot("accepted", 1);
+        }
+        // Also where another daemon wrote it: it may have been lost before it could
+        // tell, and the lot would lie until all open ones are listed.
+        shared.tell_lot(LotNotice::Accepted(id));
+        Ok(outcome)
     });
     let lost = |text: String| Err(StoreError::AnswerLost(text));
     match tokio::time::timeout(span, writing).await {
