Tell others of a removal that a list showed

What callers could see: requests sent to a server that had left, by a daemon that the store turns away, until some other server changed.

Cause: others ask a daemon that is ahead by the revision of its last change. A list shows no revision for what is gone, so that a daemon which learned of a removal by a list, as after a broken watch, didn't count as ahead. In a large fleet all but a few daemons learn of servers in this way alone.

Now a list that lacks a key which was there counts as a change at the list's own revision. Whoever has seen as much from the store isn't behind by that and asks nobody.

--- a/crates/serving/src/fleet/store_view.rs
+++ b/crates/serving/src/fleet/store_view.rs
@@ -57,6 +57,11 @@
         let is_changed = self.pairs != pairs || self.confirmed_at.is_none();
         let newest = pairs.iter().map(|it| it.modified).max();
         self.changed_revision = self.changed_revision.max(newest.unwrap_or_default());
+        // A key that is gone bears no revision; it was there up to the former one. Others
+        // that still see it have to hear that there is news, or would see it for ever.
+        if self.pairs.iter().any(|it| !has_key(&pairs, &it.key)) {
+            self.changed_revision = revision;
+        }
         self.pairs = pairs;
         self.revision = revision;
         self.confirmed_at = Some(now);
@@ -91,3 +96,8 @@
         is_changed
     }
 }
+
+fn has_key(pairs: &[KeyValue], key: &str) -> bool {
+    let place = pairs.binary_search_by(|it| it.key.as_str().cmp(key));
+    place.is_ok()
+}
