Read a lot anew whose copy was dropped while it was read

What callers could see: 404 for a lot that exists, where several readers ask a daemon for it while that daemon reads many lots.

Cause: a reader that finds a copy asks the store only for what lies behind it. The copy may be dropped for other lots until the answer is there, which has no head then; no copy and no head were taken for no such lot.

Now the cache says whether a lot is known after an answer, and the whole lot is read where a part was asked for and the copy is gone. That there is no such lot rests on a read of all of it alone. The test is one of the cache; the race was found by reading, not met.

--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -171,20 +171,21 @@
     }
 
     /// Takes in what the store holds after [`LotCache::last_key`], asked at `asked_at`.
-    /// Without a head there is no such lot.
+    /// Returns whether the lot is known. It isn't where the store has no such lot, nor
+    /// where the copy was dropped since, behind which there is no head.
     pub fn take(
         &mut self,
         lot: &str,
         pairs: &[KeyValue],
         asked_at: Timestamp,
         now: Timestamp,
-    ) -> Result<(), DamagedRecord> {
+    ) -> Result<bool, DamagedRecord> {
         let place = match self.place(lot) {
             Ok(place) => place,
             Err(place) => {
                 let key = keys::head(lot);
                 let Some(pair) = pairs.iter().find(|it| it.key == key) else {
-                    return Ok(());
+                    return Ok(false);
                 };
                 self.lots
                     .insert(place, KnownLot::new(lot, from_json(pair)?, asked_at));
@@ -196,7 +197,7 @@
         known.take(pairs)?;
         known.prove(CopySource::Store, asked_at);
         self.shrink();
-        Ok(())
+        Ok(true)
     }
 
     /// Takes in results that this daemon has just written under a key.
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -163,7 +163,6 @@
     if !is_known && !ask_runner(node, lot).await {
         ask_store(node, lot).await?;
     }
-    // A store that was asked without a copy in between can be sure.
     match node.lot_cache.borrow().belongs_to(lot, customer) {
         true => Ok(()),
         false => Err(RefusalCause::NoSuchLot.into()),
@@ -172,9 +171,26 @@
 
 /// Learns what there is of a lot beyond what is known from the store.
 async fn ask_store<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> Result<(), Refusal> {
+    let last_key = node.lot_cache.borrow().last_key(lot);
+    let is_part = last_key.is_some();
+    let is_known = ask_behind(node, lot, last_key).await?;
+    // The copy may have been dropped for others meanwhile. That the store has no head
+    // behind it doesn't say that there is no such lot.
+    if is_part && !is_known {
+        ask_behind(node, lot, None).await?;
+    }
+    Ok(())
+}
+
+/// Learns what there is of a lot behind a key. Returns whether the lot is known then.
+async fn ask_behind<D: Dialect>(
+    node: &Rc<Node<D>>,
+    lot: &str,
+    last_key: Option<String>,
+) -> Result<bool, Refusal> {
     let asked_at = node.clock.now();
     let prefix = keys::data(lot);
-    let range = match node.lot_cache.borrow().last_key(lot) {
+    let range = match last_key {
         Some(after) => KeyRange::After { prefix, after },
         None => KeyRange::Prefix(prefix),
     };
