--- a/crates/serving/tests/lot_cache.rs
+++ b/crates/serving/tests/lot_cache.rs
@@ -14,9 +14,9 @@
 
 const LOT: &str = "lot-1";
 
-fn pair(key: &str, value: &serde_json::Value) -> KeyValue {
+fn pair(lot: &str, key: &str, value: &serde_json::Value) -> KeyValue {
     KeyValue {
-        key: format!("lots/data/{LOT}/{key}"),
+        key: format!("lots/data/{lot}/{key}"),
         value: value.to_string().into(),
         modified: 1,
         created: 1,
@@ -24,6 +24,20 @@
     }
 }
 
+fn head(lot: &str) -> KeyValue {
+    let head = serde_json::json!({
+        "customer": "press", "host": "fleet.example", "total": 4, "attempts": 2,
+        "submitted": 1, "due": 2, "given_up": 3,
+    });
+    pair(lot, "head", &head)
+}
+
+/// The store's record of a group of results.
+fn group(number: usize, results: &[ItemResult]) -> KeyValue {
+    let results = serde_json::to_value(results).unwrap();
+    pair(LOT, &format!("results/{number:05}"), &results)
+}
+
 fn result(id: &str) -> ItemResult {
     ItemResult {
         id: id.to_owned(),
@@ -43,12 +57,7 @@
 
 /// A cache that has read a lot with the results of one group.
 fn with_one_group() -> LotCache {
-    let head = serde_json::json!({
-        "customer": "press", "host": "fleet.example", "total": 4, "attempts": 2,
-        "submitted": 1, "due": 2, "given_up": 3,
-    });
-    let first = serde_json::to_value(vec![result("a"), result("b")]).unwrap();
-    let pairs = [pair("head", &head), pair("results/00000", &first)];
+    let pairs = [head(LOT), group(0, &[result("a"), result("b")])];
     let mut cache = LotCache::default();
     let now = Timestamp::ZERO;
     cache.take(LOT, &pairs, now, now).unwrap();
@@ -63,8 +72,7 @@
     let mut cache = with_one_group();
     let now = Timestamp::ZERO;
     let second = vec![result("c"), result("d")];
-    let written = pair("results/00001", &serde_json::to_value(&second).unwrap());
-    cache.take(LOT, &[written], now, now).unwrap();
+    cache.take(LOT, &[group(1, &second)], now, now).unwrap();
     cache.add_results(LOT, 2, second, group_key(1), now);
     assert_eq!(ids(&cache), ["a", "b", "c", "d"]);
 }
@@ -81,3 +89,25 @@
     cache.add_results(LOT, 2, vec![result("c")], group_key(1), now);
     assert_eq!(ids(&cache), ["a", "b", "c"]);
 }
+
+/// Two readers ask for a lot at the same time. The first has brought a copy of it, so
+/// that the second asks the store only for what lies behind that; before the answer is
+/// there many other lots are read, and the copy is dropped. The answer has no head, and
+/// the second reader must not be told that there is no such lot.
+#[test]
+fn what_lies_behind_a_dropped_copy_does_not_say_that_there_is_no_lot() {
+    let mut cache = LotCache::default();
+    let now = Timestamp::ZERO;
+    let is_known = cache.take("lot-0", &[head("lot-0")], now, now);
+    assert!(is_known.unwrap());
+    assert!(cache.last_key("lot-0").is_some(), "asked behind this");
+    for number in 1..=64 {
+        let lot = format!("lot-{number}");
+        let later = now + std::time::Duration::from_millis(number);
+        cache.take(&lot, &[head(&lot)], later, later).unwrap();
+    }
+    let is_known = cache.take("lot-0", &[], now, now).unwrap();
+    assert!(!is_known, "it has to be read anew");
+    assert!(cache.last_key("lot-0").is_none(), "from its beginning");
+    assert!(cache.take("lot-0", &[head("lot-0")], now, now).unwrap());
+}
