Append a lot's results to a copy only as the next group

What callers could see: results at positions of others, at one daemon.

Cause: a copy took any group of results behind its last one. Three reads under way at once and a copy dropped in between can bring a later group to a shorter copy: one asks behind a long copy, that copy is dropped, an older answer makes it anew and shorter, and the first answer follows.

Why it holds: groups are numbered without gaps by whoever holds the claim, a copy knows how many it has, and takes the next one only. An answer that doesn't follow proves nothing, and the lot is read anew.

--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -49,7 +49,8 @@
     pub results: Vec<ItemResult>,
     /// Whether its customer ended it.
     pub is_ended: bool,
-    last_key: String,
+    /// How many groups of results it has.
+    groups: usize,
     bytes: usize,
     /// Whether its end was read from the store. Nothing is written behind that.
     is_closed: bool,
@@ -61,18 +62,18 @@
 }
 
 impl KnownLot {
-    fn new(lot: &str, head: LotHead, now: Timestamp) -> Self {
+    fn new(lot: &str, head: LotHead, asked_at: Timestamp) -> Self {
         KnownLot {
             lot: lot.to_owned(),
             head,
             results: Vec::new(),
             is_ended: false,
             is_closed: false,
-            last_key: keys::before_results(lot),
+            groups: 0,
             bytes: 0,
-            proved_at: now,
+            proved_at: asked_at,
             source: CopySource::Store,
-            used_at: now,
+            used_at: asked_at,
         }
     }
 
@@ -109,15 +110,32 @@
         page
     }
 
-    fn take(&mut self, pairs: &[KeyValue]) -> Result<(), DamagedRecord> {
+    /// Takes in what the store holds. Returns whether it follows on what is known.
+    fn take(&mut self, pairs: &[KeyValue]) -> Result<bool, DamagedRecord> {
         for pair in pairs {
-            if keys::is_group(&pair.key) && pair.key > self.last_key {
-                self.append(from_packed(pair)?, pair.key.clone());
+            if keys::is_group(&pair.key) && pair.key > self.last_key() {
+                if pair.key != self.next_key() {
+                    return Ok(false);
+                }
+                self.append(from_packed(pair)?, self.groups + 1);
             }
             self.is_closed |= pair.key == keys::end(&self.lot);
         }
         self.is_ended |= self.is_closed;
-        Ok(())
+        Ok(true)
+    }
+
+    /// The key after which further results come.
+    fn last_key(&self) -> String {
+        match self.groups.checked_sub(1) {
+            Some(last) => keys::group(&self.lot, last),
+            None => keys::before_results(&self.lot),
+        }
+    }
+
+    /// The key under which the next results will be.
+    fn next_key(&self) -> String {
+        keys::group(&self.lot, self.groups)
     }
 
     /// Notes that this was all there is at `asked_at`, the moment at which that was
@@ -127,11 +145,11 @@
         self.source = source;
     }
 
-    /// Adds results up to those under a key.
-    fn append(&mut self, results: Vec<ItemResult>, last_key: String) {
+    /// Adds results, up to a number of groups.
+    fn append(&mut self, results: Vec<ItemResult>, groups: usize) {
         self.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
         self.results.extend(results);
-        self.last_key = last_key;
+        self.groups = groups;
     }
 }
 
@@ -142,7 +160,8 @@
     /// The position of the first result that is shown.
     after: usize,
     results: Vec<ItemResult>,
-    last_key: String,
+    /// How many groups there are in all.
+    groups: usize,
     is_ended: bool,
 }
 
@@ -167,12 +186,13 @@
 
     /// The last key that was read of a lot, after which there may be more.
     pub fn last_key(&self, lot: &str) -> Option<String> {
-        self.get(lot).map(|it| it.last_key.clone())
+        self.get(lot).map(KnownLot::last_key)
     }
 
     /// Takes in what the store holds after [`LotCache::last_key`], asked at `asked_at`.
-    /// Returns whether the lot is known. It isn't where the store has no such lot, nor
-    /// where the copy was dropped since, behind which there is no head.
+    /// Returns whether the lot is known as it is there. It isn't where the store has no
+    /// such lot, nor where the copy was dropped since: behind it there is no head, or
+    /// there are results that don't follow on a new and shorter copy.
     pub fn take(
         &mut self,
         lot: &str,
@@ -194,21 +214,22 @@
         };
         let known = &mut self.lots[place];
         known.used_at = now;
-        known.take(pairs)?;
-        known.prove(CopySource::Store, asked_at);
+        let follows = known.take(pairs)?;
+        if follows {
+            known.prove(CopySource::Store, asked_at);
+        }
         self.shrink();
-        Ok(true)
+        Ok(follows)
     }
 
-    /// Takes in results that this daemon has just written under a key, from a
-    /// position on. A read of the store may have brought them already; a copy that
-    /// lacks what was before them stays as it is.
+    /// Takes in results that this daemon has just written as a group of this number. A
+    /// read of the store may have brought them already; a copy that lacks what was
+    /// before them stays as it is.
     pub fn add_results(
         &mut self,
         lot: &str,
-        after: usize,
+        group: usize,
         results: Vec<ItemResult>,
-        key: String,
         now: Timestamp,
     ) {
         let Ok(place) = self.place(lot) else {
@@ -216,8 +237,8 @@
         };
         let known = &mut self.lots[place];
         known.used_at = now;
-        if known.results.len() == after && key > known.last_key {
-            known.append(results, key);
+        if known.groups == group {
+            known.append(results, group + 1);
         }
         self.shrink();
     }
@@ -229,7 +250,7 @@
             head: known.head.clone(),
             after,
             results: known.results.get(after..)?.to_vec(),
-            last_key: known.last_key.clone(),
+            groups: known.groups,
             is_ended: known.is_ended,
         })
     }
@@ -259,7 +280,7 @@
             return false;
         };
         if overlap < shown.results.len() {
-            known.append(shown.results[overlap..].to_vec(), shown.last_key);
+            known.append(shown.results[overlap..].to_vec(), shown.groups);
         }
         known.is_ended |= shown.is_ended;
         known.prove(CopySource::Daemon(daemon), asked_at);
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -9,7 +9,6 @@
     dialect::Dialect,
     lots::{
         held_lot::HeldLot,
-        keys,
         notices::{LotProgress, LotStage},
         writer::{self, WriteAnswer},
     },
@@ -30,11 +29,10 @@
         match answer {
             WriteAnswer::Written => {
                 let results: Vec<ItemResult> = held.unwritten.drain(..held.writing).collect();
-                let key = keys::group(lot, held.groups);
                 self.node
                     .lot_cache
                     .borrow_mut()
-                    .add_results(lot, held.listed, results, key, now);
+                    .add_results(lot, held.groups, results, now);
                 held.listed += held.writing;
                 held.writing = 0;
                 held.writing_since = None;
--- a/crates/serving/tests/lot_cache.rs
+++ b/crates/serving/tests/lot_cache.rs
@@ -46,10 +46,6 @@
     }
 }
 
-fn group_key(number: usize) -> String {
-    format!("lots/data/{LOT}/results/{number:05}")
-}
-
 fn ids(cache: &LotCache) -> Vec<String> {
     let known = cache.get(LOT).unwrap();
     known.results.iter().map(|it| it.id.clone()).collect()
@@ -73,7 +69,7 @@
     let now = Timestamp::ZERO;
     let second = vec![result("c"), result("d")];
     cache.take(LOT, &[group(1, &second)], now, now).unwrap();
-    cache.add_results(LOT, 2, second, group_key(1), now);
+    cache.add_results(LOT, 1, second, now);
     assert_eq!(ids(&cache), ["a", "b", "c", "d"]);
 }
 
@@ -84,9 +80,9 @@
 fn results_that_do_not_follow_on_a_copy_are_left_out() {
     let mut cache = with_one_group();
     let now = Timestamp::ZERO;
-    cache.add_results(LOT, 3, vec![result("d")], group_key(2), now);
+    cache.add_results(LOT, 2, vec![result("d")], now);
     assert_eq!(ids(&cache), ["a", "b"]);
-    cache.add_results(LOT, 2, vec![result("c")], group_key(1), now);
+    cache.add_results(LOT, 1, vec![result("c")], now);
     assert_eq!(ids(&cache), ["a", "b", "c"]);
 }
 
@@ -111,3 +107,22 @@
     assert!(cache.last_key("lot-0").is_none(), "from its beginning");
     assert!(cache.take("lot-0", &[head("lot-0")], now, now).unwrap());
 }
+
+/// The same, but a third reader whose question is older has made the copy anew by then,
+/// from what the store held at that time. The answer to the second begins behind what
+/// this one lacks, and its results would stand at the positions of others.
+#[test]
+fn what_does_not_follow_on_a_copy_is_no_part_of_it() {
+    let mut cache = with_one_group();
+    let now = Timestamp::ZERO;
+    let follows = cache.take(LOT, &[group(2, &[result("d")])], now, now);
+    assert!(!follows.unwrap(), "it has to be read anew");
+    assert_eq!(ids(&cache), ["a", "b"]);
+    let whole = [
+        group(0, &[result("a"), result("b")]),
+        group(1, &[result("c")]),
+        group(2, &[result("d")]),
+    ];
+    assert!(cache.take(LOT, &whole, now, now).unwrap());
+    assert_eq!(ids(&cache), ["a", "b", "c", "d"]);
+}
