Of two words on a lot the later one counts; the new stage stands last

Of two daemons that had told the same count of results for a lot, the one with the higher number among daemons was taken, however old its word: a reader that waits had the store asked at each look though the running daemon spoke (the test failed for one order of names). The new stage stood in the middle of the others, so that a daemon of the former version, while a fleet is rolled, would have taken a lot that was left for one that is finished.

The test of who may be asked now has two daemons: its second message had been dropped as an old one, and it said nothing of an unsure daemon. Taking unsure ones for sure failed no test of the list before, and fails this one now.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -67,6 +67,8 @@
     pub incarnation: u64,
     /// How many results it says there are.
     pub results: usize,
+    /// What it has to do with the lot.
+    pub stage: LotStage,
     /// How long ago it said so.
     pub age: Duration,
 }
@@ -321,8 +323,9 @@
             let told = it.told_of(lot);
             it.was_heard(self.heard_lately(), now) && told.is_some_and(|it| it.stage.knows_all())
         };
-        let results = |it: &&KnownMember| it.told_of(lot).map(|told| told.results);
-        let runner = self.members.iter().filter(knows).max_by_key(results)?;
+        // Of two, as after a hand-over, the one with more results, or the later word.
+        let rank = |it: &&KnownMember| (it.told_of(lot).map(|told| told.results), it.heard_at);
+        let runner = self.members.iter().filter(knows).max_by_key(rank)?;
         Some(runner.record.address)
     }
 
@@ -355,10 +358,10 @@
                 heard_at: member.heard_at?,
             })
         });
-        vouches.max_by_key(|it| it.results)
+        vouches.max_by_key(|it| (it.results, it.heard_at))
     }
 
-    /// What is said of a lot, by the daemon that knows of the most results.
+    /// What is said of a lot: by the daemon that knows of all results, if there is one.
     pub fn runner_word(&self, lot: &str, now: Timestamp) -> Option<RunnerWord> {
         let words = self.members.iter().filter_map(|member| {
             let told = member.told_of(lot)?;
@@ -366,10 +369,11 @@
                 daemon: member.record.name.clone(),
                 incarnation: member.record.incarnation,
                 results: usize::from(told.results),
+                stage: told.stage,
                 age: now.since(member.heard_at?),
             })
         });
-        words.max_by_key(|it| it.results)
+        words.max_by_key(|it| (it.stage.knows_all(), it.results))
     }
 
     /// Whether a daemon tells that it ran a lot to its end.
--- a/crates/serving/src/lots/notices.rs
+++ b/crates/serving/src/lots/notices.rs
@@ -42,13 +42,14 @@
 pub enum LotStage {
     /// It runs it, and knows of all its results.
     Held,
-    /// It runs it, but the store may hold more results than it knows of: its claim may
-    /// be gone, or a write of its own has no answer.
-    Unsure,
     /// It ran it, and left it to others.
     Left,
     /// It ran it to the end: there is nothing more to do.
     Finished,
+    /// It runs it, but the store may hold more results than it knows of: its claim may
+    /// be gone, or a write of its own has no answer. It stands last, since daemons of a
+    /// former version know the others by their places.
+    Unsure,
 }
 
 impl LotStage {
@@ -57,6 +58,16 @@
         matches!(self, LotStage::Held | LotStage::Unsure)
     }
 
+    /// The stage as a label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LotStage::Held => "held",
+            LotStage::Left => "left",
+            LotStage::Finished => "finished",
+            LotStage::Unsure => "unsure",
+        }
+    }
+
     /// Whether a daemon in this stage knows of all results.
     pub fn knows_all(self) -> bool {
         matches!(self, LotStage::Held | LotStage::Finished)
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -50,7 +50,7 @@
         notices.vouched_results(lot, lease, self.clock.now())
     }
 
-    /// What is said of a lot, by the daemon that knows of the most results.
+    /// What is said of a lot: by the daemon that knows of all results, if there is one.
     pub fn runner_word(&self, lot: &str) -> Option<RunnerWord> {
         self.members.borrow().runner_word(lot, self.clock.now())
     }
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -76,18 +76,37 @@
 #[test]
 fn only_a_daemon_that_knows_all_results_is_asked_for_them() {
     let now = Timestamp::from_micros(1_000_000);
-    let mut members = MemberList::new("entry-1");
-    for stage in [LotStage::Left, LotStage::Unsure] {
-        members.hear(&message(stage as u64 + 1, progress(stage)), now);
-        assert_eq!(members.runner_vouch("lot-1"), None, "{stage:?}");
-        assert_eq!(members.lot_runner("lot-1", now), None, "{stage:?}");
-    }
-    members.hear(&message(9, progress(LotStage::Unsure)), now);
+    let mut members = MemberList::new("lots-1");
+    members.hear(&message(1, progress(LotStage::Left)), now);
+    let mut other = message(1, progress(LotStage::Unsure));
+    other.from.name = "lots-3".to_owned();
+    members.hear(&other, now);
+    assert_eq!(members.runner_vouch("lot-1"), None);
+    assert_eq!(members.lot_runner("lot-1", now), None);
     assert!(members.is_held("lot-1", now), "it still runs there");
-    members.hear(&message(10, progress(LotStage::Finished)), now);
+    members.hear(&message(2, progress(LotStage::Finished)), now);
     assert!(members.lot_runner("lot-1", now).is_some());
 }
 
+/// A daemon ran a lot, was cut off, and another one runs it now. Both have told the
+/// same number of results; the word that is kept from the first is old. If it hid the
+/// other's, each reader that waits would have the store asked in vain.
+#[test]
+fn the_later_of_two_words_counts() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let later = begin + Duration::from_millis(2_000);
+    for names in [["lots-2", "lots-3"], ["lots-3", "lots-2"]] {
+        let mut members = MemberList::new("entry-1");
+        for (name, at) in names.into_iter().zip([begin, later]) {
+            let mut word = message(1, progress(LotStage::Held));
+            word.from.name = name.to_owned();
+            members.hear(&word, at);
+        }
+        let vouch = members.runner_vouch("lot-1");
+        assert_eq!(vouch.map(|it| it.heard_at), Some(later), "{names:?}");
+    }
+}
+
 /// What a daemon says in one of its lives.
 fn of_life(incarnation: u64, number: u64, progress: Vec<LotProgress>) -> PeerMessage {
     let mut message = message(number, progress);
