Ask the running daemon first for a reader that is ahead of the copy; bound a look

Now that daemon is asked where it says that it has as much, and the store where it hasn't.

A look for more is ended a second after the time that the reader wanted to wait, with the answer that it should come back; behind a silent store it had taken 3 s. A reader that is ahead isn't told that there is nothing on the word of a daemon that it disproves.

The line of a read now says how it was answered and in which stage the daemon was whose word it tells.

The bound of a second was stated too broadly before: it holds for words of the running daemon that are on their way for up to 0.4 s, which the test now says and tries over all moments of the write. New tests for what none noticed when it was taken out: a daemon that may lack results shows its copy to nobody, and a late answer of the store proves nothing.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -358,6 +358,17 @@
         String::from_utf8_lossy(answer.body()).into_owned()
     }
 
+    /// What a daemon shows another one of a lot, as all there is; nothing where it
+    /// can't speak for the lot.
+    pub(crate) async fn shown_to_peers(&self, node: usize, lot: &str) -> Option<Value> {
+        let address = self.nodes[node].peers;
+        let request = Request::get(format!("http://{address}/lots/{lot}/0"));
+        let request = request.body(MessageBody::empty()).unwrap();
+        let answer = self.client.exchange(request, CALL, ANSWER_LIMIT).await;
+        let answer = answer.unwrap();
+        (answer.status() == StatusCode::OK).then(|| serde_json::from_slice(answer.body()).unwrap())
+    }
+
     /// Asks a daemon and reads its whole answer; an error where it breaks off.
     pub(crate) async fn ask(&self, node: usize, ask: Ask<'_>) -> Result<Response<Bytes>, String> {
         let address = self.nodes[node].callers.unwrap();
--- a/crates/node/tests/lot_reads.rs
+++ b/crates/node/tests/lot_reads.rs
@@ -8,15 +8,18 @@
 
 mod fleet;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfreyramp_http::StatusCode;
-use fleet::Fleet;
+use comfreyramp_standins::link::LinkMode;
+use fleet::{Ask, Fleet};
 
 /// The places of the daemons in the fleet.
 const FIRST_ENTRY: usize = 0;
 const SECOND_ENTRY: usize = 1;
 const LOTS: usize = 2;
+/// The link between the first daemon and the store, behind those of three servers.
+const STORE_OF_FIRST_ENTRY: usize = 3;
 /// What one reader was shown, others have to be shown after so long at the latest.
 const SETTLE: Duration = Duration::from_millis(1_000);
 
@@ -95,3 +98,46 @@
     tokio::time::sleep(SETTLE).await;
     assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-w").await, 2);
 }
+
+/// The daemon that runs a lot waits for the store's answer to its write. Others take
+/// what it shows for all there is; should it show its results as if nothing were under
+/// way, they would tell readers that there are no more.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_may_lack_results_shows_its_copy_to_nobody() {
+    let fleet = with_undecided_results("lot-s").await;
+    // Answers usually take a few milliseconds, for which a daemon speaks on.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(fleet.shown_to_peers(LOTS, "lot-s").await, None);
+    hold_answers(&fleet, false);
+    fleet
+        .eventually("it knows of its write", async || {
+            fleet.shown_to_peers(LOTS, "lot-s").await.is_some()
+        })
+        .await;
+    assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-s").await, 2);
+}
+
+/// Nobody runs a lot, and the store takes its time. What it says was so when it was
+/// asked; by the time that the answer is here, others may have been shown results. A
+/// reader is told to come back, and neither that there is nothing nor after an age.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_is_no_proof_that_there_are_no_results() {
+    let mut fleet = Fleet::linked().await;
+    let status = fleet.hand_in(SECOND_ENTRY, "lot-l", &["one", "two"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    fleet.kill(LOTS);
+    let page = fleet.read_lot(FIRST_ENTRY, "lot-l", 0).await;
+    assert!(page.is_some(), "the store answers at once");
+    let store = &fleet.links[STORE_OF_FIRST_ENTRY];
+    store
+        .faults
+        .set_mode(LinkMode::Delayed(Duration::from_millis(400)));
+    // What the daemon knew a moment ago is no proof any more.
+    tokio::time::sleep(SETTLE).await;
+    let begun = Instant::now();
+    let answer = fleet
+        .ask(FIRST_ENTRY, Ask::get("/-/lots/lot-l?after=0"))
+        .await;
+    assert_eq!(answer.unwrap().status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(begun.elapsed() < Duration::from_millis(2_000));
+}
--- a/crates/policy/src/lots/copy_proof.rs
+++ b/crates/policy/src/lots/copy_proof.rs
@@ -6,8 +6,8 @@
 
 /// "There is no result at this position" may be said for so long after it was
 /// certain. What one reader was shown, others expect to see within a second; the
-/// doubt about a write under way ([`WRITE_DOUBT`]) and the pauses of a reader that
-/// waits come on top.
+/// doubt about a write under way ([`WRITE_DOUBT`]) comes on top, and the way of a
+/// daemon's word, which is left 0.4 s.
 const EMPTY_PROOF: Duration = Duration::from_millis(400);
 /// The same where the look for more took its time: what it found is how things were
 /// when it began.
@@ -92,8 +92,17 @@
 
     /// Whether a reader may be told that there is nothing for it, after a look that
     /// may have taken its time.
-    pub fn proves_nothing_there(&self, vouch: Option<RunnerVouch>, now: Timestamp) -> bool {
-        self.is_final || now.since(self.last_proof(vouch)) <= LATE_PROOF
+    pub fn proves_nothing_there(
+        &self,
+        reader: ReaderPosition,
+        vouch: Option<RunnerVouch>,
+        now: Timestamp,
+    ) -> bool {
+        let proof = match self.is_behind(reader) {
+            true => self.proved_at,
+            false => self.last_proof(vouch),
+        };
+        self.is_final || now.since(proof) <= LATE_PROOF
     }
 
     fn last_proof(&self, vouch: Option<RunnerVouch>) -> Timestamp {
--- a/crates/policy/tests/copy_proof.rs
+++ b/crates/policy/tests/copy_proof.rs
@@ -30,22 +30,24 @@
     ReaderPosition { after, asked_at }
 }
 
-/// The daemon that runs a lot writes the last result and is lost. The last that others
-/// heard of it was sent in the moment before. However late that word came and whenever
-/// somebody asks, nobody may be told a second after the write that the result isn't
-/// there.
+/// The daemon that runs a lot begins to write the last result, which takes effect at
+/// once, and is lost before it has the answer. Until then it says that there is none,
+/// and its last word is on its way for a while. Whenever somebody asks, nobody may be
+/// told a second after the write that the result isn't there.
 #[test]
 fn nothing_is_denied_a_second_after_it_was_written() {
     let written = at(10_000);
-    let began = at(9_800);
-    for late in 0..50 {
-        let copy = copy_of(11, at(9_000 + late * 20));
-        // Until its write has been unanswered for too long the daemon speaks for the lot.
-        let heard_at = at(9_700 + late * 20);
-        let word = vouch(11, heard_at).filter(|_| knows_all_results(Some(began), heard_at));
-        let now = written + SETTLE;
-        assert!(copy.is_doubtful(reader(11, now), word, now), "{late}");
-        assert!(!copy.proves_nothing_there(word, now), "{late}");
+    let now = written + SETTLE + Duration::from_millis(1);
+    for spoken_after in (0..=400).step_by(20) {
+        let spoken_at = written + Duration::from_millis(spoken_after);
+        let speaks = knows_all_results(Some(written), spoken_at);
+        for way in (0..=400).step_by(20) {
+            let word = vouch(11, spoken_at + Duration::from_millis(way)).filter(|_| speaks);
+            let copy = copy_of(11, written);
+            let asked = reader(11, now);
+            assert!(copy.is_doubtful(asked, word, now), "{spoken_after} {way}");
+            assert!(!copy.proves_nothing_there(asked, None, now));
+        }
     }
 }
 
@@ -78,6 +80,11 @@
     let copy = copy_of(11, at(8_950));
     let asked = reader(12, at(9_000));
     assert!(copy.is_doubtful(asked, vouch(11, at(8_990)), at(9_000)));
+    let vouched = vouch(11, at(9_600));
+    assert!(
+        !copy.proves_nothing_there(asked, vouched, at(9_600)),
+        "nor by a word"
+    );
     let after_the_look = copy_of(11, at(9_010));
     assert!(
         !after_the_look.is_doubtful(asked, vouch(11, at(8_990)), at(9_020)),
@@ -96,5 +103,5 @@
         ..copy
     };
     assert!(!whole.is_doubtful(reader(3, at(99_000)), None, at(99_000)));
-    assert!(whole.proves_nothing_there(None, at(99_000)));
+    assert!(whole.proves_nothing_there(reader(3, at(99_000)), None, at(99_000)));
 }
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -20,13 +20,16 @@
 use crate::{
     dialect::{CallerDialect, Dialect},
     fleet::KnownCustomer,
-    model::{CallerAsk, LotItem, Refusal, RefusalCause},
+    model::{CallerAsk, LotItem, LotPage, Refusal, RefusalCause},
     node::Node,
     path::FrontBody,
 };
 
 /// An answer is held back no longer than this while there is no result.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// Beyond the time that a reader waits, the store and the daemon that runs the lot get
+/// this much. Where they don't answer, its caller is better told so than kept.
+const LOOK_LIMIT: Duration = Duration::from_millis(1_000);
 /// How often a reader that waits looks whether there is news.
 const LOOK_INTERVAL: Duration = Duration::from_millis(150);
 /// When a reader may come back while the store can't be reached.
@@ -46,9 +49,12 @@
     let name = customer.settings.name.as_str();
     match ask {
         CallerAsk::ReadLot { lot, after, wait } => {
-            let answer = read_lot(node, name, &lot, after, wait).await;
-            log_shown(node, request, &lot, after);
-            answer
+            let reading = read_lot(node, name, &lot, after, wait);
+            let limit = wait.min(LONGEST_WAIT) + LOOK_LIMIT;
+            let answer = tokio::time::timeout(limit, reading).await;
+            let page = answer.unwrap_or_else(|_| Err(store_away()));
+            log_read(node, request, &lot, after, &page);
+            page.map(|it| <D::Callers as CallerDialect>::lot_page(&it).map(FrontBody::whole))
         }
         CallerAsk::ReadItem { lot, item } => read_item(node, name, &lot, &item).await,
         CallerAsk::EndLot { lot } => end_lot(node, name, &lot).await,
@@ -62,14 +68,14 @@
     lot: &str,
     after: usize,
     wait: Duration,
-) -> Answer<D> {
+) -> Result<LotPage, Refusal> {
     let asked_at = node.clock.now();
     let reader = ReaderPosition { after, asked_at };
     let until = asked_at + wait.min(LONGEST_WAIT);
     know_lot(node, customer, lot).await?;
     loop {
-        // A reader that begins anew gets all there is, not just what somebody else
-        // has read here before. Where no more can be had, what is known will do.
+        // A reader that begins anew gets what is new as well, not just what somebody
+        // else has read here before. Where no more can be had, what is known will do.
         if is_doubtful(node, lot, reader)
             && let Err(refusal) = look_further(node, lot, reader).await
             && !serves(node, lot, reader)
@@ -82,17 +88,18 @@
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
     let cache = node.lot_cache.borrow();
-    let away = || Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY);
-    let known = cache.get(lot).ok_or_else(away)?;
+    let known = cache.get(lot).ok_or_else(store_away)?;
     let state = known.state();
+    let vouch = node.runner_vouch(lot);
     // A look that took long tells of how it was then. Whoever can't be sure says so.
-    if !state.serves(reader)
-        && !state.proves_nothing_there(node.runner_vouch(lot), node.clock.now())
-    {
-        return Err(away());
+    if !state.serves(reader) && !state.proves_nothing_there(reader, vouch, node.clock.now()) {
+        return Err(store_away());
     }
-    let page = known.page(after);
-    Ok(<D::Callers as CallerDialect>::lot_page(&page).map(FrontBody::whole))
+    Ok(known.page(after))
+}
+
+fn store_away() -> Refusal {
+    Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY)
 }
 
 fn copy_state<D: Dialect>(node: &Node<D>, lot: &str) -> Option<CopyState> {
@@ -114,36 +121,49 @@
     copy_state(node, lot).is_none_or(|it| it.is_doubtful(reader, vouch, now))
 }
 
-/// Learns what there is of a lot for a reader. One that knows more than the copy here
-/// knows more than the daemon that runs the lot, as a rule: that one proved the copy.
+/// Learns what there is of a lot for a reader, from the daemon that runs it or from the
+/// store. A reader that is ahead of the copy here has been elsewhere meanwhile, and that
+/// daemon has what it asks for; if it hasn't, its word that there is none was wrong.
 async fn look_further<D: Dialect>(
     node: &Rc<Node<D>>,
     lot: &str,
     reader: ReaderPosition,
 ) -> Result<(), Refusal> {
-    let is_behind = copy_state(node, lot).is_some_and(|it| it.is_behind(reader));
-    if !is_behind && ask_runner(node, lot).await {
+    let is_behind = || copy_state(node, lot).is_some_and(|it| it.is_behind(reader));
+    let vouch = node.runner_vouch(lot);
+    let has_it = vouch.is_some_and(|it| it.results >= reader.after);
+    if (has_it || !is_behind()) && ask_runner(node, lot).await && !is_behind() {
         return Ok(());
     }
     ask_store(node, lot).await
 }
 
-/// Logs by what a read was answered: how far the copy of the lot went, how old it
-/// was and whose, and what the daemon that runs the lot had said by then.
-fn log_shown<D: Dialect>(node: &Node<D>, request: &str, lot: &str, after: usize) {
+/// Logs how a read was answered, and by what: how far the copy of the lot goes, when and
+/// by whom it was last proved to be all, and what is said of the lot.
+fn log_read<D: Dialect>(
+    node: &Node<D>,
+    request: &str,
+    lot: &str,
+    after: usize,
+    page: &Result<LotPage, Refusal>,
+) {
     let cache = node.lot_cache.borrow();
-    let Some(known) = cache.get(lot) else {
-        return;
-    };
-    let age = node.clock.now().since(known.proved_at);
+    let known = cache.get(lot);
+    let now = node.clock.now();
+    let age = known.map_or(Duration::ZERO, |it| now.since(it.proved_at));
     let word = node.runner_word(lot);
     let word = word.as_ref();
     log::info!(
         request = request, lot = lot, after = after,
-        known = known.results.len(), total = known.head.total,
-        copy_age_ms = age.as_millis() as u64, copy_from:% = known.source,
+        outcome = page.as_ref().map_or_else(|it| it.cause.as_str(), |_| "shown"),
+        next = page.as_ref().map_or(after, |it| it.next),
+        known = known.map_or(0, |it| it.results.len()),
+        total = known.map_or(0, |it| it.head.total),
+        copy_age_ms = age.as_millis() as u64,
+        copy_from = known.map_or_else(String::new, |it| it.source.to_string()),
         runner = word.map_or("", |it| &it.daemon),
         runner_life = word.map_or(0, |it| it.incarnation),
+        runner_stage = word.map_or("", |it| it.stage.as_str()),
         runner_results = word.map_or(0, |it| it.results),
         heard_ms = word.map_or(0, |it| it.age.as_millis() as u64);
         "lots: read"
@@ -208,7 +228,7 @@
 fn away<D: Dialect>(node: &Node<D>, lot: &str, error: &StoreError) -> Refusal {
     node.note_store_trouble();
     log::warn!(lot = lot, error:% = error; "lots: can't be read");
-    Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY)
+    store_away()
 }
 
 fn damaged(error: &DamagedRecord) -> Refusal {
