Take back requests to servers that were given up before they arrived

Customers could see items of a lot begin seconds after they had ended it. Cause: a request written to a connection whose server has just fallen behind a cut stays with the kernel. The daemon gave the item up (its lot was ended, or it stepped aside) and closed the connection; closed in order, it went on being sent, and reached the server once the cut healed. The server began it and broke off with its first event. Ruled out: an item begun anew by the daemon (it knew of the end and started nothing); a claim of the ended lot (each is on condition that there is no end). Now a connection with a request whose answer isn't read to its end is closed by a reset, which discards what wasn't acknowledged. Connections that are idle are closed in order as before. The stand-in link now holds what was sent into a cut also past the sender's end of the connection, and drops it where the sender reset it, as kernels do; before, the end came so close behind that the stand-in server dropped the request. Test: failing_fleet: what_was_sent_into_a_cut_does_not_run_after_the_end_of_its_lot.

--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use comfreyramp_http::{Method, StatusCode};
+use comfreyramp_standins::link::LinkMode;
 use fleet::{Ask, Fleet, KEY, SPARE_KEY, whole_output, whole_stream};
 
 /// An engine crashes in the middle of an event. The caller of a resumable stream
@@ -293,6 +294,41 @@
     assert_eq!(count(), before);
 }
 
+/// Backend servers fall behind a cut, and items of a lot are sent to them over
+/// connections that are open still. The customer ends the lot, and the daemon gives
+/// these items up. Once the cut heals, the servers must not begin what was sent into
+/// it: seconds after its end the customer would see the lot run.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_was_sent_into_a_cut_does_not_run_after_the_end_of_its_lot() {
+    let fleet = Fleet::linked().await;
+    let to_servers = &fleet.links[..fleet.runners.len()];
+    let count = || -> usize { fleet.runners.iter().map(|it| it.arrivals().len()).sum() };
+    fleet.hand_in(0, "lot-j", &["item"; 8]).await.unwrap();
+    fleet.whole_lot(0, "lot-j").await;
+    let before = count();
+    for link in to_servers {
+        link.faults.set_mode(LinkMode::Silent);
+    }
+    fleet.hand_in(0, "lot-k", &["item"; 8]).await.unwrap();
+    fleet
+        .eventually("items are sent into the cut", async || {
+            fleet
+                .metrics(2)
+                .await
+                .contains("in_flight{kind=\"bulk\"} 8")
+        })
+        .await;
+    let mut end = Ask::get("/-/lots/lot-k");
+    end.method = Method::DELETE;
+    assert_eq!(fleet.ask(0, end).await.unwrap().status(), StatusCode::OK);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    for link in to_servers {
+        link.faults.set_mode(LinkMode::Open);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(count(), before);
+}
+
 /// The daemon that runs a lot is paused for longer than its lease. Meanwhile the
 /// lot is ended, which nobody can tell it, and its claim lapses. It wakes up with
 /// items in its memory, and with nobody's claim in its way. It must leave the lot
--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -14,6 +14,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use super::server_socket::{OpenRequest, ServerSocket};
+
 /// How long a connection may take to open. Zones are a few milliseconds apart;
 /// behind a cut nothing answers at all.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,6 +46,7 @@
 pub struct ServerConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    request: OpenRequest,
     is_reused: bool,
 }
 
@@ -81,7 +84,9 @@
         if let Err(error) = set_socket(&stream) {
             log::warn!(error:% = error; "servers: socket options can't be set");
         }
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let request = OpenRequest::default();
+        let socket = ServerSocket::new(stream, request.clone());
+        let handshake = http1::handshake(TokioIo::new(socket)).await;
         let Ok((sender, connection)) = handshake else {
             return Err(SendFailure::NotSent);
         };
@@ -92,6 +97,7 @@
         Ok(ServerConnection {
             address,
             sender,
+            request,
             is_reused: false,
         })
     }
@@ -117,6 +123,7 @@
         kept_for: Option<Duration>,
         now: Timestamp,
     ) {
+        connection.request.end();
         if connection.sender.is_closed() {
             return;
         }
@@ -159,6 +166,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
+        self.request.begin();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -5,6 +5,7 @@
 mod front_body;
 mod live_request;
 mod server_attempt;
+mod server_socket;
 mod stream_relay;
 
 pub use connection_loop::{LoopLimits, serve_connections};
--- a/crates/standins/src/link/fault_link.rs
+++ b/crates/standins/src/link/fault_link.rs
@@ -18,6 +18,11 @@
 
 /// The most that is read at once.
 const CHUNK: usize = 16 << 10;
+/// The most that a link holds of what was sent into a cut.
+const MOST_HELD: usize = 256 << 10;
+/// The end of a connection is sent anew only once what came before it was
+/// acknowledged: whoever reads there has begun with it by then.
+const END_LAG: Duration = Duration::from_millis(20);
 
 /// A relay of TCP connections on loopback, which stands between two processes.
 #[derive(Clone, Debug)]
@@ -103,21 +108,42 @@
     direction: Direction,
 ) {
     let mut chunk = vec![0; CHUNK];
+    let mut held = Vec::new();
+    let mut has_ended = false;
     loop {
-        let read = from.read(&mut chunk).await;
-        // The end of a connection doesn't pass a cut either.
-        if modes.wait_for(|it| !it.blocks(direction)).await.is_err() {
-            return;
-        }
-        let delay = modes.borrow().delay();
-        tokio::time::sleep(delay).await;
-        let Ok(length @ 1..) = read else {
-            break;
-        };
-        if to.write_all(&chunk[..length]).await.is_err() {
-            break;
+        tokio::select! {
+            biased;
+            // The end of a connection doesn't pass a cut either.
+            opened = opened(&mut modes, direction), if has_ended || !held.is_empty() => {
+                let Some(delay) = opened else {
+                    return;
+                };
+                tokio::time::sleep(delay).await;
+                if to.write_all(&held).await.is_err() {
+                    break;
+                }
+                if has_ended {
+                    let lag = if held.is_empty() { Duration::ZERO } else { END_LAG };
+                    tokio::time::sleep(lag).await;
+                    break;
+                }
+                held.clear();
+            }
+            read = from.read(&mut chunk), if !has_ended && held.len() < MOST_HELD => match read {
+                Ok(0) => has_ended = true,
+                Ok(length) => held.extend_from_slice(&chunk[..length]),
+                // A sender that resets its connection sends nothing of it again.
+                Err(_) => break,
+            },
         }
     }
     // Whoever reads there learns of the end; it may have gone already.
     let _ = to.shutdown().await;
 }
+
+/// Waits until a link lets pass what goes in a direction, and returns by how much it
+/// is delayed; nothing where the link is gone.
+async fn opened(modes: &mut watch::Receiver<LinkMode>, direction: Direction) -> Option<Duration> {
+    let mode = modes.wait_for(|it| !it.blocks(direction)).await.ok()?;
+    Some(mode.delay())
+}
--- a/crates/standins/src/link/link_faults.rs
+++ b/crates/standins/src/link/link_faults.rs
@@ -13,7 +13,8 @@
     /// Everything passes, so much later.
     Delayed(Duration),
     /// Nothing passes in either direction, and nobody is told. What is sent
-    /// meanwhile arrives once the link is open again.
+    /// meanwhile arrives once the link is open again, also where its sender closed
+    /// the connection; not where it reset it.
     Silent,
     /// Only what the server sends passes.
     CutToServer,
