Send items of lots only over connections that were in use a moment ago

Cause: the item was sent over a connection that had been idle since before the cut. Keepalive probes ended that connection before the bound on unacknowledged bytes did, which leaves the request on its way; the next repeat of its first segment, 6.25 s after it was sent, came through. Ruled out: the daemon's ignorance of the end (back from the cut it heard of it within half a second and gave its claim up); a late claim (each is on condition that there is no end). Now an item goes over a connection that was in use within the last second, else over a new one, whose opening proves the path within 0.4 s instead of the 1.5 to 3 s until a lost one is noticed.

--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -53,6 +53,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: ServerConnection,
+    idle_since: Timestamp,
     use_until: Timestamp,
 }
 
@@ -64,7 +65,8 @@
 }
 
 impl ConnectionPool {
-    /// A connection to a server: an idle one if there is any, else a new one.
+    /// A connection to a server: one that hasn't been idle for longer than
+    /// `longest_idle` if there is any, else a new one.
     ///
     /// # Errors
     ///
@@ -72,9 +74,10 @@
     pub async fn connect(
         &self,
         address: SocketAddr,
+        longest_idle: Duration,
         now: Timestamp,
     ) -> Result<ServerConnection, SendFailure> {
-        if let Some(connection) = self.take_idle(address, now) {
+        if let Some(connection) = self.take_idle(address, longest_idle, now) {
             return Ok(connection);
         }
         let opening = tokio::time::timeout(OPEN_TIMEOUT, TcpStream::connect(address));
@@ -102,14 +105,19 @@
         })
     }
 
-    fn take_idle(&self, address: SocketAddr, now: Timestamp) -> Option<ServerConnection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        longest_idle: Duration,
+        now: Timestamp,
+    ) -> Option<ServerConnection> {
         let mut idle = self.idle.borrow_mut();
         let place = idle.binary_search_by_key(&address, |it| it.0).ok()?;
         let connections = &mut idle[place].1;
         connections.retain(|it| it.use_until > now && !it.connection.sender.is_closed());
-        let ready = connections
-            .iter()
-            .rposition(|it| it.connection.sender.is_ready())?;
+        let ready = connections.iter().rposition(|it| {
+            now.since(it.idle_since) <= longest_idle && it.connection.sender.is_ready()
+        })?;
         let mut connection = connections.remove(ready).connection;
         connection.is_reused = true;
         Some(connection)
@@ -131,6 +139,7 @@
         let address = connection.address;
         let idle_connection = IdleConnection {
             connection,
+            idle_since: now,
             use_until: now + span,
         };
         let mut idle = self.idle.borrow_mut();
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -18,6 +18,15 @@
     node::Node,
 };
 
+/// A request goes over a connection that has been idle for no longer than this.
+const LONGEST_IDLE: Duration = Duration::from_secs(60);
+/// The same for an item of a lot. A cut doesn't show on an idle connection: what is
+/// sent into it waits there, and may reach the server once the cut heals, when the
+/// customer has ended the lot long since. A new connection proves its path within
+/// moments; one that was in use so lately fails by its unacknowledged bytes, before
+/// anything else ends it that leaves them on their way.
+const ITEM_LONGEST_IDLE: Duration = Duration::from_millis(1_000);
+
 /// A request's place on a server, given back when it is dropped.
 #[derive(Debug)]
 pub struct AttemptGuard<D: Dialect> {
@@ -177,7 +186,11 @@
     let node = guard.node.clone();
     let address = address_of(&node, guard.server)?;
     let now = node.clock.now();
-    let connecting = node.connections.connect(address, now).await;
+    let longest_idle = match guard.kind {
+        WorkKind::Live => LONGEST_IDLE,
+        WorkKind::Bulk => ITEM_LONGEST_IDLE,
+    };
+    let connecting = node.connections.connect(address, longest_idle, now).await;
     let mut connection = connecting.map_err(failure_of)?;
     let response = connection.send(request).await.map_err(failure_of)?;
     let (head, mut body) = response.into_parts();
