--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -14,6 +14,8 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+use super::server_socket::{OpenRequest, ServerSocket};
+
 /// How long a connection may take to open. Zones are a few milliseconds apart;
 /// behind a cut nothing answers at all.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -44,12 +46,14 @@
 pub struct ServerConnection {
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    request: OpenRequest,
     is_reused: bool,
 }
 
 #[derive(Debug)]
 struct IdleConnection {
     connection: ServerConnection,
+    idle_since: Timestamp,
     use_until: Timestamp,
 }
 
@@ -61,7 +65,8 @@
 }
 
 impl ConnectionPool {
-    /// A connection to a server: an idle one if there is any, else a new one.
+    /// A connection to a server: one that hasn't been idle for longer than
+    /// `longest_idle` if there is any, else a new one.
     ///
     /// # Errors
     ///
@@ -69,9 +74,10 @@
     pub async fn connect(
         &self,
         address: SocketAddr,
+        longest_idle: Duration,
         now: Timestamp,
     ) -> Result<ServerConnection, SendFailure> {
-        if let Some(connection) = self.take_idle(address, now) {
+        if let Some(connection) = self.take_idle(address, longest_idle, now) {
             return Ok(connection);
         }
         let opening = tokio::time::timeout(OPEN_TIMEOUT, TcpStream::connect(address));
@@ -81,7 +87,9 @@
         if let Err(error) = set_socket(&stream) {
             log::warn!(error:% = error; "servers: socket options can't be set");
         }
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let request = OpenRequest::default();
+        let socket = ServerSocket::new(stream, request.clone());
+        let handshake = http1::handshake(TokioIo::new(socket)).await;
         let Ok((sender, connection)) = handshake else {
             return Err(SendFailure::NotSent);
         };
@@ -92,18 +100,24 @@
         Ok(ServerConnection {
             address,
             sender,
+            request,
             is_reused: false,
         })
     }
 
-    fn take_idle(&self, address: SocketAddr, now: Timestamp) -> Option<ServerConnection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        longest_idle: Duration,
+        now: Timestamp,
+    ) -> Option<ServerConnection> {
         let mut idle = self.idle.borrow_mut();
         let place = idle.binary_search_by_key(&address, |it| it.0).ok()?;
         let connections = &mut idle[place].1;
         connections.retain(|it| it.use_until > now && !it.connection.sender.is_closed());
-        let ready = connections
-            .iter()
-            .rposition(|it| it.connection.sender.is_ready())?;
+        let ready = connections.iter().rposition(|it| {
+            now.since(it.idle_since) <= longest_idle && it.connection.sender.is_ready()
+        })?;
         let mut connection = connections.remove(ready).connection;
         connection.is_reused = true;
         Some(connection)
@@ -117,6 +131,7 @@
         kept_for: Option<Duration>,
         now: Timestamp,
     ) {
+        connection.request.end();
         if connection.sender.is_closed() {
             return;
         }
@@ -124,6 +139,7 @@
         let address = connection.address;
         let idle_connection = IdleConnection {
             connection,
+            idle_since: now,
             use_until: now + span,
         };
         let mut idle = self.idle.borrow_mut();
@@ -159,6 +175,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendFailure> {
+        self.request.begin();
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => match error.take_message() {
