--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -75,6 +75,8 @@
     pub(crate) path: &'a str,
     pub(crate) id: &'a str,
     pub(crate) key: &'a str,
+    /// How long a reader of a lot waits for results.
+    pub(crate) wait_ms: u64,
     pub(crate) body: &'a [u8],
 }
 
@@ -85,6 +87,7 @@
             path,
             id,
             key: KEY,
+            wait_ms: 300,
             body,
         }
     }
@@ -95,6 +98,7 @@
             path,
             id: "read",
             key: KEY,
+            wait_ms: 300,
             body: b"",
         }
     }
@@ -303,6 +307,19 @@
         self.signal(node, Signal::CONT);
     }
 
+    /// Fills the queue of a daemon that stands still with datagrams that say nothing, so
+    /// that what others tell it from now on is lost.
+    pub(crate) fn fill_queue(&self, node: usize) {
+        let socket = std::net::UdpSocket::bind(("127.0.0.1", 0)).unwrap();
+        for length in [50_000, 1_000, 1] {
+            for _ in 0..1_000 {
+                socket
+                    .send_to(&vec![0; length], self.nodes[node].peers)
+                    .unwrap();
+            }
+        }
+    }
+
     fn signal(&self, node: usize, signal: Signal) {
         let pid = Pid::from_raw(self.nodes[node].child.id() as i32).unwrap();
         kill_process(pid, signal).unwrap();
@@ -362,7 +379,7 @@
             .header("host", HOST)
             .header("x-request-id", ask.id)
             .header("x-deadline-ms", "5000")
-            .header("x-wait-ms", "300")
+            .header("x-wait-ms", ask.wait_ms)
             .header("api-key", ask.key)
             .body(MessageBody::from(ask.body.to_vec()))
             .unwrap();
--- a/crates/node/tests/lot_reads.rs
+++ b/crates/node/tests/lot_reads.rs
@@ -11,7 +11,8 @@
 use std::time::Duration;
 
 use comfreyramp_http::StatusCode;
-use fleet::Fleet;
+use fleet::{Ask, Fleet};
+use serde_json::Value;
 
 /// The places of the daemons in the fleet.
 const FIRST_ENTRY: usize = 0;
@@ -95,3 +96,43 @@
     tokio::time::sleep(SETTLE).await;
     assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-w").await, 2);
 }
+
+/// The VM of a daemon that callers reach stands still while a lot is run. What the others
+/// told it waits in its queue, which is full soon, so that it has only what was said at
+/// first: that there are no results. It wakes up and reads that as if it were said now,
+/// and a customer who asks in this moment is told that there is nothing, though somebody
+/// was shown the results long ago.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_stood_still_takes_no_old_word_for_news() {
+    let fleet = Fleet::started().await;
+    for runner in &fleet.runners {
+        runner.set_full(true);
+    }
+    let status = fleet.hand_in(SECOND_ENTRY, "lot-o", &["one", "two"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    fleet
+        .eventually("the lot is claimed", async || {
+            !fleet.store.keys("lots/claim/lot-o").is_empty()
+        })
+        .await;
+    assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-o").await, 0);
+    fleet.pause(FIRST_ENTRY);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.fill_queue(FIRST_ENTRY);
+    for runner in &fleet.runners {
+        runner.set_full(false);
+    }
+    fleet.whole_lot(SECOND_ENTRY, "lot-o").await;
+    tokio::time::sleep(SETTLE).await;
+    fleet.resume(FIRST_ENTRY);
+    for _ in 0..100 {
+        let mut ask = Ask::get("/-/lots/lot-o?after=0");
+        ask.wait_ms = 0;
+        let answer = fleet.ask(FIRST_ENTRY, ask).await.unwrap();
+        // It may also say that it isn't sure.
+        if answer.status() == StatusCode::OK {
+            let page: Value = serde_json::from_slice(answer.body()).unwrap();
+            assert_eq!(page["next"], 2);
+        }
+    }
+}
