--- a/crates/policy/tests/copy_proof.rs
+++ b/crates/policy/tests/copy_proof.rs
@@ -98,3 +98,21 @@
     assert!(!whole.is_doubtful(reader(3, at(99_000)), None, at(99_000)));
     assert!(whole.proves_nothing_there(None, at(99_000)));
 }
+
+/// The daemon that runs a lot says that it has three results, and shows two: its own copy
+/// was dropped and read again while the third was written. However fresh that look is,
+/// nobody may be told that there is no third one. The number is true in any case, since
+/// results never go.
+#[test]
+fn a_copy_with_fewer_results_than_told_proves_nothing() {
+    let now = at(9_000);
+    let copy = copy_of(2, now);
+    assert!(copy.is_doubtful(reader(2, now), vouch(3, now), now));
+    assert!(!copy.proves_nothing_there(vouch(3, now), now));
+    assert!(copy.proves_nothing_there(vouch(2, now), now));
+    let former = copy_of(3, now);
+    assert!(
+        former.proves_nothing_there(vouch(2, now), now),
+        "an old word"
+    );
+}
