Take a count of results that was told for the least there is

What callers could see: "nothing there" at a position of which the daemon that runs the lot had told, where that daemon's own copy lacks the result.

Cause: a look that was answered proved the copy, also where it brought fewer results than the same daemon tells of in each message; and a daemon showed its copy on the strength of its claim, without asking whether the copy has all that it vouches for. The copy lacks a result if it was dropped for other lots and read again while the result was written; daemons that run lots and take callers in as well can do that. It was found by reading, not met.

Now a copy that falls short of what was told proves nothing and has the store asked, and a daemon shows no copy that has fewer results than it vouches for. The test of notices asks for the number in place of a yes.

--- a/crates/policy/src/lots/copy_proof.rs
+++ b/crates/policy/src/lots/copy_proof.rs
@@ -75,7 +75,7 @@
             let is_older = self.proved_at < reader.asked_at;
             return is_older || now.since(self.proved_at) > EMPTY_PROOF;
         }
-        if vouch.is_some_and(|it| it.results > self.results) {
+        if self.falls_short(vouch) {
             return true;
         }
         let lasts = match self.serves(reader) {
@@ -90,10 +90,17 @@
         !self.is_final && reader.after > self.results
     }
 
+    /// Whether the daemon that runs the lot told of more results. They never go, so that
+    /// this is true however old its word is, and whatever a look has brought.
+    pub fn falls_short(&self, vouch: Option<RunnerVouch>) -> bool {
+        !self.is_final && vouch.is_some_and(|it| it.results > self.results)
+    }
+
     /// Whether a reader may be told that there is nothing for it, after a look that
     /// may have taken its time.
     pub fn proves_nothing_there(&self, vouch: Option<RunnerVouch>, now: Timestamp) -> bool {
-        self.is_final || now.since(self.last_proof(vouch)) <= LATE_PROOF
+        let is_recent = now.since(self.last_proof(vouch)) <= LATE_PROOF;
+        self.is_final || (is_recent && !self.falls_short(vouch))
     }
 
     fn last_proof(&self, vouch: Option<RunnerVouch>) -> Timestamp {
--- a/crates/serving/src/lots/notices.rs
+++ b/crates/serving/src/lots/notices.rs
@@ -135,11 +135,17 @@
         }
     }
 
-    /// Whether this daemon runs a lot and knows of all its results, where `lease` is
-    /// the lease that it certainly holds.
-    pub fn vouches_for(&self, lot: &str, lease: Option<LeaseId>, now: Timestamp) -> bool {
-        let told = self.progress.iter().find(|it| it.progress.lot == lot);
-        told.is_some_and(|it| it.stage(lease, now) == LotStage::Held)
+    /// How many results a lot has, if this daemon runs it and knows of all of them, where
+    /// `lease` is the lease that it certainly holds.
+    pub fn vouched_results(
+        &self,
+        lot: &str,
+        lease: Option<LeaseId>,
+        now: Timestamp,
+    ) -> Option<usize> {
+        let told = self.progress.iter().find(|it| it.progress.lot == lot)?;
+        let is_held = told.stage(lease, now) == LotStage::Held;
+        is_held.then_some(usize::from(told.progress.results))
     }
 
     /// What is to be told now, where `lease` is the lease that this daemon certainly
--- a/crates/serving/src/lots/peer_read.rs
+++ b/crates/serving/src/lots/peer_read.rs
@@ -25,7 +25,10 @@
 pub fn show_lot<D: Dialect>(node: &Node<D>, rest: &str) -> Option<Bytes> {
     let (lot, after) = rest.split_once('/')?;
     let cache = node.lot_cache.borrow();
-    if !cache.get(lot)?.is_whole() && !node.vouches_for(lot) {
+    let known = cache.get(lot)?;
+    // The copy may have been dropped, and read again while a result was written.
+    let has_all = |vouched: usize| known.results.len() >= vouched;
+    if !known.is_whole() && !node.vouched_results(lot).is_some_and(has_all) {
         return None;
     }
     let shown = cache.show(lot, after.parse().ok()?)?;
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -122,12 +122,17 @@
     reader: ReaderPosition,
 ) -> Result<(), Refusal> {
     let is_behind = copy_state(node, lot).is_some_and(|it| it.is_behind(reader));
-    if !is_behind && ask_runner(node, lot).await {
+    if !is_behind && ask_runner(node, lot).await && !falls_short(node, lot) {
         return Ok(());
     }
     ask_store(node, lot).await
 }
 
+fn falls_short<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
+    let vouch = node.runner_vouch(lot);
+    copy_state(node, lot).is_some_and(|it| it.falls_short(vouch))
+}
+
 /// Logs by what a read was answered: how far the copy of the lot went, how old it
 /// was and whose, and what the daemon that runs the lot had said by then.
 fn log_shown<D: Dialect>(node: &Node<D>, request: &str, lot: &str, after: usize) {
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -43,11 +43,11 @@
         self.members.borrow().runner_vouch(lot)
     }
 
-    /// Whether this daemon runs a lot and knows of all its results.
-    pub fn vouches_for(&self, lot: &str) -> bool {
+    /// How many results a lot has, if this daemon runs it and knows of all of them.
+    pub fn vouched_results(&self, lot: &str) -> Option<usize> {
         let lease = self.lease().map(|it| it.id);
         let notices = self.lot_notices.borrow();
-        notices.vouches_for(lot, lease, self.clock.now())
+        notices.vouched_results(lot, lease, self.clock.now())
     }
 
     /// What is said of a lot, by the daemon that knows of the most results.
--- a/crates/serving/tests/lot_notices.rs
+++ b/crates/serving/tests/lot_notices.rs
@@ -51,8 +51,8 @@
     notices.tell_progress(progress, basis, Timestamp::ZERO);
     let (_, told) = notices.current(lease, now);
     assert_eq!(
-        notices.vouches_for("lot-1", lease, now),
-        told[0].stage == LotStage::Held,
+        notices.vouched_results("lot-1", lease, now),
+        (told[0].stage == LotStage::Held).then_some(3),
         "what is told and what is shown agree"
     );
     told[0].stage
