--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -172,3 +172,19 @@
     members.hear(&of_life(1, 9, Vec::new()), now);
     assert!(!members.is_former_life("lots-2", 2, now), "it may be later");
 }
+
+/// One daemon lists all open lots for the others, which finds lots that nobody was told
+/// to run. The store turns it away, with others still hearing it: were they to rely on
+/// it, a lot would lie until the store lets it in again.
+#[test]
+fn a_daemon_that_does_not_reach_the_store_lists_no_lots_for_others() {
+    let now = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("lots-3");
+    let mut heard = message(1, Vec::new());
+    members.hear(&heard, now);
+    assert!(!members.is_lister("lots-3", now), "lots-2 does");
+    heard.number = 2;
+    heard.reaches_store = false;
+    members.hear(&heard, now);
+    assert!(members.is_lister("lots-3", now));
+}
