Leave the list of open lots to a daemon that reaches the store

What callers could see: a lot that nobody was told to run lies for as long as the store turns one daemon away, and an ended lot runs on if its end wasn't told.

Cause: the first by name of the daemons that are heard lists open lots for all. One that the store turns away, and that finds no way round, has no lease and lists nothing; it is heard all the same, and the others rely on it.

Now only a daemon that says it reaches the store keeps others from listing, as with those that watch. Where none says so, each lists for itself.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -151,10 +151,12 @@
     }
 
     /// Whether the daemon `own` is one of those that look for lots which nobody
-    /// runs: the first by name that are heard.
+    /// runs: the first by name that are heard and reach the store. One that is turned
+    /// away may have no lease, and lists nothing then.
     pub fn is_lister(&self, own: &str, now: Timestamp) -> bool {
         let before = self.members.iter().filter(|it| {
             it.record.runs_lots
+                && it.reaches_store
                 && !it.is_leaving
                 && it.was_heard(self.heard_lately(), now)
                 && it.record.name.as_str() < own
