--- a/crates/node/tests/lot_reads.rs
+++ b/crates/node/tests/lot_reads.rs
@@ -13,6 +13,7 @@
 use comfreyramp_http::StatusCode;
 use comfreyramp_standins::link::LinkMode;
 use fleet::{Ask, Fleet};
+use serde_json::Value;
 
 /// The places of the daemons in the fleet.
 const FIRST_ENTRY: usize = 0;
@@ -141,3 +142,48 @@
     assert_eq!(answer.unwrap().status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(begun.elapsed() < Duration::from_millis(2_000));
 }
+
+/// The VM of a daemon that callers reach stands still while a lot is run. What the others
+/// told it waits in its queue, which is full soon, so that it has only what was said at
+/// first: that there are no results. It wakes up and reads that as if it were said now,
+/// and a customer who asks in this moment is told that there is nothing, though somebody
+/// was shown the results long ago.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_stood_still_takes_no_old_word_for_news() {
+    let fleet = Fleet::started().await;
+    for runner in &fleet.runners {
+        runner.set_full(true);
+    }
+    let status = fleet.hand_in(SECOND_ENTRY, "lot-o", &["one", "two"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    fleet
+        .eventually("the lot is claimed", async || {
+            !fleet.store.keys("lots/claim/lot-o").is_empty()
+        })
+        .await;
+    assert_eq!(shown(&fleet, FIRST_ENTRY, "lot-o").await, 0);
+    fleet.pause(FIRST_ENTRY);
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.fill_queue(FIRST_ENTRY);
+    for runner in &fleet.runners {
+        runner.set_full(false);
+    }
+    fleet.whole_lot(SECOND_ENTRY, "lot-o").await;
+    tokio::time::sleep(SETTLE).await;
+    fleet.resume(FIRST_ENTRY);
+    let mut shown = Vec::new();
+    for _ in 0..100 {
+        let mut ask = Ask::get("/-/lots/lot-o?after=0");
+        ask.wait_ms = 0;
+        let answer = fleet.ask(FIRST_ENTRY, ask).await.unwrap();
+        // It may also say that it isn't sure.
+        if answer.status() == StatusCode::OK {
+            let page: Value = serde_json::from_slice(answer.body()).unwrap();
+            shown.push(page["next"].as_u64().unwrap());
+        }
+    }
+    // What the daemon logs of a failure is written a moment later.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(!shown.is_empty());
+    assert!(shown.iter().all(|it| *it == 2), "{shown:?}");
+}
--- a/crates/policy/src/lots/copy_proof.rs
+++ b/crates/policy/src/lots/copy_proof.rs
@@ -75,7 +75,7 @@
             let is_older = self.proved_at < reader.asked_at;
             return is_older || now.since(self.proved_at) > EMPTY_PROOF;
         }
-        if vouch.is_some_and(|it| it.results > self.results) {
+        if self.falls_short(vouch) {
             return true;
         }
         let lasts = match self.serves(reader) {
@@ -90,6 +90,12 @@
         !self.is_final && reader.after > self.results
     }
 
+    /// Whether the daemon that runs the lot told of more results. They never go, so that
+    /// this is true however old its word is, and whatever a look has brought.
+    pub fn falls_short(&self, vouch: Option<RunnerVouch>) -> bool {
+        !self.is_final && vouch.is_some_and(|it| it.results > self.results)
+    }
+
     /// Whether a reader may be told that there is nothing for it, after a look that
     /// may have taken its time.
     pub fn proves_nothing_there(
@@ -102,7 +108,8 @@
             true => self.proved_at,
             false => self.last_proof(vouch),
         };
-        self.is_final || now.since(proof) <= LATE_PROOF
+        let is_recent = now.since(proof) <= LATE_PROOF;
+        self.is_final || (is_recent && !self.falls_short(vouch))
     }
 
     fn last_proof(&self, vouch: Option<RunnerVouch>) -> Timestamp {
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -153,10 +153,12 @@
     }
 
     /// Whether the daemon `own` is one of those that look for lots which nobody
-    /// runs: the first by name that are heard.
+    /// runs: the first by name that are heard and reach the store. One that is turned
+    /// away may have no lease, and lists nothing then.
     pub fn is_lister(&self, own: &str, now: Timestamp) -> bool {
         let before = self.members.iter().filter(|it| {
             it.record.runs_lots
+                && it.reaches_store
                 && !it.is_leaving
                 && it.was_heard(self.heard_lately(), now)
                 && it.record.name.as_str() < own
@@ -190,8 +192,8 @@
         self.forget_silent(now);
     }
 
-    /// Takes in what a daemon says. Returns its id, or nothing if the message is
-    /// this daemon's own, or older than one that came before.
+    /// Takes in what a daemon says, in a message that came in now. Returns its id, or
+    /// nothing if the message is this daemon's own, or older than one that came before.
     pub fn hear(&mut self, message: &PeerMessage, now: Timestamp) -> Option<PeerId> {
         let lately = self.heard_lately();
         let member = self.member_of(&message.from)?;
--- a/crates/serving/src/lots/peer_read.rs
+++ b/crates/serving/src/lots/peer_read.rs
@@ -27,7 +27,8 @@
     let (lot, after) = rest.split_once('/')?;
     let cache = node.lot_cache.borrow();
     let known = cache.get(lot)?;
-    let has_all = |results| known.results.len() >= results;
+    // The copy may have been dropped, and read again while a result was written.
+    let has_all = |vouched: usize| known.results.len() >= vouched;
     if !known.is_whole() && !node.vouched_results(lot).is_some_and(has_all) {
         return None;
     }
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -132,12 +132,18 @@
     let is_behind = || copy_state(node, lot).is_some_and(|it| it.is_behind(reader));
     let vouch = node.runner_vouch(lot);
     let has_it = vouch.is_some_and(|it| it.results >= reader.after);
-    if (has_it || !is_behind()) && ask_runner(node, lot).await && !is_behind() {
+    let is_asked = has_it || !is_behind();
+    if is_asked && ask_runner(node, lot).await && !is_behind() && !falls_short(node, lot) {
         return Ok(());
     }
     ask_store(node, lot).await
 }
 
+fn falls_short<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
+    let vouch = node.runner_vouch(lot);
+    copy_state(node, lot).is_some_and(|it| it.falls_short(vouch))
+}
+
 /// Logs how a read was answered, and by what: how far the copy of the lot goes, when and
 /// by whom it was last proved to be all, and what is said of the lot.
 fn log_read<D: Dialect>(
