Begin no items after a cut or a standstill before the claim holds anew

Customers saw an ended lot run on at a daemon that was back from a standstill (or a cut) longer than its lease and than the end is repeated, for as long as it couldn't reach the store: it had items in memory, a lapsed claim, and nobody to tell it. Cause: items are begun while the claim isn't certain, so that an outage of the store for everybody costs no time. A daemon that was away took its own absence for such an outage. Ruled out: the new claim (refused where there is an end, also before), results (refused by the store), a lister (it tells only of what it hears to be run, 2 s later at most). Now a daemon that hears another one again after 3 s of silence begins nothing of lots whose claim wasn't certain since, until it has the claim anew. While the store is away for everybody and all are heard, items run on as before.

--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -365,6 +365,56 @@
     assert_eq!(count(), before);
 }
 
+/// The daemon that runs a lot stands still for longer than its lease, and the lot is
+/// ended meanwhile, which nobody tells any more. When it goes on, the store is away for
+/// everybody, so that it can't learn that its claim is gone. It must begin nothing
+/// before it has the claim anew: the customer would see the ended lot run on for as
+/// long as the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_was_away_begins_nothing_before_it_has_its_claim() {
+    let fleet = Fleet::started().await;
+    let count = || -> usize { fleet.runners.iter().map(|it| it.arrivals().len()).sum() };
+    fleet.hand_in(0, "lot-l", &["item"; 200]).await.unwrap();
+    fleet
+        .eventually("the lot is being run", async || count() > 0)
+        .await;
+    fleet.pause(2);
+    fleet.store.put("lots/data/lot-l/zend", b"\"entry-9\"");
+    fleet
+        .eventually("the claim lapses", async || {
+            fleet.store.keys("lots/claim/").is_empty()
+        })
+        .await;
+    for node in &fleet.nodes {
+        node.door.faults.turn_away(true);
+    }
+    fleet.resume(2);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let before = count();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert_eq!(count(), before);
+}
+
+/// The store is away for everybody, for longer than the lease of the daemon that runs a
+/// lot. It was in touch with the others all the while, so nobody has taken the lot over
+/// or ended it: its items run on, and the customer loses no time.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_run_on_while_the_store_is_away_for_everybody() {
+    let fleet = Fleet::started().await;
+    let count = || -> usize { fleet.runners.iter().map(|it| it.arrivals().len()).sum() };
+    fleet.hand_in(0, "lot-m", &["item"; 200]).await.unwrap();
+    fleet
+        .eventually("the lot is being run", async || count() > 0)
+        .await;
+    for node in &fleet.nodes {
+        node.door.faults.turn_away(true);
+    }
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
+    let before = count();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert!(count() > before, "nothing ran after {before} items");
+}
+
 /// The store forgets its history, as it does now and then without being away. Lots
 /// must be accepted as before, by daemons that all have to list anew.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -9,11 +9,13 @@
 //! - [`home_daemon`] says through which daemon bulk work reaches a server; how
 //!   much it gets is decided by [`crate::bulk`].
 //! - [`CopyState`] says when a copy of a lot's results may be shown.
+//! - [`may_begin_items`] says whether a daemon back from a cut may go on with a lot.
 //! - [`StartRank`] orders items that wait while all slots are taken.
 //! - [`ResultGrouping`] says when a group of results is written.
 //!
 //! See `docs/LOTS.md`.
 
+mod claim_doubt;
 mod copy_proof;
 mod home_daemon;
 mod item_tries;
@@ -23,6 +25,7 @@
 mod segment_choice;
 mod start_order;
 
+pub use claim_doubt::{may_begin_items, was_out_of_touch};
 pub use copy_proof::{CopyState, ReaderPosition, RunnerVouch, knows_all_results};
 pub use home_daemon::home_daemon;
 pub use item_tries::{GiveUpReason, ItemTries, TryPolicy, TryVerdict};
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_policy::{
     Timestamp,
-    lots::{RunnerVouch, home_daemon},
+    lots::{RunnerVouch, home_daemon, was_out_of_touch},
     placement::home_daemons,
     usage::PeerId,
 };
@@ -88,6 +88,7 @@
     own: PeerId,
     /// Sorted by id.
     members: Vec<KnownMember>,
+    regained_at: Option<Timestamp>,
 }
 
 impl MemberList {
@@ -96,9 +97,15 @@
         MemberList {
             own: PeerId::of_name(own_name),
             members: Vec::new(),
+            regained_at: None,
         }
     }
 
+    /// When a daemon was last heard that had been out of touch.
+    pub fn regained_at(&self) -> Option<Timestamp> {
+        self.regained_at
+    }
+
     /// How often daemons speak at least.
     pub fn interval(&self) -> Duration {
         match self.is_small() {
@@ -176,13 +183,18 @@
         if member.number >= message.number {
             return None;
         }
+        let is_regained = was_out_of_touch(member.heard_at, now);
         member.number = message.number;
         member.heard_at = Some(now);
         member.revisions = message.revisions;
         member.progress.clone_from(&message.progress);
         member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
-        Some(member.id)
+        let id = member.id;
+        if is_regained {
+            self.regained_at = Some(now);
+        }
+        Some(id)
     }
 
     fn member_of(&mut self, record: &MemberRecord) -> Option<&mut KnownMember> {
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -62,6 +62,8 @@
     pub(super) claim: Option<Revision>,
     /// The lease that the claim hangs on.
     pub(super) lease: Option<LeaseId>,
+    /// When the claim certainly held last.
+    pub(super) certain_at: Timestamp,
     /// Whether a claim under a new lease is on its way.
     pub(super) is_reclaiming: bool,
     /// How many groups of results the store holds.
@@ -119,6 +121,7 @@
             held_since: now,
             claim: None,
             lease: None,
+            certain_at: now,
             is_reclaiming: false,
             groups,
             listed: results.len(),
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -144,6 +144,7 @@
         };
         for held in &mut self.held {
             if held.claim.is_some() && held.lease == Some(lease.id) {
+                held.certain_at = now;
                 continue;
             }
             if held.is_reclaiming || held.is_closing {
@@ -177,6 +178,7 @@
         match claim {
             Ok(ClaimEnd::Claimed(revision)) => {
                 held.claim = Some(revision);
+                held.certain_at = now;
                 let basis = held.basis();
                 self.node.lot_notices.borrow_mut().set_basis(lot, basis);
             }
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    lots::StartRank,
+    lots::{StartRank, may_begin_items},
     placement::{PlacementQuery, WorkKind, YieldOrder},
 };
 use tokio_util::sync::CancellationToken;
@@ -96,8 +96,12 @@
     /// The lots with items that may start, in the order in which they do.
     fn start_order(&self, now: Timestamp) -> Vec<usize> {
         let millis = unix_millis();
+        let regained_at = self.node.regained_at();
         let mut ranked: Vec<(StartRank, usize)> = Vec::new();
         for (place, held) in self.held.iter().enumerate() {
+            if !may_begin_items(held.certain_at, regained_at) {
+                continue;
+            }
             if let Some(item) = held.next_waiting(now) {
                 ranked.push((held.start_rank(item, &self.pace, millis), place));
             }
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use comfreyramp_policy::lots::RunnerVouch;
+use comfreyramp_policy::{Timestamp, lots::RunnerVouch};
 use comfreyramp_store::KeyValue;
 
 use super::{LotInbox, Node};
@@ -86,6 +86,11 @@
             .is_former_life(daemon, incarnation, now)
     }
 
+    /// When a daemon was last heard that had been out of touch.
+    pub fn regained_at(&self) -> Option<Timestamp> {
+        self.members.borrow().regained_at()
+    }
+
     /// Whether a lot falls to this daemon.
     pub fn is_own_lot(&self, lot: &str) -> bool {
         let now = self.clock.now();
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -87,3 +87,20 @@
     members.hear(&message(10, progress(LotStage::Finished)), now);
     assert!(members.lot_runner("lot-1", now).is_some());
 }
+
+/// A daemon was cut off, or stood still, and hears the others again. Its claims may be
+/// gone, and lots that it runs be ended; it has to notice that it was away. Single
+/// words that get lost are no such sign.
+#[test]
+fn a_daemon_notices_that_others_were_out_of_touch() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let at = |millis: u64| begin + Duration::from_millis(millis);
+    let mut members = MemberList::new("lots-1");
+    members.hear(&message(1, Vec::new()), begin);
+    members.hear(&message(3, Vec::new()), at(2_000));
+    assert_eq!(members.regained_at(), None);
+    members.hear(&message(4, Vec::new()), at(6_000));
+    assert_eq!(members.regained_at(), Some(at(6_000)));
+    members.hear(&message(5, Vec::new()), at(6_250));
+    assert_eq!(members.regained_at(), Some(at(6_000)), "it stays in touch");
+}
