Begin no items in the first moment after a standstill

A daemon that stood still for longer than its lease began items at once when it went on, before it had heard anything: of a lot that was ended meanwhile two more ran. Cause: only the words of others told it that it had been away, a moment later.

--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -388,9 +388,8 @@
     for node in &fleet.nodes {
         node.door.faults.turn_away(true);
     }
-    fleet.resume(2);
-    tokio::time::sleep(Duration::from_millis(700)).await;
     let before = count();
+    fleet.resume(2);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     assert_eq!(count(), before);
 }
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -96,7 +96,7 @@
     /// The lots with items that may start, in the order in which they do.
     fn start_order(&self, now: Timestamp) -> Vec<usize> {
         let millis = unix_millis();
-        let regained_at = self.node.regained_at();
+        let regained_at = self.node.regained_at().max(self.woke_at);
         let mut ranked: Vec<(StartRank, usize)> = Vec::new();
         for (place, held) in self.held.iter().enumerate() {
             if !may_begin_items(held.certain_at, regained_at) {
--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -6,7 +6,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyramp_policy::{Timestamp, lots::RunPace};
+use comfreyramp_policy::{
+    Timestamp,
+    lots::{RunPace, was_out_of_touch},
+};
 use comfreyramp_store::StoreError;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
@@ -71,11 +74,17 @@
     events: UnboundedReceiver<WorkerEvent>,
     listed_at: Option<Timestamp>,
     no_write_before: Timestamp,
+    looked_at: Timestamp,
+    /// When it last went on after a standstill, such as of its VM. What others said
+    /// meanwhile is heard a moment later; items that were begun until then would run
+    /// for a lot that may have been ended long ago.
+    woke_at: Option<Timestamp>,
 }
 
 /// Runs the items of lots until `stop` is cancelled, then gives all claims back.
 pub async fn run_lots<D: Dialect>(node: Rc<Node<D>>, stop: CancellationToken) {
     let (sender, events) = unbounded_channel();
+    let looked_at = node.clock.now();
     let mut worker = LotWorker {
         node,
         held: Vec::new(),
@@ -86,6 +95,8 @@
         events,
         listed_at: None,
         no_write_before: Timestamp::ZERO,
+        looked_at,
+        woke_at: None,
     };
     while !stop.is_cancelled() {
         let node = worker.node.clone();
@@ -103,6 +114,10 @@
 impl<D: Dialect> LotWorker<D> {
     fn look_round(&mut self) {
         let now = self.node.clock.now();
+        if was_out_of_touch(Some(self.looked_at), now) {
+            self.woke_at = Some(now);
+        }
+        self.looked_at = now;
         self.take_notices(now);
         self.list_open(now);
         self.claim_candidates(now);
