Claim a lot once, also where it was lost in two ways at once

A customer found an item at two positions of its lot (a lot of 7 items was "finished" with 8 results). Cause: a daemon came back from a cut with results to write. Within 3 ms the store refused these results and the daemon's new claim, as another one ran the lot by then. Each of the two put the lot among those to be claimed again. When it was claimable both entries were claimed; a daemon takes its own claim for granted, so that the lot was held twice, its items run side by side and listed by both. Ruled out: a write under a lost claim (refused by the claim's revision); a copy of the lot without the other daemon's results (there were none yet). Now a lot stands once among those that wait for a claim (`LotCandidates`), isn't claimed while it is still held here, and a second claim of a held lot is dropped.

--- a/crates/serving/src/lots/mod.rs
+++ b/crates/serving/src/lots/mod.rs
@@ -9,6 +9,7 @@
 //! docs/PLATFORM.md shows the keys and what each step costs.
 
 mod accept;
+mod candidates;
 mod held_lot;
 mod item_run;
 mod keys;
@@ -23,6 +24,7 @@
 mod writer;
 
 pub use accept::{Submission, accept_lot};
+pub use candidates::{LotCandidate, LotCandidates};
 pub use lot_cache::{CopySource, LotCache};
 pub use notices::{ClaimBasis, LotNotice, LotNotices, LotProgress, LotStage};
 pub use peer_read::{LOT_PATH, show_lot};
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -5,7 +5,7 @@
 use comfreyramp_policy::Timestamp;
 use comfreyramp_store::{KeyRange, PlatformStore, StoreError};
 
-use super::{Candidate, ListedLots, LotWorker, WRITE_PAUSE, WorkerEvent, results::note_basis};
+use super::{ListedLots, LotWorker, WRITE_PAUSE, WorkerEvent, results::note_basis};
 use crate::{
     dialect::Dialect,
     lots::{
@@ -30,27 +30,22 @@
     pub(super) fn take_notices(&mut self, now: Timestamp) {
         let inbox = self.node.take_lot_inbox();
         for lot in inbox.accepted {
-            self.add_candidate(lot, now);
+            self.add_candidate(&lot, now);
         }
         for lot in inbox.ended {
-            self.candidates.retain(|it| it.lot != lot);
+            self.candidates.remove(&lot);
             if let Some(held) = self.find(&lot) {
                 held.end();
             }
         }
     }
 
-    fn add_candidate(&mut self, lot: String, now: Timestamp) {
-        let is_known = self.candidates.iter().any(|it| it.lot == lot)
+    fn add_candidate(&mut self, lot: &str, now: Timestamp) {
+        let is_known = self.candidates.holds(lot)
             || self.held.iter().any(|it| *it.id == *lot)
-            || self.node.told_finished(&lot);
+            || self.node.told_finished(lot);
         if !is_known {
-            self.candidates.push(Candidate {
-                lot,
-                known_at: now,
-                not_before: now,
-                is_claiming: false,
-            });
+            self.candidates.add(lot, now, now);
         }
     }
 
@@ -61,7 +56,7 @@
         if !is_held && !self.node.is_held_elsewhere(lot) && !self.node.is_own_lot(lot) {
             self.node.tell_lot(LotNotice::Accepted(lot.to_owned()));
         }
-        self.add_candidate(lot.to_owned(), now);
+        self.add_candidate(lot, now);
     }
 
     /// Lists all open lots now and then.
@@ -113,10 +108,15 @@
         self.candidates
             .retain(|it| it.is_claiming || !node.told_finished(&it.lot));
         let mut held = self.held.len();
-        for candidate in &mut self.candidates {
+        for candidate in self.candidates.iter_mut() {
             if candidate.is_claiming || candidate.not_before > now || held >= MOST_HELD {
                 continue;
             }
+            // Held still, since a write or an item has no answer yet: claimed now, it
+            // would be held twice, and what comes back taken for the other's.
+            if self.held.iter().any(|it| *it.id == *candidate.lot) {
+                continue;
+            }
             if self.node.is_held_elsewhere(&candidate.lot) {
                 candidate.known_at = now;
                 continue;
@@ -230,7 +230,11 @@
     pub(super) fn on_claimed(&mut self, lot: &str, answer: ClaimAnswer, now: Timestamp) {
         match answer {
             ClaimAnswer::Claimed(held) => {
-                self.candidates.retain(|it| it.lot != lot);
+                self.candidates.remove(lot);
+                if self.find(lot).is_some() {
+                    log::error!(lot = lot; "lots: claimed twice");
+                    return;
+                }
                 log::info!(
                     lot = lot, items = held.head.total, listed = held.listed, due = held.head.due;
                     "lots: claimed"
@@ -240,24 +244,15 @@
                 let place = self.held.partition_point(|it| it.head.due <= held.head.due);
                 self.held.insert(place, *held);
             }
-            ClaimAnswer::Gone => self.candidates.retain(|it| it.lot != lot),
+            ClaimAnswer::Gone => self.candidates.remove(lot),
             ClaimAnswer::Taken | ClaimAnswer::Unknown => {
-                let candidate = self.candidates.iter_mut().find(|it| it.lot == lot);
-                if let Some(candidate) = candidate {
-                    candidate.is_claiming = false;
-                    candidate.not_before = now + CLAIM_PAUSE;
-                }
+                self.candidates.put_back(lot, now + CLAIM_PAUSE);
             }
         }
     }
 
     /// A lot whose claim was lost may be left to nobody: it is looked at again.
     pub(super) fn add_candidate_again(&mut self, lot: &str, now: Timestamp) {
-        self.candidates.push(Candidate {
-            lot: lot.to_owned(),
-            known_at: now,
-            not_before: now + CLAIM_PAUSE,
-            is_claiming: false,
-        });
+        self.candidates.add(lot, now, now + CLAIM_PAUSE);
     }
 }
--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    candidates::LotCandidates,
     held_lot::HeldLot,
     item_run::ItemEnd,
     writer::{ClaimAnswer, ClaimEnd, WriteAnswer},
@@ -28,15 +29,6 @@
 /// How long a stop waits for results to be written and claims to be given back.
 const DRAIN_SPAN: Duration = Duration::from_secs(3);
 
-/// A lot that waits for a claim.
-#[derive(Debug)]
-struct Candidate {
-    lot: String,
-    known_at: Timestamp,
-    not_before: Timestamp,
-    is_claiming: bool,
-}
-
 enum WorkerEvent {
     Claimed(String, ClaimAnswer),
     Reclaimed(Rc<str>, Result<ClaimEnd, StoreError>),
@@ -67,7 +59,7 @@
     node: Rc<Node<D>>,
     /// Those due first come first.
     held: Vec<HeldLot>,
-    candidates: Vec<Candidate>,
+    candidates: LotCandidates,
     running: usize,
     pace: RunPace,
     sender: UnboundedSender<WorkerEvent>,
@@ -88,7 +80,7 @@
     let mut worker = LotWorker {
         node,
         held: Vec::new(),
-        candidates: Vec::new(),
+        candidates: LotCandidates::default(),
         running: 0,
         pace: RunPace::default(),
         sender,
