--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -6,12 +6,16 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyramp_policy::{Timestamp, lots::RunPace};
+use comfreyramp_policy::{
+    Timestamp,
+    lots::{RunPace, was_out_of_touch},
+};
 use comfreyramp_store::StoreError;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio_util::sync::CancellationToken;
 
 use super::{
+    candidates::LotCandidates,
     held_lot::HeldLot,
     item_run::ItemEnd,
     writer::{ClaimAnswer, ClaimEnd, WriteAnswer},
@@ -25,15 +29,6 @@
 /// How long a stop waits for results to be written and claims to be given back.
 const DRAIN_SPAN: Duration = Duration::from_secs(3);
 
-/// A lot that waits for a claim.
-#[derive(Debug)]
-struct Candidate {
-    lot: String,
-    known_at: Timestamp,
-    not_before: Timestamp,
-    is_claiming: bool,
-}
-
 enum WorkerEvent {
     Claimed(String, ClaimAnswer),
     Reclaimed(Rc<str>, Result<ClaimEnd, StoreError>),
@@ -64,28 +59,36 @@
     node: Rc<Node<D>>,
     /// Those due first come first.
     held: Vec<HeldLot>,
-    candidates: Vec<Candidate>,
+    candidates: LotCandidates,
     running: usize,
     pace: RunPace,
     sender: UnboundedSender<WorkerEvent>,
     events: UnboundedReceiver<WorkerEvent>,
     listed_at: Option<Timestamp>,
     no_write_before: Timestamp,
+    looked_at: Timestamp,
+    /// When it last went on after a standstill, such as of its VM. What others said
+    /// meanwhile is heard a moment later; items that were begun until then would run
+    /// for a lot that may have been ended long ago.
+    woke_at: Option<Timestamp>,
 }
 
 /// Runs the items of lots until `stop` is cancelled, then gives all claims back.
 pub async fn run_lots<D: Dialect>(node: Rc<Node<D>>, stop: CancellationToken) {
     let (sender, events) = unbounded_channel();
+    let looked_at = node.clock.now();
     let mut worker = LotWorker {
         node,
         held: Vec::new(),
-        candidates: Vec::new(),
+        candidates: LotCandidates::default(),
         running: 0,
         pace: RunPace::default(),
         sender,
         events,
         listed_at: None,
         no_write_before: Timestamp::ZERO,
+        looked_at,
+        woke_at: None,
     };
     while !stop.is_cancelled() {
         let node = worker.node.clone();
@@ -103,6 +106,10 @@
 impl<D: Dialect> LotWorker<D> {
     fn look_round(&mut self) {
         let now = self.node.clock.now();
+        if was_out_of_touch(Some(self.looked_at), now) {
+            self.woke_at = Some(now);
+        }
+        self.looked_at = now;
         self.take_notices(now);
         self.list_open(now);
         self.claim_candidates(now);
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -207,3 +207,20 @@
     members.hear(&heard, now);
     assert!(members.is_lister("lots-3", now));
 }
+
+/// A daemon was cut off, or stood still, and hears the others again. Its claims may be
+/// gone, and lots that it runs be ended; it has to notice that it was away. Single
+/// words that get lost are no such sign.
+#[test]
+fn a_daemon_notices_that_others_were_out_of_touch() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let at = |millis: u64| begin + Duration::from_millis(millis);
+    let mut members = MemberList::new("lots-1");
+    members.hear(&message(1, Vec::new()), begin);
+    members.hear(&message(3, Vec::new()), at(2_000));
+    assert_eq!(members.regained_at(), None);
+    members.hear(&message(4, Vec::new()), at(6_000));
+    assert_eq!(members.regained_at(), Some(at(6_000)));
+    members.hear(&message(5, Vec::new()), at(6_250));
+    assert_eq!(members.regained_at(), Some(at(6_000)), "it stays in touch");
+}
