--- a/crates/node/tests/lot_reads.rs
+++ b/crates/node/tests/lot_reads.rs
@@ -141,3 +141,23 @@
     assert!(!shown.is_empty());
     assert!(shown.iter().all(|it| *it == 2), "{shown:?}");
 }
+
+/// The daemon that runs a lot is stopped for a planned change in the moment in which its
+/// last results are in the store, whether it has the store's answer or not. Its last word
+/// may be older than what the store shows to somebody.
+#[tokio::test(flavor = "multi_thread")]
+async fn results_that_were_shown_stay_when_their_daemon_is_stopped() {
+    for (lot, has_answer) in [("lot-s", true), ("lot-t", false)] {
+        let mut fleet = with_undecided_results(lot).await;
+        hold_answers(&fleet, !has_answer);
+        fleet.terminate(LOTS);
+        fleet.whole_lot(SECOND_ENTRY, lot).await;
+        for _ in 0..2 {
+            tokio::time::sleep(SETTLE).await;
+            assert_eq!(shown(&fleet, FIRST_ENTRY, lot).await, 2, "{lot}");
+        }
+        hold_answers(&fleet, false);
+        assert!(fleet.ended(LOTS).await);
+        assert_eq!(shown(&fleet, FIRST_ENTRY, lot).await, 2, "{lot}");
+    }
+}
