Ask no silent daemon for newer settings

What callers could see: at a daemon that learns of settings from others, changes take effect late after the one that knew of them first was lost.

Cause: a lost daemon counted as ahead until its lease lapsed, up to ten seconds. Where several were ahead it was drawn like the others, and a question to a lost VM took 0.8 s each time.

Now only a daemon that was heard lately is asked. Found by reading.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -330,14 +330,18 @@
 
     /// A daemon that acts by a newer view than one with these revisions: any of
     /// `zone` if there is one, else of another. Were all who are behind to ask the
-    /// same one, a small VM would be busy with them alone.
+    /// same one, a small VM would be busy with them alone. One that is lost stays known
+    /// until its lease lapses, and a question to it takes its whole timeout.
     pub fn ahead_of(
         &self,
         known: ViewRevisions,
         zone: &str,
         random: &mut impl Rng,
+        now: Timestamp,
     ) -> Option<SocketAddr> {
-        let is_ahead = |it: &&KnownMember| it.revisions.is_ahead_of(known);
+        let is_ahead = |it: &&KnownMember| {
+            it.revisions.is_ahead_of(known) && it.was_heard(self.heard_lately(), now)
+        };
         let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) = self
             .members
             .iter()
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -142,7 +142,7 @@
         let zone = &self.settings.zone;
         self.members
             .borrow()
-            .ahead_of(known, zone, &mut rand::rng())
+            .ahead_of(known, zone, &mut rand::rng(), self.clock.now())
     }
 
     /// Whether this daemon watches the store itself.
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -188,3 +188,20 @@
     members.hear(&heard, now);
     assert!(members.is_lister("lots-3", now));
 }
+
+/// A daemon learns of new settings first, tells of it and is lost. Whoever is behind asks
+/// those that are ahead for what they know; were the lost one among them until its lease
+/// lapses, each such question would find no answer while others could give it.
+#[test]
+fn nothing_is_asked_of_a_daemon_that_is_silent() {
+    let now = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("entry-1");
+    members.set_listed(&[message(1, Vec::new()).from], now);
+    let mut heard = message(1, Vec::new());
+    heard.revisions.operators = 7;
+    members.hear(&heard, now);
+    let known = ViewRevisions::default();
+    let ahead = |now| members.ahead_of(known, "zone-1", &mut rand::rng(), now);
+    assert_eq!(ahead(now), Some(heard.from.address));
+    assert_eq!(ahead(now + Duration::from_secs(3)), None);
+}
