--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -421,3 +421,23 @@
         assert!(is_run || !fleet.store.keys(&results).is_empty(), "{lot}");
     }
 }
+
+/// A customer hands a lot in again that was finished long ago, at a daemon that has never
+/// read it, and the one that ran it was restarted since. Nobody may be told to run it: it
+/// would be claimed to find nothing left, and each of these writes is billed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_repeat_of_a_finished_lot_is_claimed_by_nobody() {
+    let mut fleet = Fleet::started().await;
+    let status = fleet.hand_in(0, "lot-f", &["one"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    fleet.whole_lot(0, "lot-f").await;
+    fleet.kill(2);
+    fleet.restart(2);
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    let before = fleet.store.put("op/note", b"");
+    let status = fleet.hand_in(1, "lot-f", &["one"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let after = fleet.store.put("op/note", b"");
+    assert_eq!(after - before, 1, "nothing else was written");
+}
