Tell nobody to run a repeated lot that isn't open any more

Cause: since a lot that is found kept is told of, so that the loss of the daemon that wrote it doesn't leave it lying, also one that was finished is told of, and claimed with each repetition of the word.

Now the write compares the open mark too, so that a refusal shows whether it is there, and a lot without one is told to nobody. The test waits until the word of the first acceptance has ended, which the first version of it did not: a daemon that was restarted meanwhile claims the lot by that word.

--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -433,7 +433,8 @@
     fleet.whole_lot(0, "lot-f").await;
     fleet.kill(2);
     fleet.restart(2);
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    // What was told of it when it was accepted is told no more.
+    tokio::time::sleep(Duration::from_millis(4_500)).await;
     let before = fleet.store.put("op/note", b"");
     let status = fleet.hand_in(1, "lot-f", &["one"]).await;
     assert_eq!(status, Ok(StatusCode::ACCEPTED));
--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -112,9 +112,9 @@
             );
             shared.metrics.lot("accepted", 1);
         }
-        // Also where another daemon wrote it: it may have been lost before it could
-        // tell, and the lot would lie until all open ones are listed.
-        shared.tell_lot(LotNotice::Accepted(id));
+        if is_open(&id, &outcome) {
+            shared.tell_lot(LotNotice::Accepted(id));
+        }
         Ok(outcome)
     });
     let lost = |text: String| Err(StoreError::AnswerLost(text));
@@ -125,6 +125,17 @@
     }
 }
 
+/// Whether a lot waits to be run, or is run. Where another daemon wrote it, that one may
+/// have been lost before it could tell, and the lot would lie until all open ones are
+/// listed. One that is done or ended would be claimed to find nothing left.
+fn is_open(lot: &str, outcome: &OnceOutcome) -> bool {
+    let (OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) = outcome
+    else {
+        return true;
+    };
+    found.iter().any(|it| it.key == keys::open(lot))
+}
+
 /// A lot is accepted once; a repeat of it gets the same answer.
 fn accepted_before(submission: &Submission, found: &[KeyValue]) -> Result<(), Refusal> {
     let head = found
@@ -167,8 +178,12 @@
         then.push(put(keys::pack(id, number), pack));
     }
     WriteBatch {
-        when: vec![Comparison::Absent(keys::head(id))],
+        // The open mark is never there without a head: it is compared to be read back.
+        when: vec![
+            Comparison::Absent(keys::head(id)),
+            Comparison::Absent(keys::open(id)),
+        ],
         then,
-        read_back: Vec::new(),
+        read_back: vec![keys::open(id)],
     }
 }
