Count the same change as the same at every daemon, and a removal that a list shows as a change

What callers saw: requests could go on to a server that had left, from the daemons of a large fleet that don't watch the store, where the watch of their zone had lost its history while the server left. And large settings were sent around again though nothing was new.

Cause: a copy's last change carried the revision up to which the store had answered the watch. Two watches answered a moment apart told of the same change by two numbers, and all who had the lower one asked for the whole copy again. A list carried the newest change among its pairs, so that a removal, of which a list shows nothing, was no change, and nobody learned of it from that daemon.

Ruled out: counting each list as a change; in a zone the others would fetch the directory once more after each loss of history.

--- a/crates/serving/src/fleet/store_view.rs
+++ b/crates/serving/src/fleet/store_view.rs
@@ -55,14 +55,26 @@
         }
         pairs.sort_by(|left, right| left.key.cmp(&right.key));
         let is_changed = self.pairs != pairs || self.confirmed_at.is_none();
-        let newest = pairs.iter().map(|it| it.modified).max();
-        self.changed_revision = self.changed_revision.max(newest.unwrap_or_default());
+        let newest = pairs.iter().map(|it| it.modified).max().unwrap_or_default();
+        // A list names no removal. Were one passed over, the daemons that learn from
+        // this copy would find nothing newer in it, and use a server that is gone.
+        let newest = match self.is_within(&pairs) {
+            true => newest,
+            false => revision,
+        };
+        self.changed_revision = self.changed_revision.max(newest);
         self.pairs = pairs;
         self.revision = revision;
         self.confirmed_at = Some(now);
         is_changed
     }
 
+    /// Whether a list, sorted by key, has all keys of this copy.
+    fn is_within(&self, listed: &[KeyValue]) -> bool {
+        let has = |key: &str| listed.binary_search_by(|it| it.key.as_str().cmp(key));
+        self.pairs.iter().all(|it| has(&it.key).is_ok())
+    }
+
     /// Takes over changes. Returns whether anything changed.
     pub fn apply(&mut self, batch: WatchBatch, now: Timestamp) -> bool {
         self.confirmed_at = Some(now);
@@ -86,7 +98,7 @@
             }
         }
         if is_changed {
-            self.changed_revision = batch.revision;
+            self.changed_revision = self.changed_revision.max(batch.changed);
         }
         is_changed
     }
--- /dev/null
+++ b/crates/serving/tests/store_view.rs
@@ -0,0 +1,60 @@
+//! What a daemon's copy of the store tells others of how new it is.
+
+use comfreyramp_policy::Timestamp;
+use comfreyramp_serving::fleet::StoreView;
+use comfreyramp_store::{KeyValue, WatchBatch};
+
+const NOW: Timestamp = Timestamp::from_micros(1_000_000);
+
+fn pair(key: &str, modified: i64) -> KeyValue {
+    KeyValue {
+        key: key.to_owned(),
+        value: "value".into(),
+        modified,
+        created: modified,
+        version: 0,
+    }
+}
+
+/// Two daemons watch the same keys. The store answers both with the same change, one
+/// of them a moment later, when other keys have been written too. Were that one's
+/// copy taken for the newer, its zone would send the whole settings around once more,
+/// and whoever has no news within a second would ask the store.
+#[test]
+fn the_same_change_counts_as_the_same_at_every_daemon() {
+    let change = |revision| WatchBatch {
+        written: vec![pair("settings", 20)],
+        revision,
+        changed: 20,
+        ..WatchBatch::default()
+    };
+    let (mut early, mut late) = (StoreView::default(), StoreView::default());
+    early.apply(change(20), NOW);
+    late.apply(change(23), NOW);
+    assert_eq!(late.changed_revision(), early.changed_revision());
+    assert_eq!(late.revision(), 23);
+    let removal = |revision| WatchBatch {
+        deleted: vec!["settings".to_owned()],
+        revision,
+        changed: 30,
+        ..WatchBatch::default()
+    };
+    early.apply(removal(30), NOW);
+    late.apply(removal(34), NOW);
+    assert_eq!(late.changed_revision(), early.changed_revision());
+}
+
+/// The store drops its history while a server leaves. The daemon that watches lists
+/// the servers anew, and the others of its zone learn from it. The list names no
+/// removal: unless the copy counts as changed, they hear of nothing newer, and send
+/// requests to a server that is gone.
+#[test]
+fn a_removal_that_only_a_list_shows_is_a_change() {
+    let mut view = StoreView::default();
+    view.reset(vec![pair("one", 3), pair("two", 5)], 10, NOW);
+    assert_eq!(view.changed_revision(), 5);
+    view.reset(vec![pair("one", 3)], 20, NOW);
+    assert_eq!(view.changed_revision(), 20);
+    view.reset(vec![pair("one", 3)], 25, NOW);
+    assert_eq!(view.changed_revision(), 20, "nothing changed since");
+}
--- a/crates/store/src/convert.rs
+++ b/crates/store/src/convert.rs
@@ -221,6 +221,7 @@
     let last = events.iter().map(|it| it.kv.mod_revision).max();
     let mut batch = WatchBatch {
         revision: last.unwrap_or(head_revision),
+        changed: last.unwrap_or_default(),
         ..WatchBatch::default()
     };
     for event in events {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -162,6 +162,9 @@
     pub deleted: Vec<String>,
     /// The store's revision up to which the watcher has now seen everything.
     pub revision: Revision,
+    /// The revision of the newest change in this message; 0 without one. Two watches
+    /// may report the same change up to different revisions.
+    pub changed: Revision,
 }
 
 /// Why the store gave no answer.
