Have daemons that stepped back from watching the store watch again

What callers saw: in a fleet of more than 16 daemons a zone whose watching daemon was lost or hung went on with old settings and old servers, except for what daemons of other zones happened to show it.

Cause: a round of following that ended because others watch matched no branch of the select that waited for errors, which then waited for the end of the process. Each daemon listed the store once at its start, stepped back, and never came back, whatever was lost.

Ruled out: that a daemon took too long to notice; the loop that looks every half second was never reached again.

The test (follow_store.rs) failed before: one list where a second was due. It has a daemon step back and take over twice.

--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -64,10 +64,13 @@
             tokio::time::sleep(settle).await;
             watch_prefix(&mut watch, &mut sink, &is_watcher).await
         };
-        let error = tokio::select! {
-            Err(error) = round => error,
+        let ended = tokio::select! {
+            ended = round => ended,
             () = stop.cancelled() => return,
-            else => continue,
+        };
+        // Others watch now. Should they be lost, this daemon has to come back.
+        let Err(error) = ended else {
+            continue;
         };
         let is_history = matches!(error, StoreError::Compacted(_));
         sink(FollowNews::Lost(error));
