--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -249,6 +249,11 @@
         });
     }
 
+    /// Where other daemons reach a daemon.
+    pub(crate) fn peers_of(&self, node: usize) -> SocketAddr {
+        self.nodes[node].peers
+    }
+
     /// Kills a daemon at once, as a loss of power would.
     pub(crate) fn kill(&mut self, node: usize) {
         self.nodes[node].child.kill().unwrap();
--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use comfreyramp_store::{
-    KeyRange, KeyValue, PlatformStore, Revision, StoreError, WatchBatch, WatchStream,
-};
+use comfreyramp_store::{KeyRange, PlatformStore, StoreError, WatchBatch, WatchStream};
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
+use super::WholeList;
+
 /// The pause after a first failed call, and the longest after several in a row.
 /// Each call is billed, refused ones too, and a store that is down needs no load.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 pub enum FollowNews {
     /// All pairs, as listed anew.
-    Whole(Vec<KeyValue>, Revision),
+    Whole(WholeList),
     /// Changes since.
     Changed(WatchBatch),
     /// The store can't be reached, or turned the call away.
@@ -93,7 +93,11 @@
     let range = KeyRange::Prefix(prefix.to_owned());
     let listed = store.range(range.clone(), 0).await?;
     let from = listed.revision + 1;
-    sink(FollowNews::Whole(listed.pairs, listed.revision));
+    sink(FollowNews::Whole(WholeList {
+        pairs: listed.pairs,
+        revision: listed.revision,
+        changed: None,
+    }));
     store.watch(range, from).await
 }
 
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -117,8 +117,8 @@
 
     /// Whether the daemon `own` is one of those that watch the store. In a small
     /// fleet all are; in a large one the first of each zone by a hash, out of
-    /// those that are heard and reach the store.
-    pub fn is_watcher(&self, own: &MemberRecord, now: Timestamp) -> bool {
+    /// those that are heard and reach the store, and `stand_ins` after these.
+    pub fn is_watcher(&self, own: &MemberRecord, stand_ins: usize, now: Timestamp) -> bool {
         if self.is_small() {
             return true;
         }
@@ -130,7 +130,7 @@
                 && it.was_heard(self.heard_lately(), now)
                 && score(&it.record.name) < score(&own.name)
         });
-        before.count() < LEAST_WATCHERS.div_ceil(self.zones(&own.zone))
+        before.count() < LEAST_WATCHERS.div_ceil(self.zones(&own.zone)) + stand_ins
     }
 
     /// How many zones the fleet has, that of this daemon included.
@@ -302,14 +302,17 @@
 
     /// A daemon that acts by a newer view than one with these revisions: any of
     /// `zone` if there is one, else of another. Were all who are behind to ask the
-    /// same one, a small VM would be busy with them alone.
+    /// same one, a small VM would be busy with them alone. Those that gave nothing a
+    /// moment ago are passed over, and where these are all of `zone`, it is another's.
     pub fn ahead_of(
         &self,
         known: ViewRevisions,
         zone: &str,
+        is_passed: impl Fn(SocketAddr) -> bool,
         random: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        let is_ahead = |it: &&KnownMember| it.revisions.is_ahead_of(known);
+        let is_ahead =
+            |it: &&KnownMember| it.revisions.is_ahead_of(known) && !is_passed(it.record.address);
         let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) = self
             .members
             .iter()
@@ -319,6 +322,12 @@
         Some(chosen.record.address)
     }
 
+    /// The newest changes that any daemon acts by.
+    pub fn newest_revisions(&self) -> ViewRevisions {
+        let told = self.members.iter().map(|it| it.revisions);
+        told.fold(ViewRevisions::default(), ViewRevisions::newest)
+    }
+
     /// What the daemon says that knows of all results of a lot. What a former life of
     /// it said was forgotten with that life.
     pub fn runner_vouch(&self, lot: &str) -> Option<RunnerVouch> {
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod peer_views;
 mod store_relay;
 mod store_view;
+mod view_desk;
 
 pub use announcer::{listen_to_peers, run_announcer, run_yield_asks};
 pub use fleet_view::{FleetView, KnownCustomer, draw_service};
@@ -17,7 +18,8 @@
 pub use member_list::{MemberList, PeerAddresses, RunnerWord};
 pub use membership::{HeldLease, MEMBERS, keep_membership};
 pub use peer_door::answer_peer;
-pub use peer_message::{MemberRecord, PeerMessage, SuspectCount, ViewRevisions};
+pub use peer_message::{MemberRecord, PeerMessage, SuspectCount, ViewLags, ViewRevisions};
 pub use peer_views::follow_peers;
 pub use store_relay::RelayedStore;
-pub use store_view::StoreView;
+pub use store_view::{StoreView, WholeList};
+pub use view_desk::ViewDesk;
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use comfreyramp_policy::{placement::LoadShare, usage::UsageCount};
+use comfreyramp_policy::{Timestamp, ViewLag, placement::LoadShare, usage::UsageCount};
 use serde::{Deserialize, Serialize};
 
 use crate::lots::{LotNotice, LotProgress};
@@ -49,6 +49,36 @@
             || self.servers > other.servers
             || self.members > other.members
     }
+
+    /// The newer one of each.
+    pub fn newest(self, other: ViewRevisions) -> ViewRevisions {
+        ViewRevisions {
+            operators: self.operators.max(other.operators),
+            servers: self.servers.max(other.servers),
+            members: self.members.max(other.members),
+        }
+    }
+}
+
+/// For how long each view has been behind what others act by.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ViewLags {
+    /// What operators wrote.
+    pub operators: ViewLag,
+    /// The directory of servers.
+    pub servers: ViewLag,
+    /// The daemons.
+    pub members: ViewLag,
+}
+
+impl ViewLags {
+    /// Notes up to which revisions the views are complete, and at which the newest
+    /// changes are that others act by.
+    pub fn note(&mut self, own: ViewRevisions, newest: ViewRevisions, now: Timestamp) {
+        self.operators.note(own.operators, newest.operators, now);
+        self.servers.note(own.servers, newest.servers, now);
+        self.members.note(own.members, newest.members, now);
+    }
 }
 
 /// What a daemon tells the others. Counts are totals, not differences, so that a
--- a/crates/serving/src/fleet/store_view.rs
+++ b/crates/serving/src/fleet/store_view.rs
@@ -18,6 +18,18 @@
     confirmed_at: Option<Timestamp>,
 }
 
+/// All keys under a prefix.
+#[derive(Clone, Debug, Default)]
+pub struct WholeList {
+    /// The pairs.
+    pub pairs: Vec<KeyValue>,
+    /// The store's revision that it shows.
+    pub revision: Revision,
+    /// The revision of its last change, where a daemon shows its copy: it may know of
+    /// a removal by its revision.
+    pub changed: Option<Revision>,
+}
+
 impl StoreView {
     /// The pairs, sorted by key.
     pub fn pairs(&self) -> &[KeyValue] {
@@ -49,7 +61,12 @@
     }
 
     /// Takes over a whole list. Returns whether anything changed.
-    pub fn reset(&mut self, mut pairs: Vec<KeyValue>, revision: Revision, now: Timestamp) -> bool {
+    pub fn reset(&mut self, list: WholeList, now: Timestamp) -> bool {
+        let WholeList {
+            mut pairs,
+            revision,
+            changed,
+        } = list;
         if revision < self.revision {
             return false;
         }
@@ -60,7 +77,7 @@
         // this copy would find nothing newer in it, and use a server that is gone.
         let newest = match self.is_within(&pairs) {
             true => newest,
-            false => revision,
+            false => changed.unwrap_or(revision),
         };
         self.changed_revision = self.changed_revision.max(newest);
         self.pairs = pairs;
--- a/crates/serving/src/node/directory.rs
+++ b/crates/serving/src/node/directory.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use comfreyramp_policy::{Timestamp, placement::ServerListing};
-use comfreyramp_store::{KeyValue, Revision, WatchBatch};
+use comfreyramp_store::WatchBatch;
 
 use super::Node;
-use crate::dialect::{Dialect, FleetRecords};
+use crate::{
+    dialect::{Dialect, FleetRecords},
+    fleet::WholeList,
+};
 
 /// Entries that are missing after the store was away are held on to until so long
 /// after its return: servers that live write theirs again within two seconds.
@@ -18,10 +21,10 @@
 
 impl<D: Dialect> Node<D> {
     /// Takes over a whole list of servers.
-    pub fn take_servers(&self, pairs: Vec<KeyValue>, revision: Revision) {
+    pub fn take_servers(&self, list: WholeList) {
         let now = self.clock.now();
         let before = self.listings();
-        if self.views.borrow_mut().servers.reset(pairs, revision, now) {
+        if self.views.borrow_mut().servers.reset(list, now) {
             self.hold_missing(&before, 0, now);
             self.use_listings();
         }
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -24,14 +24,17 @@
     placement::{PlacementTable, ServerListing},
     usage::{PeerId, UsageBook},
 };
-use comfreyramp_store::{KeyValue, Revision, WatchBatch};
+use comfreyramp_store::WatchBatch;
 use tokio::sync::Notify;
 
 use self::store_health::StoreHealth;
 use crate::{
     clock::BootClock,
     dialect::{Dialect, FleetRecords},
-    fleet::{FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewRevisions},
+    fleet::{
+        FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewDesk, ViewLags,
+        ViewRevisions, WholeList,
+    },
     lots::{LotCache, LotNotices},
     metrics::NodeMetrics,
     path::ConnectionPool,
@@ -100,6 +103,8 @@
     pub metrics: NodeMetrics,
     /// Copies of what the store holds.
     pub views: RefCell<StoreViews>,
+    /// The same, as other daemons are shown them.
+    pub view_desk: RefCell<ViewDesk>,
     /// The servers, and where requests go.
     pub servers: RefCell<PlacementTable>,
     /// Connections to the servers.
@@ -124,6 +129,7 @@
     usage: RefCell<UsageBook>,
     suspects: RefCell<SuspectBook>,
     members: RefCell<MemberList>,
+    lags: Cell<ViewLags>,
     lease: RefCell<Option<HeldLease>>,
     lot_inbox: RefCell<LotInbox>,
     store_health: Cell<StoreHealth>,
@@ -142,6 +148,7 @@
             peer_client: HttpClient::new(PEER_CONNECT),
             metrics,
             views: RefCell::default(),
+            view_desk: RefCell::default(),
             servers: RefCell::new(PlacementTable::new(PeerId::of_name(&settings.name))),
             connections: ConnectionPool::default(),
             lot_cache: RefCell::default(),
@@ -155,6 +162,7 @@
             fleet: RefCell::default(),
             usage: RefCell::new(UsageBook::new(clock.now())),
             suspects: RefCell::default(),
+            lags: Cell::default(),
             members: RefCell::new(MemberList::new(&settings.name)),
             lease: RefCell::default(),
             lot_inbox: RefCell::default(),
@@ -179,14 +187,9 @@
     }
 
     /// Takes over a whole list of the operators' keys.
-    pub fn take_operators(&self, pairs: Vec<KeyValue>, revision: Revision) {
+    pub fn take_operators(&self, list: WholeList) {
         let now = self.clock.now();
-        if self
-            .views
-            .borrow_mut()
-            .operators
-            .reset(pairs, revision, now)
-        {
+        if self.views.borrow_mut().operators.reset(list, now) {
             self.put_in_force();
         }
     }
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -2,21 +2,21 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use comfreyramp_policy::ServerId;
-use comfreyramp_store::{KeyValue, Revision, WatchBatch};
+use comfreyramp_policy::{PassedSources, ServerId};
+use comfreyramp_store::WatchBatch;
 
 use super::Node;
 use crate::{
-    dialect::Dialect,
-    fleet::{MemberRecord, PeerAddresses, PeerMessage},
+    dialect::{Dialect, FleetRecords},
+    fleet::{MEMBERS, MemberRecord, PeerAddresses, PeerMessage, WholeList},
     lots::LotNotice,
 };
 
 impl<D: Dialect> Node<D> {
     /// Takes over a whole list of daemons.
-    pub fn take_members(&self, pairs: Vec<KeyValue>, revision: Revision) {
+    pub fn take_members(&self, list: WholeList) {
         let now = self.clock.now();
-        if self.views.borrow_mut().members.reset(pairs, revision, now) {
+        if self.views.borrow_mut().members.reset(list, now) {
             self.use_members();
         }
     }
@@ -137,18 +137,48 @@
     }
 
     /// A daemon that acts by newer settings or servers than this one.
-    pub fn peer_ahead(&self) -> Option<SocketAddr> {
+    pub fn peer_ahead(&self, passed: &PassedSources<SocketAddr>) -> Option<SocketAddr> {
+        let now = self.clock.now();
         let known = self.views.borrow().complete_up_to();
         let zone = &self.settings.zone;
+        let is_passed = |it| passed.is_passed(it, now);
         self.members
             .borrow()
-            .ahead_of(known, zone, &mut rand::rng())
+            .ahead_of(known, zone, is_passed, &mut rand::rng())
+    }
+
+    /// Notes whether other daemons act by changes that haven't arrived here.
+    pub fn note_lag(&self) {
+        let now = self.clock.now();
+        let own = self.views.borrow().complete_up_to();
+        let newest = self.members.borrow().newest_revisions();
+        let mut lags = self.lags.get();
+        lags.note(own, newest, now);
+        self.lags.set(lags);
     }
 
     /// Whether this daemon watches the store itself.
     pub fn is_watcher(&self) -> bool {
+        self.is_among_watchers(0)
+    }
+
+    /// Whether this daemon asks the store for what begins with a prefix: as one of
+    /// those that watch, or in their place, as changes have been missing here.
+    pub fn is_watcher_of(&self, prefix: &str) -> bool {
+        let now = self.clock.now();
+        let lags = self.lags.get();
+        let lag = match prefix {
+            MEMBERS => lags.members,
+            _ if prefix == <D::Records as FleetRecords>::SERVERS => lags.servers,
+            _ => lags.operators,
+        };
+        self.is_among_watchers(lag.stand_ins(now))
+    }
+
+    fn is_among_watchers(&self, stand_ins: usize) -> bool {
         let now = self.clock.now();
-        self.members.borrow().is_watcher(&self.member_record(), now)
+        let own = self.member_record();
+        self.members.borrow().is_watcher(&own, stand_ins, now)
     }
 
     /// Whether this daemon looks for lots that nobody runs.
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -222,20 +222,20 @@
     let shared = node.clone();
     let operators = <D::Records as FleetRecords>::OPERATORS;
     spawn_follow(node, operators, stop, move |news| match news {
-        FollowNews::Whole(pairs, revision) => shared.take_operators(pairs, revision),
+        FollowNews::Whole(list) => shared.take_operators(list),
         FollowNews::Changed(batch) => shared.change_operators(batch),
         FollowNews::Lost(_) => {}
     });
     let shared = node.clone();
     let servers = <D::Records as FleetRecords>::SERVERS;
     spawn_follow(node, servers, stop, move |news| match news {
-        FollowNews::Whole(pairs, revision) => shared.take_servers(pairs, revision),
+        FollowNews::Whole(list) => shared.take_servers(list),
         FollowNews::Changed(batch) => shared.change_servers(batch),
         FollowNews::Lost(_) => {}
     });
     let shared = node.clone();
     spawn_follow(node, MEMBERS, stop, move |news| match news {
-        FollowNews::Whole(pairs, revision) => shared.take_members(pairs, revision),
+        FollowNews::Whole(list) => shared.take_members(list),
         FollowNews::Changed(batch) => shared.change_members(batch),
         FollowNews::Lost(_) => {}
     });
@@ -280,9 +280,10 @@
             }
         }
         take(news);
+        shared.note_lag();
     };
     let watching = node.clone();
-    let is_watcher = move || watching.is_watcher();
+    let is_watcher = move || watching.is_watcher_of(prefix);
     let store = node.store.direct().clone();
     let settle = match prefix {
         MEMBERS => Duration::ZERO,
--- a/crates/serving/tests/store_view.rs
+++ b/crates/serving/tests/store_view.rs
@@ -1,7 +1,7 @@
 //! What a daemon's copy of the store tells others of how new it is.
 
 use comfreyramp_policy::Timestamp;
-use comfreyramp_serving::fleet::StoreView;
+use comfreyramp_serving::fleet::{StoreView, WholeList};
 use comfreyramp_store::{KeyValue, WatchBatch};
 
 const NOW: Timestamp = Timestamp::from_micros(1_000_000);
@@ -16,6 +16,14 @@
     }
 }
 
+fn list(pairs: Vec<KeyValue>, revision: i64) -> WholeList {
+    WholeList {
+        pairs,
+        revision,
+        changed: None,
+    }
+}
+
 /// Two daemons watch the same keys. The store answers both with the same change, one
 /// of them a moment later, when other keys have been written too. Were that one's
 /// copy taken for the newer, its zone would send the whole settings around once more,
@@ -51,10 +59,10 @@
 #[test]
 fn a_removal_that_only_a_list_shows_is_a_change() {
     let mut view = StoreView::default();
-    view.reset(vec![pair("one", 3), pair("two", 5)], 10, NOW);
+    view.reset(list(vec![pair("one", 3), pair("two", 5)], 10), NOW);
     assert_eq!(view.changed_revision(), 5);
-    view.reset(vec![pair("one", 3)], 20, NOW);
+    view.reset(list(vec![pair("one", 3)], 20), NOW);
     assert_eq!(view.changed_revision(), 20);
-    view.reset(vec![pair("one", 3)], 25, NOW);
+    view.reset(list(vec![pair("one", 3)], 25), NOW);
     assert_eq!(view.changed_revision(), 20, "nothing changed since");
 }
