Bound how many daemons of a zone ask a store that is away

What an operator would see: while the store is away in a fleet of more than 16 daemons, all of them call it about once a second for each of three prefixes, and each call is billed.

Cause: a daemon that fails says so, and the next one of its zone takes its place. Since daemons that stepped back do come back, nothing ended that.

Now at most four of a zone try for each one that is wanted. Those beyond learn from other zones, or stand in once they know of a change that they lack.

Ruled out: to have nobody step in for one that the store turns away; the store may turn single VMs away for long.

The test (member_list.rs) failed before: 30 of 30 daemons of a zone asked.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -30,6 +30,11 @@
 /// two may be lost or turned away before anybody has to wait for another to take
 /// over. Each zone has one in any case, since it may be cut off from the others.
 const LEAST_WATCHERS: usize = 3;
+/// While the store turns daemons away, the next ones of their zone ask it in their
+/// place, but no more than so many for each that is wanted. Were all to follow, a store
+/// that is away for all would be called by the whole fleet each second. Others learn
+/// from other zones, or stand in once they know that something is missing.
+const MOST_TRYING: usize = 4;
 /// In a large fleet so many daemons for callers use a server first, and so many
 /// for lots. Fewer would leave a daemon with many callers too few servers; more
 /// would have more to tell each other.
@@ -122,15 +127,16 @@
         if self.is_small() {
             return true;
         }
-        let score = |name: &str| PeerId::of_name(name);
+        let own_score = PeerId::of_name(&own.name);
         let before = self.members.iter().filter(|it| {
             it.record.zone == own.zone
-                && it.reaches_store
                 && !it.is_leaving
                 && it.was_heard(self.heard_lately(), now)
-                && score(&it.record.name) < score(&own.name)
+                && it.id < own_score
         });
-        before.count() < LEAST_WATCHERS.div_ceil(self.zones(&own.zone)) + stand_ins
+        let (reaching, turned_away): (Vec<_>, Vec<_>) = before.partition(|it| it.reaches_store);
+        let wanted = LEAST_WATCHERS.div_ceil(self.zones(&own.zone)) + stand_ins;
+        reaching.len() < wanted && reaching.len() + turned_away.len() < wanted * MOST_TRYING
     }
 
     /// How many zones the fleet has, that of this daemon included.
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -87,3 +87,54 @@
     members.hear(&message(10, progress(LotStage::Finished)), now);
     assert!(members.lot_runner("lot-1", now).is_some());
 }
+
+/// A fleet of 30 daemons in each of three zones, none of which reaches the store.
+fn zone_of_thirty(own: usize, reaches_store: impl Fn(usize) -> bool) -> MemberList {
+    let begin = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new(&format!("entry-{own}"));
+    for place in 0..90 {
+        let mut said = message(1, Vec::new());
+        said.from.name = format!("entry-{place}");
+        said.from.zone = format!("zone-{}", place / 30);
+        said.reaches_store = reaches_store(place);
+        members.hear(&said, begin);
+    }
+    members
+}
+
+/// Those of the first zone that ask the store, where `stand_ins` of them stand in.
+fn watchers(stand_ins: usize, reaches_store: impl Fn(usize) -> bool) -> Vec<usize> {
+    let begin = Timestamp::from_micros(1_000_000);
+    let asks = |own: &usize| {
+        let mut record = message(1, Vec::new()).from;
+        record.name = format!("entry-{own}");
+        record.zone = "zone-0".to_owned();
+        zone_of_thirty(*own, &reaches_store).is_watcher(&record, stand_ins, begin)
+    };
+    (0..30).filter(asks).collect()
+}
+
+/// The store is away for all. Each daemon that fails says so, and the next one steps
+/// in; were there no end to that, a store that comes back would find a hundred daemons
+/// at its door, and each of their calls is billed.
+#[test]
+fn few_daemons_of_a_zone_ask_a_store_that_is_away() {
+    assert_eq!(watchers(0, |_| true).len(), 1);
+    let asking = watchers(0, |_| false);
+    assert_eq!(asking.len(), 4, "{asking:?}");
+    let first = watchers(0, |_| true);
+    let next = watchers(0, |it| it != first[0]);
+    assert_eq!(next.len(), 2, "the one that is turned away, and one for it");
+}
+
+/// A change is known to be missing, and nobody brings it. One daemon more asks the
+/// store, then three.
+#[test]
+fn daemons_stand_in_by_their_order() {
+    let first = watchers(0, |_| true);
+    let second = watchers(1, |_| true);
+    let fourth = watchers(3, |_| true);
+    assert_eq!((first.len(), second.len(), fourth.len()), (1, 2, 4));
+    assert!(first.iter().all(|it| second.contains(it)));
+    assert!(second.iter().all(|it| fourth.contains(it)));
+}
