--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -30,6 +30,11 @@
 /// two may be lost or turned away before anybody has to wait for another to take
 /// over. Each zone has one in any case, since it may be cut off from the others.
 const LEAST_WATCHERS: usize = 3;
+/// While the store turns daemons away, the next ones of their zone ask it in their
+/// place, but no more than so many for each that is wanted. Were all to follow, a store
+/// that is away for all would be called by the whole fleet each second. Others learn
+/// from other zones, or stand in once they know that something is missing.
+const MOST_TRYING: usize = 4;
 /// In a large fleet so many daemons for callers use a server first, and so many
 /// for lots. Fewer would leave a daemon with many callers too few servers; more
 /// would have more to tell each other.
@@ -134,20 +139,21 @@
 
     /// Whether the daemon `own` is one of those that watch the store. In a small
     /// fleet all are; in a large one the first of each zone by a hash, out of
-    /// those that are heard and reach the store.
-    pub fn is_watcher(&self, own: &MemberRecord, now: Timestamp) -> bool {
+    /// those that are heard and reach the store, and `stand_ins` after these.
+    pub fn is_watcher(&self, own: &MemberRecord, stand_ins: usize, now: Timestamp) -> bool {
         if self.is_small() {
             return true;
         }
-        let score = |name: &str| PeerId::of_name(name);
+        let own_score = PeerId::of_name(&own.name);
         let before = self.members.iter().filter(|it| {
             it.record.zone == own.zone
-                && it.reaches_store
                 && !it.is_leaving
                 && it.was_heard(self.heard_lately(), now)
-                && score(&it.record.name) < score(&own.name)
+                && it.id < own_score
         });
-        before.count() < LEAST_WATCHERS.div_ceil(self.zones(&own.zone))
+        let (reaching, turned_away): (Vec<_>, Vec<_>) = before.partition(|it| it.reaches_store);
+        let wanted = LEAST_WATCHERS.div_ceil(self.zones(&own.zone)) + stand_ins;
+        reaching.len() < wanted && reaching.len() + turned_away.len() < wanted * MOST_TRYING
     }
 
     /// How many zones the fleet has, that of this daemon included.
@@ -345,17 +351,22 @@
 
     /// A daemon that acts by a newer view than one with these revisions: any of
     /// `zone` if there is one, else of another. Were all who are behind to ask the
-    /// same one, a small VM would be busy with them alone. One that is lost stays known
-    /// until its lease lapses, and a question to it takes its whole timeout.
+    /// same one, a small VM would be busy with them alone. Those that gave nothing a
+    /// moment ago are passed over, and where these are all of `zone`, it is another's.
+    /// One that is lost stays known until its lease lapses, and a question to it takes
+    /// its whole timeout.
     pub fn ahead_of(
         &self,
         known: ViewRevisions,
         zone: &str,
+        is_passed: impl Fn(SocketAddr) -> bool,
         random: &mut impl Rng,
         now: Timestamp,
     ) -> Option<SocketAddr> {
         let is_ahead = |it: &&KnownMember| {
-            it.revisions.is_ahead_of(known) && it.was_heard(self.heard_lately(), now)
+            it.revisions.is_ahead_of(known)
+                && it.was_heard(self.heard_lately(), now)
+                && !is_passed(it.record.address)
         };
         let (near, far): (Vec<&KnownMember>, Vec<&KnownMember>) = self
             .members
@@ -366,6 +377,12 @@
         Some(chosen.record.address)
     }
 
+    /// The newest changes that any daemon acts by.
+    pub fn newest_revisions(&self) -> ViewRevisions {
+        let told = self.members.iter().map(|it| it.revisions);
+        told.fold(ViewRevisions::default(), ViewRevisions::newest)
+    }
+
     /// What the daemon says that knows of all results of a lot. What a former life of
     /// it said was forgotten with that life.
     pub fn runner_vouch(&self, lot: &str) -> Option<RunnerVouch> {
--- a/crates/serving/src/fleet/store_view.rs
+++ b/crates/serving/src/fleet/store_view.rs
@@ -18,6 +18,18 @@
     confirmed_at: Option<Timestamp>,
 }
 
+/// All keys under a prefix.
+#[derive(Clone, Debug, Default)]
+pub struct WholeList {
+    /// The pairs.
+    pub pairs: Vec<KeyValue>,
+    /// The store's revision that it shows.
+    pub revision: Revision,
+    /// The revision of its last change, where a daemon shows its copy: it may know of
+    /// a removal by its revision.
+    pub changed: Option<Revision>,
+}
+
 impl StoreView {
     /// The pairs, sorted by key.
     pub fn pairs(&self) -> &[KeyValue] {
@@ -49,25 +61,37 @@
     }
 
     /// Takes over a whole list. Returns whether anything changed.
-    pub fn reset(&mut self, mut pairs: Vec<KeyValue>, revision: Revision, now: Timestamp) -> bool {
+    pub fn reset(&mut self, list: WholeList, now: Timestamp) -> bool {
+        let WholeList {
+            mut pairs,
+            revision,
+            changed,
+        } = list;
         if revision < self.revision {
             return false;
         }
         pairs.sort_by(|left, right| left.key.cmp(&right.key));
         let is_changed = self.pairs != pairs || self.confirmed_at.is_none();
-        let newest = pairs.iter().map(|it| it.modified).max();
-        self.changed_revision = self.changed_revision.max(newest.unwrap_or_default());
-        // A key that is gone bears no revision; it was there up to the former one. Others
-        // that still see it have to hear that there is news, or would see it for ever.
-        if self.pairs.iter().any(|it| !has_key(&pairs, &it.key)) {
-            self.changed_revision = revision;
-        }
+        let newest = pairs.iter().map(|it| it.modified).max().unwrap_or_default();
+        // A list names no removal. Were one passed over, the daemons that learn from
+        // this copy would find nothing newer in it, and use a server that is gone.
+        let newest = match self.is_within(&pairs) {
+            true => newest,
+            false => changed.unwrap_or(revision),
+        };
+        self.changed_revision = self.changed_revision.max(newest);
         self.pairs = pairs;
         self.revision = revision;
         self.confirmed_at = Some(now);
         is_changed
     }
 
+    /// Whether a list, sorted by key, has all keys of this copy.
+    fn is_within(&self, listed: &[KeyValue]) -> bool {
+        let has = |key: &str| listed.binary_search_by(|it| it.key.as_str().cmp(key));
+        self.pairs.iter().all(|it| has(&it.key).is_ok())
+    }
+
     /// Takes over changes. Returns whether anything changed.
     pub fn apply(&mut self, batch: WatchBatch, now: Timestamp) -> bool {
         self.confirmed_at = Some(now);
@@ -91,13 +115,8 @@
             }
         }
         if is_changed {
-            self.changed_revision = batch.revision;
+            self.changed_revision = self.changed_revision.max(batch.changed);
         }
         is_changed
     }
 }
-
-fn has_key(pairs: &[KeyValue], key: &str) -> bool {
-    let place = pairs.binary_search_by(|it| it.key.as_str().cmp(key));
-    place.is_ok()
-}
