--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -442,3 +442,22 @@
     let after = fleet.store.put("op/note", b"");
     assert_eq!(after - before, 1, "nothing else was written");
 }
+
+/// A lot is done a moment after it was accepted, and the daemon that ran it is restarted,
+/// so that nobody says that it is finished. That it was accepted is still repeated, several
+/// times a second. Once the next life has found nothing left of it, these words must not
+/// have it look again and again: each look is billed as two writes and a read.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_with_nothing_left_is_looked_at_once() {
+    let mut fleet = Fleet::started().await;
+    let status = fleet.hand_in(0, "lot-g", &["one"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    fleet.whole_lot(0, "lot-g").await;
+    fleet.kill(2);
+    let before = fleet.store.put("op/note", b"");
+    fleet.restart(2);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let after = fleet.store.put("op/note", b"");
+    // The daemon registers, claims the lot and gives it back.
+    assert!(after - before <= 4, "{} writes", after - before);
+}
