Look once at a lot that has nothing left

Cause: that a lot was accepted is repeated for 3 s, in each message. A daemon that found nothing left of it forgot that, and claimed it anew with the next repetition. Only the word that it is finished would have kept it from that, which was lost with the former life.

Now a daemon remembers such a lot for 10 s. That nothing is left never changes: a lot is ended, or has all its results.

--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -23,11 +23,15 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(2_000);
 /// The pause after a claim that failed.
 const CLAIM_PAUSE: Duration = Duration::from_millis(1_000);
+/// A lot that was found to have nothing left isn't looked at again for so long. That it
+/// was accepted is repeated for less, several times a second, and each look is billed.
+const GONE_KEPT: Duration = Duration::from_secs(10);
 /// The lots that are held at once.
 const MOST_HELD: usize = 48;
 
 impl<D: Dialect> LotWorker<D> {
     pub(super) fn take_notices(&mut self, now: Timestamp) {
+        self.gone.retain(|it| now.since(it.1) < GONE_KEPT);
         let inbox = self.node.take_lot_inbox();
         for lot in inbox.accepted {
             self.add_candidate(lot, now);
@@ -43,6 +47,7 @@
     fn add_candidate(&mut self, lot: String, now: Timestamp) {
         let is_known = self.candidates.iter().any(|it| it.lot == lot)
             || self.held.iter().any(|it| *it.id == *lot)
+            || self.gone.iter().any(|it| it.0 == lot)
             || self.node.told_finished(&lot);
         if !is_known {
             self.candidates.push(Candidate {
@@ -238,7 +243,10 @@
                 let place = self.held.partition_point(|it| it.head.due <= held.head.due);
                 self.held.insert(place, *held);
             }
-            ClaimAnswer::Gone => self.candidates.retain(|it| it.lot != lot),
+            ClaimAnswer::Gone => {
+                self.candidates.retain(|it| it.lot != lot);
+                self.gone.push((lot.to_owned(), now));
+            }
             ClaimAnswer::Taken | ClaimAnswer::Unknown => {
                 let candidate = self.candidates.iter_mut().find(|it| it.lot == lot);
                 if let Some(candidate) = candidate {
--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -65,6 +65,8 @@
     /// Those due first come first.
     held: Vec<HeldLot>,
     candidates: Vec<Candidate>,
+    /// Lots that were found to have nothing left, and when.
+    gone: Vec<(String, Timestamp)>,
     running: usize,
     pace: RunPace,
     sender: UnboundedSender<WorkerEvent>,
@@ -80,6 +82,7 @@
         node,
         held: Vec::new(),
         candidates: Vec::new(),
+        gone: Vec::new(),
         running: 0,
         pace: RunPace::default(),
         sender,
