--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -461,3 +461,21 @@
     // The daemon registers, claims the lot and gives it back.
     assert!(after - before <= 4, "{} writes", after - before);
 }
+
+/// The store takes a lot and loses the answer, and the daemon asks again by way of another
+/// one, which is told that the lot is there already. That is its own write: were it taken
+/// for somebody else's, the writer would act on a refusal though its write is in force, and
+/// an operator would look for a daemon that accepted the lot before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_whose_answer_was_lost_is_its_own_by_another_way_too() {
+    let fleet = Fleet::started().await;
+    // Until then nobody is known who reaches the store.
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fleet.nodes[0].door.faults.lose_answers(1);
+    let status = fleet.hand_in(0, "lot-w", &["one"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    let logged = fleet.logged("lot-w").await;
+    let said = |text: &str| logged.iter().any(|it| it["message"] == text);
+    assert!(said("lots: accepted"), "{logged:?}");
+    assert!(!said("lots: accepted before"), "{logged:?}");
+}
