Don't take a refusal on the second way for the last word on a write

What operators could see: "accepted before" for a lot that nobody accepted before, where the store took it and lost the answer.

Cause: a call whose answer was lost is made again by way of another daemon. There the write is refused for what it has done itself, and this answer was passed on as if the call had been made once. All writers compare what they find with what they wrote, so that no caller was told anything false; but the contract of a write that is safe to repeat was broken.

Now a write that is refused on the second way, after its first answer was lost, stays undecided, and the writer asks again and recognises its own.

--- a/crates/serving/src/fleet/store_relay.rs
+++ b/crates/serving/src/fleet/store_relay.rs
@@ -90,6 +90,19 @@
     direct_after: Option<Instant>,
 }
 
+/// What came of a call that was made directly, by way of another daemon, or both.
+struct ReachedCall<T> {
+    answer: Result<T, StoreError>,
+    /// Why the direct way brought no answer, where the call may have been made on it.
+    lost: Option<StoreError>,
+}
+
+impl<T> ReachedCall<T> {
+    fn new(answer: Result<T, StoreError>) -> Self {
+        ReachedCall { answer, lost: None }
+    }
+}
+
 /// The store, by way of other daemons where it can't be reached directly.
 #[derive(Clone, Debug)]
 pub struct RelayedStore<S> {
@@ -171,11 +184,7 @@
     }
 
     /// Makes a call directly, or by way of another daemon.
-    async fn reach<T, F>(
-        &self,
-        relayed: RelayCall,
-        call: impl FnOnce(S) -> F,
-    ) -> Result<T, StoreError>
+    async fn reach<T, F>(&self, relayed: RelayCall, call: impl FnOnce(S) -> F) -> ReachedCall<T>
     where
         T: DeserializeOwned,
         F: Future<Output = Result<T, StoreError>>,
@@ -187,18 +196,21 @@
                     failure = error;
                     self.note_failed();
                 }
-                decided => return decided,
+                decided => return ReachedCall::new(decided),
             }
         }
         let peer = self.lock().peers.choose(&mut rand::rng()).copied();
         let Some(peer) = peer else {
-            return Err(failure);
+            return ReachedCall::new(Err(failure));
         };
         match self.ask(peer, &relayed).await {
             // What was lost on the first way may have been done, whatever the
             // second way says.
-            Err(StoreError::Unreachable(_)) => Err(failure),
-            answer => answer,
+            Err(StoreError::Unreachable(_)) => ReachedCall::new(Err(failure)),
+            answer => ReachedCall {
+                answer,
+                lost: matches!(failure, StoreError::AnswerLost(_)).then_some(failure),
+            },
         }
     }
 
@@ -234,12 +246,22 @@
         let relayed = RelayCall::Range(range.clone(), limit);
         self.reach(relayed, |it| async move { it.range(range, limit).await })
             .await
+            .answer
     }
 
     async fn transact(&self, batch: WriteBatch) -> Result<TransactionAnswer, StoreError> {
         let relayed = RelayCall::Transact(batch.clone());
-        self.reach(relayed, |it| async move { it.transact(batch).await })
-            .await
+        let reached = self
+            .reach(relayed, |it| async move { it.transact(batch).await })
+            .await;
+        match (reached.answer, reached.lost) {
+            // It may be refused for what it has done itself on the first way. A writer
+            // that took this for the last word would give up a write that is in force.
+            (Ok(TransactionAnswer::Refused { .. }) | Err(StoreError::Rejected(_)), Some(lost)) => {
+                Err(lost)
+            }
+            (answer, _) => answer,
+        }
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
@@ -248,6 +270,7 @@
             |it| async move { it.grant(ttl).await },
         )
         .await
+        .answer
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<Duration, StoreError> {
@@ -255,6 +278,7 @@
             it.renew(lease).await
         })
         .await
+        .answer
     }
 
     async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
@@ -262,6 +286,7 @@
             it.revoke(lease).await
         })
         .await
+        .answer
     }
 
     /// Watches aren't relayed: what they would bring comes from other daemons'
