--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -178,10 +178,10 @@
             let Some(member) = self.member_of(record) else {
                 continue;
             };
-            let is_older = member.is_former(record.incarnation) || member.speaks(lately, now);
+            let is_behind = member.is_former(record.incarnation) || member.speaks(lately, now);
             if member.record.incarnation == record.incarnation {
                 member.record.clone_from(record);
-            } else if !is_older {
+            } else if !is_behind {
                 member.begin_life(record);
             }
             member.listed_life = Some(record.incarnation);
--- a/crates/serving/src/fleet/membership.rs
+++ b/crates/serving/src/fleet/membership.rs
@@ -39,8 +39,8 @@
 pub async fn keep_membership<D: Dialect>(node: Rc<Node<D>>, stop: CancellationToken) {
     while !stop.is_cancelled() {
         let round = registered_round(&node, &stop).await;
-        // No claim holds by this lease any more, and nothing may be said on the strength
-        // of it from now on.
+        // The lease is lapsed, or about to be given back: from now on this daemon speaks
+        // for no lot on the strength of it.
         node.set_lease(None);
         match round {
             Ok(lease) => return leave(&node, lease).await,
