Log when a daemon asks the store in place of others; test that large settings go to a few at a time

An operator couldn't tell from the logs that the daemon that watches for a zone had changed. The test asks the real program twelve times at once for settings that don't shrink: one is shown them, eleven get the directory and are told that it is busy.

--- a/crates/node/tests/stale_zone.rs
+++ b/crates/node/tests/stale_zone.rs
@@ -17,7 +17,7 @@
     time::{Duration, Instant},
 };
 
-use comfreyramp_http::StatusCode;
+use comfreyramp_http::{HttpClient, MessageBody, Request, StatusCode};
 use comfreyramp_policy::usage::PeerId;
 use comfreyramp_serving::fleet::{MEMBERS, MemberRecord, PeerMessage, ViewRevisions};
 use fleet::{Ask, Fleet, KEY, SPARE_KEY};
@@ -185,3 +185,53 @@
     let counts = lines.filter_map(|it| it.rsplit(' ').next()?.parse::<f64>().ok());
     counts.sum::<f64>() as u64
 }
+
+/// Many daemons of a zone ask for settings that don't shrink, as after each change. They
+/// get them a few at a time; the others hear so at once, and get the directory with it.
+/// Shown to all at once, the settings would reach none of them in time over a small
+/// connection, and requests would go to servers that have left.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_settings_are_shown_to_a_few_at_a_time() {
+    let mut fleet = Fleet::new().await;
+    add_routes(&fleet);
+    fleet.add_node("entry-1", "zone-1", true).await;
+    fleet.wait_ready().await;
+    let asks = (0..12).map(|_| shown_length(&fleet));
+    let lengths = futures::future::join_all(asks).await;
+    let whole = lengths.iter().filter(|it| **it > 300_000).count();
+    assert!((1..=3).contains(&whole), "{lengths:?}");
+    let least = lengths.iter().min().unwrap();
+    assert!(*least > 100, "the directory is shown to all: {lengths:?}");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert!(shown_length(&fleet).await > 300_000, "to the next later");
+}
+
+/// Adds routes to the settings whose names are drawn.
+fn add_routes(fleet: &Fleet) {
+    let entry = fleet.store.keys("op/config").remove(0);
+    let mut settings: serde_json::Value = serde_json::from_slice(&entry.value).unwrap();
+    settings["version"] = 9.into();
+    let routes = settings["routes"].as_array_mut().unwrap();
+    for _ in 0..2_000 {
+        let mut route = routes[0].clone();
+        let name: String = (0..25)
+            .map(|_| format!("{:x}", rand::random::<u64>()))
+            .collect();
+        route["prefix"] = format!("/{name}/").into();
+        routes.push(route);
+    }
+    fleet
+        .store
+        .put("op/config", settings.to_string().as_bytes());
+}
+
+/// How long the answer is to a daemon that knows nothing.
+async fn shown_length(fleet: &Fleet) -> usize {
+    let known = postcard::to_stdvec(&ViewRevisions::default()).unwrap();
+    let address = fleet.peers_of(0);
+    let request = Request::post(format!("http://{address}/packed-views"));
+    let request = request.body(MessageBody::from(known)).unwrap();
+    let client = HttpClient::default();
+    let answer = client.exchange(request, PATIENCE, 16 << 20).await.unwrap();
+    answer.body().len()
+}
--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -51,11 +51,16 @@
 ) {
     let mut pause = FIRST_PAUSE;
     let mut is_known = false;
+    let mut was_idle = false;
     while !stop.is_cancelled() {
         if is_known && !is_watcher() {
+            was_idle = true;
             tokio::time::sleep(IDLE_LOOK).await;
             continue;
         }
+        if std::mem::take(&mut was_idle) {
+            log::info!(prefix = prefix; "store: asked in place of others");
+        }
         let settle = if is_known { Duration::ZERO } else { settle };
         is_known = true;
         let round = async {
