Insist on a lot's write for longer than the store is left alone after a lost answer

Cause: after a call without an answer the store is left alone for a second and other daemons are asked. Where there are none, the six tries of a write, with pauses drawn from their seed, could be over before that second was, 0.8 to 1.5 s after the first.

Ruled out: the store's stand-in (it had the lot), a change of the way by another daemon (there was none to go by).

Now the write is tried up to sixteen times, with pauses of 0.4 s at most, inside the part of the caller's time that it may take.

--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -28,8 +28,12 @@
 const STORE_RETRY: Duration = Duration::from_millis(800);
 /// Of the caller's time, the part that may be spent on the store.
 const STORE_PART: f64 = 0.7;
-/// How often the store is asked at most for one lot.
-const STORE_TRIES: u32 = 6;
+/// How often the store is asked at most for one lot, and the longest pause between. A
+/// daemon that hears no other leaves the store alone for a second after an answer was
+/// lost; with fewer tries it gave up before, and its caller was told that nothing is
+/// known of a lot that was kept.
+const STORE_TRIES: u32 = 16;
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 
 /// A lot that is handed in.
 #[derive(Debug)]
@@ -103,7 +107,9 @@
     let (shared, id) = (node.clone(), submission.lot.clone());
     let (customer, items) = (submission.customer.clone(), lot.items.len());
     let writing = tokio::task::spawn_local(async move {
-        let pace = RetryPace::new(shared.incarnation).attempts(STORE_TRIES);
+        let pace = RetryPace::new(shared.incarnation)
+            .attempts(STORE_TRIES)
+            .longest_wait(LONGEST_PAUSE);
         let outcome = write_once(&shared.store, batch, pace).await?;
         if let OnceOutcome::Written(revision) = outcome {
             log::info!(
