Stand-ins tell which writes wait for their answer and when requests arrive

A soak that harms a daemon right after its write took effect has to know when that is: the door of the store names the keys written since answers are held back. Arrivals at a stand-in server carry their moment, so that what comes too late after a lot's end can be told from what came in time, and a streamed answer takes as long as its request's body asks, so that the results of a lot come one group after the other. Callers of a test fleet are a handle of their own: tasks ask while daemons are killed. A failed test puts the whole logs into the folder FLEET_LOGS, where set.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -39,6 +39,8 @@
 const ANSWER_LIMIT: usize = 16 << 20;
 /// The lines of each daemon's log that a failed test shows.
 const LAST_LINES: usize = 40;
+/// The folder into which a failed test puts the whole logs, if this is set.
+const LOG_FOLDER: &str = "FLEET_LOGS";
 
 /// A daemon's process. It is killed by its id when this is dropped.
 pub(crate) struct NodeProcess {
@@ -69,6 +71,14 @@
     client: HttpClient,
 }
 
+/// Callers of a fleet. They ask also while something is done to it.
+#[derive(Clone)]
+pub(crate) struct Callers {
+    /// Where each daemon is reached that has callers.
+    doors: Vec<Option<SocketAddr>>,
+    client: HttpClient,
+}
+
 /// A request of a caller.
 pub(crate) struct Ask<'a> {
     pub(crate) method: Method,
@@ -353,21 +363,17 @@
         String::from_utf8_lossy(answer.body()).into_owned()
     }
 
+    /// Callers of its daemons.
+    pub(crate) fn callers(&self) -> Callers {
+        Callers {
+            doors: self.nodes.iter().map(|it| it.callers).collect(),
+            client: self.client.clone(),
+        }
+    }
+
     /// Asks a daemon and reads its whole answer; an error where it breaks off.
     pub(crate) async fn ask(&self, node: usize, ask: Ask<'_>) -> Result<Response<Bytes>, String> {
-        let address = self.nodes[node].callers.unwrap();
-        let request = Request::builder()
-            .method(ask.method)
-            .uri(format!("http://{address}{}", ask.path))
-            .header("host", HOST)
-            .header("x-request-id", ask.id)
-            .header("x-deadline-ms", "5000")
-            .header("x-wait-ms", "300")
-            .header("api-key", ask.key)
-            .body(MessageBody::from(ask.body.to_vec()))
-            .unwrap();
-        let answer = self.client.exchange(request, CALL, ANSWER_LIMIT).await;
-        answer.map_err(|error| error.to_string())
+        self.callers().ask(node, ask).await
     }
 
     /// Hands a lot in, and returns the status of the answer.
@@ -377,17 +383,7 @@
         lot: &str,
         bodies: &[&str],
     ) -> Result<StatusCode, String> {
-        let items: Vec<Value> = bodies
-            .iter()
-            .enumerate()
-            .map(|(number, body)| item(lot, number, body))
-            .collect();
-        let body = json!({"items": items}).to_string();
-        let path = format!("/lots/{lot}");
-        let answer = self
-            .ask(node, Ask::post(&path, lot, body.as_bytes()))
-            .await?;
-        Ok(answer.status())
+        self.callers().hand_in(node, lot, bodies).await
     }
 
     /// Reads a lot's results from a position on.
@@ -420,6 +416,45 @@
     }
 }
 
+impl Callers {
+    /// Asks a daemon and reads its whole answer; an error where it breaks off.
+    pub(crate) async fn ask(&self, node: usize, ask: Ask<'_>) -> Result<Response<Bytes>, String> {
+        let address = self.doors[node].unwrap();
+        let request = Request::builder()
+            .method(ask.method)
+            .uri(format!("http://{address}{}", ask.path))
+            .header("host", HOST)
+            .header("x-request-id", ask.id)
+            .header("x-deadline-ms", "5000")
+            .header("x-wait-ms", "300")
+            .header("api-key", ask.key)
+            .body(MessageBody::from(ask.body.to_vec()))
+            .unwrap();
+        let answer = self.client.exchange(request, CALL, ANSWER_LIMIT).await;
+        answer.map_err(|error| error.to_string())
+    }
+
+    /// Hands a lot in, and returns the status of the answer.
+    pub(crate) async fn hand_in(
+        &self,
+        node: usize,
+        lot: &str,
+        bodies: &[&str],
+    ) -> Result<StatusCode, String> {
+        let items: Vec<Value> = bodies
+            .iter()
+            .enumerate()
+            .map(|(number, body)| item(lot, number, body))
+            .collect();
+        let body = json!({"items": items}).to_string();
+        let path = format!("/lots/{lot}");
+        let answer = self
+            .ask(node, Ask::post(&path, lot, body.as_bytes()))
+            .await?;
+        Ok(answer.status())
+    }
+}
+
 /// An item of a lot, as it is handed in.
 pub(crate) fn item(lot: &str, number: usize, body: &str) -> Value {
     use base64::Engine as _;
@@ -461,6 +496,11 @@
                 let lines: Vec<&str> = log.lines().collect();
                 let last = &lines[lines.len().saturating_sub(LAST_LINES)..];
                 eprintln!("{}:\n{}", node.peers, last.join("\n"));
+                if let Ok(folder) = std::env::var(LOG_FOLDER) {
+                    let name = format!("{}-{}.log", std::process::id(), node.peers.ip());
+                    // The lines above stand in any case.
+                    let _ = std::fs::write(std::path::Path::new(&folder).join(name), &log);
+                }
             }
         }
         self.stop.cancel();
--- a/crates/standins/src/kv/door.rs
+++ b/crates/standins/src/kv/door.rs
@@ -164,7 +164,11 @@
     let Ok(body) = serde_json::from_slice::<TransactionBody>(&body) else {
         return json_response(StatusCode::BAD_REQUEST, &json!({}));
     };
+    let keys = body.written_keys();
     let end = state.transact(body);
+    if matches!(end, TransactionEnd::Written(_)) {
+        faults.note_held(keys);
+    }
     while faults.holds_answers() {
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
--- a/crates/standins/src/kv/faults.rs
+++ b/crates/standins/src/kv/faults.rs
@@ -1,6 +1,9 @@
 //! What goes wrong at one door of the store.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, AtomicU32, Ordering},
+};
 
 /// What goes wrong at one door of the store.
 #[derive(Debug, Default)]
@@ -8,6 +11,8 @@
     turned_away: AtomicBool,
     lost_answers: AtomicU32,
     held_answers: AtomicBool,
+    /// The keys of writes whose answers are held back.
+    held_writes: Mutex<Vec<String>>,
 }
 
 impl KvFaults {
@@ -24,6 +29,27 @@
     /// Does writes, and holds the answers to them back until this is switched off.
     pub fn hold_answers(&self, is_on: bool) {
         self.held_answers.store(is_on, Ordering::SeqCst);
+        if !is_on {
+            self.lock_held().clear();
+        }
+    }
+
+    /// The keys that were written since answers are held back: whoever wrote them
+    /// doesn't know yet that it did.
+    pub fn held_writes(&self) -> Vec<String> {
+        self.lock_held().clone()
+    }
+
+    pub(super) fn note_held(&self, keys: Vec<String>) {
+        if self.holds_answers() {
+            self.lock_held().extend(keys);
+        }
+    }
+
+    fn lock_held(&self) -> MutexGuard<'_, Vec<String>> {
+        self.held_writes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     pub(super) fn holds_answers(&self) -> bool {
--- a/crates/standins/src/kv/state.rs
+++ b/crates/standins/src/kv/state.rs
@@ -81,6 +81,13 @@
     remove: Vec<String>,
 }
 
+impl TransactionBody {
+    /// The keys that it writes.
+    pub(super) fn written_keys(&self) -> Vec<String> {
+        self.writes.iter().map(|it| it.key.clone()).collect()
+    }
+}
+
 /// What a transaction did.
 pub(super) enum TransactionEnd {
     Written(i64),
--- a/crates/standins/src/runner/runner_server.rs
+++ b/crates/standins/src/runner/runner_server.rs
@@ -6,7 +6,7 @@
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use comfreyramp_http::{
@@ -24,11 +24,12 @@
 /// What a server answers with.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RunnerKind {
-    /// A stream of events.
+    /// A stream of events. A whole one takes 40 ms where the request's body reads
+    /// `takes 40`.
     Engine {
         /// How many events a whole answer has.
         events: u64,
-        /// The pause before each.
+        /// The pause before each, where the body doesn't ask for another.
         pause: Duration,
     },
     /// The request's body; one that reads `takes 40` after 40 ms.
@@ -51,6 +52,8 @@
 /// A request that arrived.
 #[derive(Clone, Debug)]
 pub struct RunnerArrival {
+    /// When it arrived.
+    pub at: Instant,
     /// Its id.
     pub request_id: String,
     /// Its path.
@@ -151,6 +154,7 @@
         let is_expected = text("x-expect-instance") == self.options.id;
         let is_full = self.is_full.load(Ordering::SeqCst);
         let arrival = RunnerArrival {
+            at: Instant::now(),
             request_id: request_id.clone(),
             path: head.uri.path().to_owned(),
             headers: head.headers.clone(),
@@ -171,12 +175,13 @@
         } else {
             match self.options.kind {
                 RunnerKind::Plain => {
-                    tokio::time::sleep(asked_work(&body)).await;
+                    tokio::time::sleep(asked_work(&body).unwrap_or_default()).await;
                     *answer.body_mut() = MessageBody::from(body);
                 }
                 RunnerKind::Engine { events, pause } => {
-                    let (sender, body) = MessageBody::stream();
-                    *answer.body_mut() = body;
+                    let (sender, stream) = MessageBody::stream();
+                    *answer.body_mut() = stream;
+                    let pause = asked_work(&body).map_or(pause, |it| it / events as u32);
                     let after = text("last-event-id").parse().unwrap_or(0);
                     let break_after = self.break_after.swap(u32::MAX, Ordering::SeqCst);
                     tokio::spawn(send_events(sender, after, events, pause, break_after));
@@ -191,10 +196,10 @@
 }
 
 /// The work that a body asks for.
-fn asked_work(body: &[u8]) -> Duration {
-    let text = std::str::from_utf8(body).unwrap_or_default();
-    let millis = text.strip_prefix("takes ").and_then(|it| it.parse().ok());
-    Duration::from_millis(millis.unwrap_or_default())
+fn asked_work(body: &[u8]) -> Option<Duration> {
+    let text = std::str::from_utf8(body).ok()?;
+    let millis = text.strip_prefix("takes ")?.parse().ok()?;
+    Some(Duration::from_millis(millis))
 }
 
 fn set(answer: &mut Response<MessageBody>, name: &'static str, value: &str) {
