--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -3,15 +3,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use comfreyramp_policy::{
-    Timestamp,
-    lots::{RunnerVouch, home_daemon, was_out_of_touch},
-    placement::home_daemons,
-    usage::PeerId,
+    Timestamp, lots::was_out_of_touch, placement::home_daemons, usage::PeerId,
 };
 use rand::{Rng, seq::IndexedRandom};
 
-use super::{MemberRecord, PeerMessage, ViewRevisions};
-use crate::lots::{LotProgress, LotStage};
+use super::{MemberRecord, PeerMessage, ViewRevisions, known_member::KnownMember};
 
 /// A daemon that isn't registered is still spoken to while it is heard, and for
 /// so long after. The store may have turned it away, so that its lease lapsed:
@@ -40,16 +36,6 @@
 /// would have more to tell each other.
 const ENTRIES_PER_SERVER: usize = 4;
 const RUNNERS_PER_SERVER: usize = 2;
-/// So many daemons look at all open lots. Another takes over as soon as it is no
-/// longer heard.
-const LISTERS: usize = 1;
-/// A daemon holds its lots for so long after it was last heard; then its lease
-/// has lapsed, or nearly.
-const HOLDS_LOTS_FOR: Duration = Duration::from_secs(3);
-
-/// So many former lives of a daemon are known by their numbers, so that what they
-/// said, and comes late, isn't taken for news.
-const MOST_FORMER: usize = 8;
 
 /// In a fleet of so many daemons each speaks to all others with every change.
 const SMALL_FLEET: usize = 16;
@@ -63,46 +49,12 @@
     pub far: Vec<SocketAddr>,
 }
 
-/// What a daemon says of a lot that it runs or ran.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunnerWord {
-    /// The daemon.
-    pub daemon: String,
-    /// Which of its lives.
-    pub incarnation: u64,
-    /// How many results it says there are.
-    pub results: usize,
-    /// What it has to do with the lot.
-    pub stage: LotStage,
-    /// How long ago it said so.
-    pub age: Duration,
-}
-
-#[derive(Clone, Debug)]
-struct KnownMember {
-    id: PeerId,
-    record: MemberRecord,
-    /// The life that the store's list names, if it is registered.
-    listed_life: Option<u64>,
-    /// The lives before this one, the latest last.
-    former_lives: Vec<u64>,
-    heard_at: Option<Timestamp>,
-    /// The number of the last message; 0 while none was heard of this life.
-    number: u64,
-    revisions: ViewRevisions,
-    progress: Vec<LotProgress>,
-    reaches_store: bool,
-    is_leaving: bool,
-    /// Whether it uses servers first that this daemon uses first.
-    shares_servers: bool,
-}
-
 /// The other daemons.
 #[derive(Clone, Debug)]
 pub struct MemberList {
     own: PeerId,
     /// Sorted by id.
-    members: Vec<KnownMember>,
+    pub(super) members: Vec<KnownMember>,
     regained_at: Option<Timestamp>,
 }
 
@@ -133,7 +85,7 @@
         self.members.len() <= SMALL_FLEET
     }
 
-    fn heard_lately(&self) -> Duration {
+    pub(super) fn heard_lately(&self) -> Duration {
         self.interval().mul_f64(HEARD_INTERVALS)
     }
 
@@ -165,20 +117,6 @@
         zones.len()
     }
 
-    /// Whether the daemon `own` is one of those that look for lots which nobody
-    /// runs: the first by name that are heard and reach the store. One that is turned
-    /// away may have no lease, and lists nothing then.
-    pub fn is_lister(&self, own: &str, now: Timestamp) -> bool {
-        let before = self.members.iter().filter(|it| {
-            it.record.runs_lots
-                && it.reaches_store
-                && !it.is_leaving
-                && it.was_heard(self.heard_lately(), now)
-                && it.record.name.as_str() < own
-        });
-        before.count() < LISTERS
-    }
-
     /// Takes over the daemons that are registered.
     ///
     /// The entry of a lost daemon stays until its lease lapses, and its next life
@@ -336,19 +274,6 @@
             .collect()
     }
 
-    /// Where the daemon is reached that knows of all results of a lot. One that ran it
-    /// before may know of fewer, and one whose claim may be gone too.
-    pub fn lot_runner(&self, lot: &str, now: Timestamp) -> Option<SocketAddr> {
-        let knows = |it: &&KnownMember| {
-            let told = it.told_of(lot);
-            it.was_heard(self.heard_lately(), now) && told.is_some_and(|it| it.stage.knows_all())
-        };
-        // Of two, as after a hand-over, the one with more results, or the later word.
-        let rank = |it: &&KnownMember| (it.told_of(lot).map(|told| told.results), it.heard_at);
-        let runner = self.members.iter().filter(knows).max_by_key(rank)?;
-        Some(runner.record.address)
-    }
-
     /// A daemon that acts by a newer view than one with these revisions: any of
     /// `zone` if there is one, else of another. Were all who are behind to ask the
     /// same one, a small VM would be busy with them alone. Those that gave nothing a
@@ -383,61 +308,6 @@
         told.fold(ViewRevisions::default(), ViewRevisions::newest)
     }
 
-    /// What the daemon says that knows of all results of a lot. What a former life of
-    /// it said was forgotten with that life.
-    pub fn runner_vouch(&self, lot: &str) -> Option<RunnerVouch> {
-        let vouches = self.members.iter().filter_map(|member| {
-            let told = member.told_of(lot).filter(|it| it.stage.knows_all())?;
-            Some(RunnerVouch {
-                results: usize::from(told.results),
-                heard_at: member.heard_at?,
-            })
-        });
-        vouches.max_by_key(|it| (it.results, it.heard_at))
-    }
-
-    /// What is said of a lot: by the daemon that knows of all results, if there is one.
-    pub fn runner_word(&self, lot: &str, now: Timestamp) -> Option<RunnerWord> {
-        let words = self.members.iter().filter_map(|member| {
-            let told = member.told_of(lot)?;
-            Some(RunnerWord {
-                daemon: member.record.name.clone(),
-                incarnation: member.record.incarnation,
-                results: usize::from(told.results),
-                stage: told.stage,
-                age: now.since(member.heard_at?),
-            })
-        });
-        words.max_by_key(|it| (it.stage.knows_all(), it.results))
-    }
-
-    /// Whether a daemon tells that it ran a lot to its end.
-    pub fn told_finished(&self, lot: &str) -> bool {
-        let mut told = self.members.iter().flat_map(|it| &it.progress);
-        told.any(|it| it.lot == lot && it.stage == LotStage::Finished)
-    }
-
-    /// Whether a daemon that was heard not long ago runs a lot.
-    pub fn is_held(&self, lot: &str, now: Timestamp) -> bool {
-        let heard = self
-            .members
-            .iter()
-            .filter(|it| it.was_heard(HOLDS_LOTS_FOR, now));
-        let mut told = heard.flat_map(|it| &it.progress);
-        told.any(|it| it.lot == lot && it.stage.is_running())
-    }
-
-    /// The lots that daemons heard not long ago say they run.
-    pub fn held_lots(&self, now: Timestamp) -> Vec<String> {
-        let heard = self
-            .members
-            .iter()
-            .filter(|it| it.was_heard(HOLDS_LOTS_FOR, now));
-        let told = heard.flat_map(|it| &it.progress);
-        let held = told.filter(|it| it.stage.is_running());
-        held.map(|it| it.lot.clone()).collect()
-    }
-
     /// Whether a life of a daemon is certainly over: a later one was heard after it,
     /// and goes on speaking. That another life is listed or heard proves nothing, since
     /// this one may be later still. Its claim would be taken from it while it lives, and
@@ -450,85 +320,4 @@
             member.is_former(incarnation) && member.speaks(self.heard_lately(), now)
         })
     }
-
-    /// Whether a lot falls to the daemon `own`, out of those that run lots.
-    ///
-    /// Daemons whose lists differ may each take a lot for theirs; the claim in
-    /// the store decides.
-    pub fn is_own_lot(&self, lot: &str, own: &str, now: Timestamp) -> bool {
-        let runs = |it: &&KnownMember| {
-            it.record.runs_lots && !it.is_leaving && it.was_heard(self.heard_lately(), now)
-        };
-        let others = self
-            .members
-            .iter()
-            .filter(runs)
-            .map(|it| it.record.name.as_str());
-        let daemons: Vec<&str> = others.chain([own]).collect();
-        home_daemon(lot, &daemons) == Some(own)
-    }
-
-    /// Whether the daemon `own` is the first by name of those that run lots.
-    pub fn is_first_lot_runner(&self, own: &str) -> bool {
-        let mut runners = self.members.iter().filter(|it| it.record.runs_lots);
-        runners.all(|it| it.record.name.as_str() > own)
-    }
-}
-
-impl KnownMember {
-    fn new(id: PeerId, record: &MemberRecord) -> Self {
-        KnownMember {
-            id,
-            record: record.clone(),
-            listed_life: None,
-            former_lives: Vec::new(),
-            heard_at: None,
-            number: 0,
-            revisions: ViewRevisions::default(),
-            progress: Vec::new(),
-            reaches_store: false,
-            is_leaving: false,
-            shares_servers: false,
-        }
-    }
-
-    /// Forgets what was known of the life before this one, but for its number.
-    fn begin_life(&mut self, record: &MemberRecord) {
-        let mut former_lives = std::mem::take(&mut self.former_lives);
-        former_lives.retain(|it| *it != record.incarnation);
-        former_lives.push(self.record.incarnation);
-        let excess = former_lives.len().saturating_sub(MOST_FORMER);
-        former_lives.drain(..excess);
-        *self = KnownMember {
-            listed_life: self.listed_life,
-            former_lives,
-            ..KnownMember::new(self.id, record)
-        };
-    }
-
-    /// Whether a life came before the one that is known.
-    fn is_former(&self, incarnation: u64) -> bool {
-        self.former_lives.contains(&incarnation)
-    }
-
-    /// Whether the life that is known was heard, and not just listed.
-    fn speaks(&self, within: Duration, now: Timestamp) -> bool {
-        self.number > 0 && self.was_heard(within, now)
-    }
-
-    /// Whether the life that is known is the present one. Where it is neither heard nor
-    /// registered, a life that was taken for a former one may be: the order in which
-    /// datagrams arrive was all that told them apart.
-    fn is_certain(&self, within: Duration, now: Timestamp) -> bool {
-        self.speaks(within, now) || self.listed_life == Some(self.record.incarnation)
-    }
-
-    /// What it says of a lot.
-    fn told_of(&self, lot: &str) -> Option<&LotProgress> {
-        self.progress.iter().find(|it| it.lot == lot)
-    }
-
-    fn was_heard(&self, within: Duration, now: Timestamp) -> bool {
-        self.heard_at.is_some_and(|it| now.since(it) < within)
-    }
 }
--- /dev/null
+++ b/crates/serving/src/fleet/member_lots.rs
@@ -0,0 +1,137 @@
+//! What other daemons say of lots, and who does what with them.
+
+use std::{net::SocketAddr, time::Duration};
+
+use comfreyramp_policy::{
+    Timestamp,
+    lots::{RunnerVouch, home_daemon},
+};
+
+use super::{MemberList, known_member::KnownMember};
+use crate::lots::LotStage;
+
+/// So many daemons look at all open lots. Another takes over as soon as it is no
+/// longer heard.
+const LISTERS: usize = 1;
+/// A daemon holds its lots for so long after it was last heard; then its lease
+/// has lapsed, or nearly.
+const HOLDS_LOTS_FOR: Duration = Duration::from_secs(3);
+
+/// What a daemon says of a lot that it runs or ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunnerWord {
+    /// The daemon.
+    pub daemon: String,
+    /// Which of its lives.
+    pub incarnation: u64,
+    /// How many results it says there are.
+    pub results: usize,
+    /// What it has to do with the lot.
+    pub stage: LotStage,
+    /// How long ago it said so.
+    pub age: Duration,
+}
+
+impl MemberList {
+    /// Whether the daemon `own` is one of those that look for lots which nobody
+    /// runs: the first by name that are heard and reach the store. One that is turned
+    /// away may have no lease, and lists nothing then.
+    pub fn is_lister(&self, own: &str, now: Timestamp) -> bool {
+        let before = self.members.iter().filter(|it| {
+            it.record.runs_lots
+                && it.reaches_store
+                && !it.is_leaving
+                && it.was_heard(self.heard_lately(), now)
+                && it.record.name.as_str() < own
+        });
+        before.count() < LISTERS
+    }
+
+    /// Where the daemon is reached that knows of all results of a lot. One that ran it
+    /// before may know of fewer, and one whose claim may be gone too.
+    pub fn lot_runner(&self, lot: &str, now: Timestamp) -> Option<SocketAddr> {
+        let knows = |it: &&KnownMember| {
+            let told = it.told_of(lot);
+            it.was_heard(self.heard_lately(), now) && told.is_some_and(|it| it.stage.knows_all())
+        };
+        // Of two, as after a hand-over, the one with more results, or the later word.
+        let rank = |it: &&KnownMember| (it.told_of(lot).map(|told| told.results), it.heard_at);
+        let runner = self.members.iter().filter(knows).max_by_key(rank)?;
+        Some(runner.record.address)
+    }
+
+    /// What the daemon says that knows of all results of a lot. What a former life of
+    /// it said was forgotten with that life.
+    pub fn runner_vouch(&self, lot: &str) -> Option<RunnerVouch> {
+        let vouches = self.members.iter().filter_map(|member| {
+            let told = member.told_of(lot).filter(|it| it.stage.knows_all())?;
+            Some(RunnerVouch {
+                results: usize::from(told.results),
+                heard_at: member.heard_at?,
+            })
+        });
+        vouches.max_by_key(|it| (it.results, it.heard_at))
+    }
+
+    /// What is said of a lot: by the daemon that knows of all results, if there is one.
+    pub fn runner_word(&self, lot: &str, now: Timestamp) -> Option<RunnerWord> {
+        let words = self.members.iter().filter_map(|member| {
+            let told = member.told_of(lot)?;
+            Some(RunnerWord {
+                daemon: member.record.name.clone(),
+                incarnation: member.record.incarnation,
+                results: usize::from(told.results),
+                stage: told.stage,
+                age: now.since(member.heard_at?),
+            })
+        });
+        words.max_by_key(|it| (it.stage.knows_all(), it.results))
+    }
+
+    /// Whether a daemon tells that it ran a lot to its end.
+    pub fn told_finished(&self, lot: &str) -> bool {
+        let mut told = self.members.iter().flat_map(|it| &it.progress);
+        told.any(|it| it.lot == lot && it.stage == LotStage::Finished)
+    }
+
+    /// Whether a daemon that was heard not long ago runs a lot.
+    pub fn is_held(&self, lot: &str, now: Timestamp) -> bool {
+        self.held(now).any(|it| it == lot)
+    }
+
+    /// The lots that daemons heard not long ago say they run.
+    pub fn held_lots(&self, now: Timestamp) -> Vec<String> {
+        self.held(now).map(str::to_owned).collect()
+    }
+
+    fn held(&self, now: Timestamp) -> impl Iterator<Item = &str> {
+        let members = self.members.iter();
+        let heard = members.filter(move |it| it.was_heard(HOLDS_LOTS_FOR, now));
+        let told = heard.flat_map(|it| &it.progress);
+        let running = told.filter(|it| it.stage.is_running());
+        running.map(|it| it.lot.as_str())
+    }
+
+    /// Whether a lot falls to the daemon `own`, out of those that run lots.
+    ///
+    /// Daemons whose lists differ may each take a lot for theirs; the claim in
+    /// the store decides.
+    pub fn is_own_lot(&self, lot: &str, own: &str, now: Timestamp) -> bool {
+        let runs = |it: &&KnownMember| {
+            it.record.runs_lots && !it.is_leaving && it.was_heard(self.heard_lately(), now)
+        };
+        let others = self
+            .members
+            .iter()
+            .filter(runs)
+            .map(|it| it.record.name.as_str());
+        let daemons: Vec<&str> = others.chain([own]).collect();
+        home_daemon(lot, &daemons) == Some(own)
+    }
+
+    /// Whether the daemon `own` is the first by name of those that run lots.
+    pub fn is_first_lot_runner(&self, own: &str) -> bool {
+        let mut runners = self.members.iter().filter(|it| it.record.runs_lots);
+        runners.all(|it| it.record.name.as_str() > own)
+    }
+}
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -18,11 +18,7 @@
     pub fn tell_lot(&self, notice: LotNotice) {
         let now = self.clock.now();
         if self.settings.runs_lots {
-            let mut inbox = self.lot_inbox.borrow_mut();
-            match &notice {
-                LotNotice::Accepted(lot) => inbox.accepted.push(lot.clone()),
-                LotNotice::Ended(lot) => inbox.ended.push(lot.clone()),
-            }
+            self.lot_inbox.borrow_mut().take(&notice);
         }
         // Whoever tells of an end has acknowledged it, or is about to: should this
         // daemon be lost a moment later, nobody else tells it.
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -35,7 +35,7 @@
         FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewDesk, ViewLags,
         ViewRevisions, WholeList,
     },
-    lots::{LotCache, LotNotices},
+    lots::{LotCache, LotNotice, LotNotices},
     metrics::NodeMetrics,
     path::ConnectionPool,
     settings::NodeSettings,
@@ -86,6 +86,16 @@
     pub ended: Vec<String>,
 }
 
+impl LotInbox {
+    /// Takes in what this daemon or another one tells of a lot.
+    fn take(&mut self, notice: &LotNotice) {
+        match notice {
+            LotNotice::Accepted(lot) => self.accepted.push(lot.clone()),
+            LotNotice::Ended(lot) => self.ended.push(lot.clone()),
+        }
+    }
+}
+
 /// What all parts of a daemon share.
 #[derive(Debug)]
 pub struct Node<D: Dialect> {
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -9,7 +9,6 @@
 use crate::{
     dialect::{Dialect, FleetRecords},
     fleet::{MEMBERS, MemberRecord, PeerAddresses, PeerMessage, WholeList},
-    lots::LotNotice,
 };
 
 impl<D: Dialect> Node<D> {
@@ -103,10 +102,7 @@
         if self.settings.runs_lots {
             let mut inbox = self.lot_inbox.borrow_mut();
             for notice in &message.lots {
-                match notice {
-                    LotNotice::Accepted(lot) => inbox.accepted.push(lot.clone()),
-                    LotNotice::Ended(lot) => inbox.ended.push(lot.clone()),
-                }
+                inbox.take(notice);
             }
             self.bulk_wake.notify_one();
         }
