A test that shows an item begun anew by each daemon that takes its lot over

Servers fail at it, twice being allowed; it ran 6 times while the daemon that ran its lot was lost four times, each time after the failure was known. The count is kept in that daemon's memory.

--- a/crates/standins/src/runner/runner_server.rs
+++ b/crates/standins/src/runner/runner_server.rs
@@ -172,6 +172,8 @@
             set(&mut answer, "x-not-run", "1");
         } else if body.as_ref() == b"impossible" {
             *answer.status_mut() = StatusCode::UNPROCESSABLE_ENTITY;
+        } else if body.as_ref() == b"fails" {
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         } else {
             match self.options.kind {
                 RunnerKind::Plain => {
