Keep the count of an item's failures in the store, and count on where its lot is taken over

What callers saw: an item that servers fail at was begun again and again while zones were cut off in turn, beyond three times the failures that its route allows, and was given up late.

Cause: the count is kept by the daemon that runs the lot, in memory. Whoever takes the lot over begins anew.

Ruled out: a daemon that counts wrongly (each gave the item up, or was about to, after as many failures as allowed).

Now the count is written under the claim before the item is begun again, and read with the lot. An item that failed too often elsewhere is given up at once. It costs a write for each failure, of which there are few; an item of a daemon that is cut off from the store isn't begun again until that one reaches it, so that a cut adds one failure at most.

--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -13,7 +13,7 @@
     item_run::{ItemEnd, ItemProgress},
     keys,
     notices::ClaimBasis,
-    records::{DamagedRecord, LotHead, from_json, from_packed},
+    records::{DamagedRecord, ItemFaults, LotHead, from_json, from_packed},
 };
 use crate::model::{ItemResult, ItemState, LotItem};
 
@@ -47,6 +47,8 @@
     pub(super) phase: ItemPhase,
     pub(super) progress: ItemProgress,
     faults: u32,
+    /// How many of its faults the store holds.
+    recorded_faults: u32,
     breaks: u32,
 }
 
@@ -80,6 +82,8 @@
     pub(super) writing_since: Option<Timestamp>,
     /// Whether a write is on its way.
     pub(super) is_writing: bool,
+    /// Whether a write of the counts of faults is on its way.
+    pub(super) is_noting: bool,
     /// It isn't run any further here.
     pub(super) is_closing: bool,
 }
@@ -102,8 +106,11 @@
         let mut items = Vec::new();
         let mut results = Vec::new();
         let mut groups = 0;
+        let mut faults: Vec<ItemFaults> = Vec::new();
         for pair in pairs {
-            if keys::is_pack(&pair.key) {
+            if pair.key == keys::faults(id) {
+                faults = from_json(pair)?;
+            } else if keys::is_pack(&pair.key) {
                 items.extend(from_packed::<Vec<LotItem>>(pair)?);
             } else if keys::is_group(&pair.key) {
                 results.extend(from_packed::<Vec<ItemResult>>(pair)?);
@@ -112,7 +119,8 @@
         }
         let items = items.into_iter().map(|item| {
             let is_listed = results.iter().any(|it| it.id == item.id);
-            HeldItem::new(item, is_listed, now)
+            let known = faults.iter().find(|it| it.item == item.id);
+            HeldItem::new(item, is_listed, known.map_or(0, |it| it.faults), now)
         });
         Ok(Some(HeldLot {
             id: id.into(),
@@ -130,6 +138,7 @@
             writing: 0,
             writing_since: None,
             is_writing: false,
+            is_noting: false,
             is_closing: false,
         }))
     }
@@ -154,7 +163,10 @@
         if self.is_closing {
             return None;
         }
-        let may_run = |it: &HeldItem| matches!(it.phase, ItemPhase::Waiting(from) if from <= now);
+        let may_run = |it: &HeldItem| {
+            let is_due = matches!(it.phase, ItemPhase::Waiting(from) if from <= now);
+            is_due && it.faults == it.recorded_faults
+        };
         // One that was begun holds its output in memory until it is done.
         let begun = |it: &HeldItem| may_run(it) && it.progress.events > 0;
         let place = self.items.iter().position(begun);
@@ -249,6 +261,49 @@
         }
     }
 
+    /// Gives up what servers failed at too often while other daemons ran it.
+    pub(super) fn give_up_failed(&mut self, now: Timestamp) {
+        for place in 0..self.items.len() {
+            let item = &self.items[place];
+            let is_waiting = matches!(item.phase, ItemPhase::Waiting(_));
+            if is_waiting && item.faults >= self.head.attempts {
+                self.give_up_item(place, "failed too often", now);
+            }
+        }
+    }
+
+    /// Whether a write is on its way that shows whether the claim holds.
+    pub(super) fn awaits_write(&self) -> bool {
+        self.is_writing || self.is_reclaiming
+    }
+
+    /// The counts of faults, if there are any that the store doesn't hold yet. An item
+    /// isn't begun again before it does: a daemon that is lost would take its count with
+    /// it, and each one that takes the lot over would begin anew with an item that wears
+    /// servers out.
+    pub(super) fn unrecorded_faults(&self) -> Option<Vec<ItemFaults>> {
+        let is_open = |it: &&HeldItem| !matches!(it.phase, ItemPhase::Ended);
+        let mut open = self.items.iter().filter(is_open);
+        if !open.any(|it| it.faults > it.recorded_faults) {
+            return None;
+        }
+        let failed = self.items.iter().filter(|it| it.faults > 0);
+        let counts = failed.map(|it| ItemFaults {
+            item: it.item.id.clone(),
+            faults: it.faults,
+        });
+        Some(counts.collect())
+    }
+
+    /// Notes that the store holds these counts.
+    pub(super) fn note_recorded(&mut self, counts: &[ItemFaults]) {
+        for item in &mut self.items {
+            if let Some(count) = counts.iter().find(|it| it.item == item.item.id) {
+                item.recorded_faults = count.faults;
+            }
+        }
+    }
+
     fn give_up_item(&mut self, place: usize, cause: &str, now: Timestamp) {
         let item = &self.items[place];
         log::info!(
@@ -295,7 +350,7 @@
         }
     }
 
-    fn new(item: LotItem, is_listed: bool, now: Timestamp) -> Self {
+    fn new(item: LotItem, is_listed: bool, faults: u32, now: Timestamp) -> Self {
         HeldItem {
             item: Rc::new(item),
             phase: match is_listed {
@@ -303,7 +358,8 @@
                 false => ItemPhase::Waiting(now),
             },
             progress: ItemProgress::default(),
-            faults: 0,
+            faults,
+            recorded_faults: faults,
             breaks: 0,
         }
     }
--- a/crates/serving/src/lots/keys.rs
+++ b/crates/serving/src/lots/keys.rs
@@ -24,8 +24,8 @@
     format!("{CLAIM}{lot}")
 }
 
-/// All that is kept of a lot. In the order of keys the head comes first, then
-/// the packs of items, the groups of results by number, and the end.
+/// All that is kept of a lot. In the order of keys the counts of faults come first, then
+/// the head, the packs of items, the groups of results by number, and the end.
 pub(super) fn data(lot: &str) -> String {
     format!("{DATA}{lot}/")
 }
@@ -46,6 +46,11 @@
     format!("{DATA}{lot}/zend")
 }
 
+/// How often servers failed at items of a lot.
+pub(super) fn faults(lot: &str) -> String {
+    format!("{DATA}{lot}/faults")
+}
+
 /// All packs of a lot's items.
 pub(super) fn items(lot: &str) -> String {
     format!("{DATA}{lot}/items/")
--- a/crates/serving/src/lots/records.rs
+++ b/crates/serving/src/lots/records.rs
@@ -43,6 +43,15 @@
     pub(super) lease: i64,
 }
 
+/// How often servers failed at an item. Whoever takes its lot over counts on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ItemFaults {
+    /// The item.
+    pub(super) item: String,
+    /// How often.
+    pub(super) faults: u32,
+}
+
 /// What a daemon that runs lots needs to know before it claims one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OpenMark {
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -234,7 +234,7 @@
 
     pub(super) fn on_claimed(&mut self, lot: &str, answer: ClaimAnswer, now: Timestamp) {
         match answer {
-            ClaimAnswer::Claimed(held) => {
+            ClaimAnswer::Claimed(mut held) => {
                 self.candidates.remove(lot);
                 if self.find(lot).is_some() {
                     log::error!(lot = lot; "lots: claimed twice");
@@ -245,6 +245,7 @@
                     "lots: claimed"
                 );
                 self.node.metrics.lot("claimed", 1);
+                held.give_up_failed(now);
                 self.tell_progress(&held, now);
                 let place = self.held.partition_point(|it| it.head.due <= held.head.due);
                 self.held.insert(place, *held);
--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -18,6 +18,7 @@
     candidates::LotCandidates,
     held_lot::HeldLot,
     item_run::ItemEnd,
+    records::ItemFaults,
     writer::{ClaimAnswer, ClaimEnd, WriteAnswer},
 };
 use crate::{dialect::Dialect, node::Node};
@@ -34,6 +35,7 @@
     Reclaimed(Rc<str>, Result<ClaimEnd, StoreError>),
     Ended(Rc<str>, usize, ItemEnd),
     Written(Rc<str>, WriteAnswer),
+    Noted(Rc<str>, Vec<ItemFaults>, WriteAnswer),
     Listed(ListedLots),
 }
 
@@ -123,6 +125,7 @@
             true => self.close_all(),
             false => self.start_items(now),
         }
+        self.write_faults(now);
         self.write_groups(now);
         self.release_closed();
     }
@@ -140,6 +143,7 @@
                 }
             }
             WorkerEvent::Written(lot, answer) => self.on_written(&lot, answer, now),
+            WorkerEvent::Noted(lot, counts, answer) => self.on_noted(&lot, &counts, answer, now),
             WorkerEvent::Listed(listed) => self.on_listed(&listed, now),
         }
     }
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -10,6 +10,7 @@
     lots::{
         held_lot::HeldLot,
         notices::{LotProgress, LotStage},
+        records::ItemFaults,
         writer::{self, WriteAnswer},
     },
     model::ItemResult,
@@ -46,21 +47,68 @@
                     self.held.remove(place);
                 }
             }
-            WriteAnswer::Fenced => {
-                log::info!(lot = lot; "lots: the claim is lost");
-                held.is_closing = true;
-                held.claim = None;
-                held.unwritten.clear();
-                held.writing = 0;
-                held.writing_since = None;
-                held.stop_items();
-                note_basis(&self.node, &self.held[place]);
-                self.add_candidate_again(lot, now);
-            }
+            WriteAnswer::Fenced => self.lose_claim(place, now),
+            WriteAnswer::Unknown => self.no_write_before = now + WRITE_PAUSE,
+        }
+    }
+
+    /// Leaves a lot whose claim is another daemon's, or that was ended.
+    fn lose_claim(&mut self, place: usize, now: Timestamp) {
+        let held = &mut self.held[place];
+        log::info!(lot:% = held.id; "lots: the claim is lost");
+        held.is_closing = true;
+        held.claim = None;
+        held.unwritten.clear();
+        held.writing = 0;
+        held.writing_since = None;
+        held.stop_items();
+        let lot = held.id.clone();
+        note_basis(&self.node, &self.held[place]);
+        self.add_candidate_again(&lot, now);
+    }
+
+    pub(super) fn on_noted(
+        &mut self,
+        lot: &str,
+        counts: &[ItemFaults],
+        answer: WriteAnswer,
+        now: Timestamp,
+    ) {
+        let Some(place) = self.held.iter().position(|it| *it.id == *lot) else {
+            return;
+        };
+        self.held[place].is_noting = false;
+        match answer {
+            WriteAnswer::Written => self.held[place].note_recorded(counts),
+            // Another write tells what holds, where there is one on its way.
+            WriteAnswer::Fenced if self.held[place].awaits_write() => {}
+            WriteAnswer::Fenced => self.lose_claim(place, now),
             WriteAnswer::Unknown => self.no_write_before = now + WRITE_PAUSE,
         }
     }
 
+    /// Writes how often servers failed at items, before these are begun again.
+    pub(super) fn write_faults(&mut self, now: Timestamp) {
+        if now < self.no_write_before {
+            return;
+        }
+        for held in &mut self.held {
+            let Some(claim) = held.claim.filter(|_| !held.is_noting && !held.is_closing) else {
+                continue;
+            };
+            let Some(counts) = held.unrecorded_faults() else {
+                continue;
+            };
+            held.is_noting = true;
+            let (node, sender) = (self.node.clone(), self.sender.clone());
+            let lot = held.id.clone();
+            tokio::task::spawn_local(async move {
+                let answer = writer::write_faults(&node, &lot, claim, &counts).await;
+                let _ = sender.send(WorkerEvent::Noted(lot, counts, answer));
+            });
+        }
+    }
+
     /// Writes results: those that have waited, and the last of a lot at once.
     pub(super) fn write_groups(&mut self, now: Timestamp) {
         if now < self.no_write_before {
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -4,13 +4,13 @@
 
 use comfreyramp_store::{
     Comparison, KeyRange, LeaseId, OnceOutcome, PlatformStore, RetryPace, Revision, StoreError,
-    Write, WriteBatch, write_once,
+    TransactionAnswer, Write, WriteBatch, write_once,
 };
 
 use super::{
     held_lot::HeldLot,
     keys,
-    records::{ClaimRecord, from_json, to_json, to_packed},
+    records::{ClaimRecord, ItemFaults, from_json, to_json, to_packed},
 };
 use crate::{dialect::Dialect, model::ItemResult, node::Node};
 
@@ -214,6 +214,36 @@
     }
 }
 
+/// Writes how often servers failed at items of a lot. Written twice it says the same.
+pub(super) async fn write_faults<D: Dialect>(
+    node: &Node<D>,
+    lot: &str,
+    claim: Revision,
+    counts: &[ItemFaults],
+) -> WriteAnswer {
+    let batch = WriteBatch {
+        when: vec![
+            Comparison::ModifiedAt(keys::claim(lot), claim),
+            Comparison::Absent(keys::end(lot)),
+        ],
+        then: vec![Write::Put {
+            key: keys::faults(lot),
+            value: to_json(&counts),
+            lease: None,
+        }],
+        read_back: Vec::new(),
+    };
+    match node.store.transact(batch).await {
+        Ok(TransactionAnswer::Written(_)) => WriteAnswer::Written,
+        Ok(TransactionAnswer::Refused { .. }) => WriteAnswer::Fenced,
+        Err(error) => {
+            node.note_store_trouble();
+            log::warn!(lot = lot, error:% = error; "lots: counts of faults wait for the store");
+            WriteAnswer::Unknown
+        }
+    }
+}
+
 /// Gives a claim back. Should this fail, it lapses with the lease.
 pub(super) async fn release<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision) {
     remove(node, lot, claim, vec![Write::Delete(keys::claim(lot))]).await;
