Tests of accepted lots wait until the daemons know each other

In a fleet of 0.1 s of age the daemon that runs lots had not heard of the one that tells: one run in 14 of the whole file, five at a time, failed for each of them, always with the first lot.

--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -456,6 +456,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lot_that_a_lost_daemon_accepted_is_run_at_once() {
     let mut fleet = Fleet::started().await;
+    // A fleet that has just begun needs a moment until its daemons know each other.
+    tokio::time::sleep(Duration::from_millis(500)).await;
     // What is claimed at once one time may have been listed at that moment.
     for lot in ["lot-l1", "lot-l2", "lot-l3", "lot-l4"] {
         fleet.nodes[0].door.faults.hold_answers(true);
@@ -487,6 +489,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lot_whose_customer_left_is_run_at_once() {
     let fleet = Fleet::started().await;
+    // A fleet that has just begun needs a moment until its daemons know each other.
+    tokio::time::sleep(Duration::from_millis(500)).await;
     for lot in ["lot-m1", "lot-m2", "lot-m3", "lot-m4"] {
         fleet.nodes[0].door.faults.hold_answers(true);
         let head = format!("lots/data/{lot}/head");
