Bound the tokens of a customer's lots that wait on a route

Cause: operators' `cap` was read nowhere.

Change: each lot of a bounded route is accepted by a write that also writes a ledger of the customer's open lots, under the condition that the ledger is as it was counted. So two daemons can't use the same room, a late write finds the ledger changed, and nothing is left behind by a lost daemon. Open marks tell what still waits of each lot, and are written anew with each group of results: a daemon that would refuse a lot compares the ledger with them first. Refusals are 429 with the time in which tokens have been coming back; a repeat of an accepted lot is accepted again.

Ruled out: parts of the bound held by daemons (smaller than one lot with 74 of them); a count without names of lots (what leaked couldn't be told from what waits).

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -199,13 +199,22 @@
 
     /// Writes the operators' settings: the customer has these keys and this rate.
     pub(crate) fn put_settings(&mut self, keys: &[&str], rate: f64) {
+        self.put_settings_with(keys, rate, &json!(0));
+    }
+
+    /// Writes the operators' settings: so many tokens of the customer's lots may wait.
+    pub(crate) fn put_bound(&mut self, bound: &Value) {
+        self.put_settings_with(&[KEY, SPARE_KEY], 1_000.0, bound);
+    }
+
+    fn put_settings_with(&mut self, keys: &[&str], rate: f64, bound: &Value) {
         self.version += 3;
         let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
             json!({
                 "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
                 "timeout_ms": 5_000, "target_latency_ms": 500, "priority": 0, "attempts": 2,
                 "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 300,
-                "completion_target_ms": 15_000, "retention_s": 60,
+                "completion_target_ms": 15_000, "retention_s": 60, "cap": bound,
             })
         };
         let settings = json!({
--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -11,6 +11,7 @@
 //! - [`CopyState`] says when a copy of a lot's results may be shown.
 //! - [`may_begin_items`] says whether a daemon back from a cut may go on with a lot.
 //! - [`StartRank`] orders items that wait while all slots are taken.
+//! - [`TokenLedger`] bounds the tokens of a customer's lots that wait on a route.
 //! - [`ResultGrouping`] says when a group of results is written.
 //!
 //! See `docs/LOTS.md`.
@@ -24,6 +25,7 @@
 mod result_grouping;
 mod segment_choice;
 mod start_order;
+mod waiting_tokens;
 
 pub use claim_doubt::{may_begin_items, was_out_of_touch};
 pub use copy_proof::{CopyState, ReaderPosition, RunnerVouch, knows_all_results};
@@ -34,3 +36,4 @@
 pub use result_grouping::ResultGrouping;
 pub use segment_choice::SegmentChoice;
 pub use start_order::{ItemTimes, RunPace, StartRank};
+pub use waiting_tokens::{LotsKnown, ReturnPace, TokenLedger, TokenVerdict, WaitingLot};
--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -2,9 +2,10 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use comfreyramp_policy::Timestamp;
+use comfreyramp_policy::{Timestamp, lots::WaitingLot};
 use comfreyramp_store::{
-    Comparison, KeyValue, OnceOutcome, RetryPace, StoreError, Write, WriteBatch, write_once,
+    Comparison, KeyRange, KeyValue, OnceOutcome, PlatformStore, RetryPace, Revision, StoreError,
+    Write, WriteBatch, write_once,
 };
 use http::Response;
 
@@ -12,6 +13,7 @@
     keys,
     notices::LotNotice,
     records::{LotHead, OpenMark, from_json, pack_items, to_json},
+    waiting::{LedgerRefusal, LedgerTerms},
 };
 use crate::{
     clock::unix_millis,
@@ -34,6 +36,12 @@
 /// known of a lot that was kept.
 const STORE_TRIES: u32 = 16;
 const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Of the time for the store, the part that is spent waiting for other lots of the
+/// same customer.
+const LEDGER_PART: f64 = 0.5;
+/// How often a lot is counted anew at most. Each time another daemon has accepted one
+/// of the same customer.
+const LEDGER_TRIES: u32 = 16;
 
 /// A lot that is handed in.
 #[derive(Debug)]
@@ -69,6 +77,7 @@
     if !is_fit || lot.items.is_empty() {
         return Err(RefusalCause::BadRequest.into());
     }
+    let id = submission.lot.clone();
     let accepted = || Ok(<D::Callers as CallerDialect>::lot_accepted().map(FrontBody::whole));
     if node
         .lot_cache
@@ -77,87 +86,213 @@
     {
         return accepted();
     }
+    let Some(tokens) = lot.tokens() else {
+        log::info!(lot = submission.lot; "lots: the tokens of its items are beyond all counts");
+        return Err(RefusalCause::BadRequest.into());
+    };
     let now = node.clock.now();
     let span = submission.deadline.since(now).mul_f64(STORE_PART);
-    let outcome = write_lot(node, &submission, &lot, span).await;
-    match outcome {
-        Ok(OnceOutcome::Written(_)) => accepted(),
-        Ok(OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) => {
-            accepted_before(&submission, &found)?;
-            accepted()
-        }
+    match write_lot(node, submission, lot, tokens, span).await {
+        Ok(AcceptEnd::Accepted) => accepted(),
+        Ok(AcceptEnd::Refused(refusal)) => Err(refusal),
         Err(StoreError::AnswerLost(_)) => Err(RefusalCause::Undecided.into()),
         Err(error) => {
             node.note_store_trouble();
-            log::warn!(lot = submission.lot, error:% = error; "lots: not accepted");
+            log::warn!(lot = id, error:% = error; "lots: not accepted");
             Err(Refusal::new(RefusalCause::StoreAway).retry_after(STORE_RETRY))
         }
     }
 }
 
+/// How it was decided whether a lot is accepted.
+#[derive(Debug)]
+enum AcceptEnd {
+    /// The store holds it, by this write or an earlier one.
+    Accepted,
+    /// The store doesn't, and won't by any write of this daemon.
+    Refused(Refusal),
+}
+
 /// Writes a lot within `span`, and has it run. A caller that leaves meanwhile doesn't
 /// stop it half-way: the lot would be kept, and no daemon told to run it.
 async fn write_lot<D: Dialect>(
     node: &Rc<Node<D>>,
-    submission: &Submission,
-    lot: &NewLot,
+    submission: Submission,
+    lot: NewLot,
+    tokens: u64,
     span: Duration,
-) -> Result<OnceOutcome, StoreError> {
-    let batch = lot_batch(node, submission, lot);
-    let (shared, id) = (node.clone(), submission.lot.clone());
-    let (customer, items) = (submission.customer.clone(), lot.items.len());
+) -> Result<AcceptEnd, StoreError> {
+    let shared = node.clone();
     let writing = tokio::task::spawn_local(async move {
-        let pace = RetryPace::new(shared.incarnation)
-            .attempts(STORE_TRIES)
-            .longest_wait(LONGEST_PAUSE);
-        let outcome = write_once(&shared.store, batch, pace).await?;
-        if let OnceOutcome::Written(revision) = outcome {
-            log::info!(
-                lot = id, customer = customer.settings.name, items = items, revision = revision;
-                "lots: accepted"
-            );
-            shared.metrics.lot("accepted", 1);
-        }
-        if is_open(&id, &outcome) {
-            shared.tell_lot(LotNotice::Accepted(id));
+        let batch = lot_batch(&shared, &submission, &lot, tokens);
+        match submission.terms.waiting_tokens {
+            None => write_free(&shared, &submission, batch).await,
+            Some(bound) => write_bounded(&shared, &submission, batch, tokens, bound, span).await,
         }
-        Ok(outcome)
     });
     let lost = |text: String| Err(StoreError::AnswerLost(text));
     match tokio::time::timeout(span, writing).await {
-        Ok(Ok(outcome)) => outcome,
+        Ok(Ok(end)) => end,
         Ok(Err(error)) => lost(error.to_string()),
         Err(_) => lost("the caller's time is nearly up".to_owned()),
     }
 }
 
-/// Whether a lot waits to be run, or is run. Where another daemon wrote it, that one may
-/// have been lost before it could tell, and the lot would lie until all open ones are
-/// listed. One that is done or ended would be claimed to find nothing left.
-fn is_open(lot: &str, outcome: &OnceOutcome) -> bool {
-    let (OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) = outcome
-    else {
-        return true;
+/// Writes the lot of a customer whose waiting tokens have no bound.
+async fn write_free<D: Dialect>(
+    node: &Rc<Node<D>>,
+    submission: &Submission,
+    batch: WriteBatch,
+) -> Result<AcceptEnd, StoreError> {
+    match write_once(&node.store, batch, retry_pace(node)).await? {
+        OnceOutcome::Written(revision) => Ok(note_accepted(node, submission, revision)),
+        OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. } => {
+            Ok(accepted_before(node, submission, &found))
+        }
+    }
+}
+
+/// Writes a lot together with the ledger that it was counted by, and counts anew where
+/// another daemon has written that meanwhile.
+async fn write_bounded<D: Dialect>(
+    node: &Rc<Node<D>>,
+    submission: &Submission,
+    batch: WriteBatch,
+    tokens: u64,
+    bound: u64,
+    span: Duration,
+) -> Result<AcceptEnd, StoreError> {
+    let customer = &submission.customer.settings.name;
+    let terms = LedgerTerms {
+        customer,
+        route: &submission.route.name,
+        bound,
+        due_after: submission.terms.due_after,
+    };
+    let waiting = WaitingLot {
+        lot: submission.lot.clone(),
+        tokens,
+    };
+    // Behind writes that the store doesn't answer nothing is sent for this one.
+    let opening = node.ledgers.open(customer, terms.route);
+    let Ok(mut copy) = tokio::time::timeout(span.mul_f64(LEDGER_PART), opening).await else {
+        return Err(StoreError::Unreachable(
+            "others wait for the ledger".to_owned(),
+        ));
+    };
+    for _ in 0..LEDGER_TRIES {
+        if let Some(refusal) = copy.check(node, &waiting, terms).await? {
+            return refuse_bounded(node, submission, refusal, copy.total()).await;
+        }
+        let guarded = copy.guard(batch.clone(), waiting.clone());
+        let outcome = write_once(&node.store, guarded.batch, retry_pace(node)).await;
+        let found = match outcome {
+            Ok(OnceOutcome::Written(revision)) => {
+                copy.note_written(guarded.ledger, revision);
+                return Ok(note_accepted(node, submission, revision));
+            }
+            Ok(OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) => found,
+            Err(error) => {
+                copy.note_undecided();
+                return Err(error);
+            }
+        };
+        copy.take(&found);
+        if found.iter().any(|it| it.key == keys::head(&submission.lot)) {
+            return Ok(accepted_before(node, submission, &found));
+        }
+        node.metrics.lot("ledger_conflict", 1);
+    }
+    Err(StoreError::Rejected(
+        "the ledger changes all the time".to_owned(),
+    ))
+}
+
+/// Refuses a lot for which there is no room. One that was accepted before, and has
+/// left the ledger since, is still accepted.
+async fn refuse_bounded<D: Dialect>(
+    node: &Rc<Node<D>>,
+    submission: &Submission,
+    refusal: LedgerRefusal,
+    waiting: u64,
+) -> Result<AcceptEnd, StoreError> {
+    let LedgerRefusal::Full(retry_after) = refusal else {
+        node.tell_lot(LotNotice::Accepted(submission.lot.clone()));
+        return Ok(AcceptEnd::Accepted);
     };
-    found.iter().any(|it| it.key == keys::open(lot))
+    let range = KeyRange::One(keys::head(&submission.lot));
+    let answer = node.store.range(range, 0).await?;
+    if !answer.pairs.is_empty() {
+        return Ok(accepted_before(node, submission, &answer.pairs));
+    }
+    log::info!(
+        lot = submission.lot, customer = submission.customer.settings.name,
+        route = submission.route.name, waiting = waiting,
+        retry_ms = retry_after.unwrap_or_default().as_millis() as u64;
+        "lots: no room for its tokens"
+    );
+    node.metrics.refusal(
+        &submission.customer.settings.name,
+        RefusalCause::OverBound.as_str(),
+    );
+    let refusal = Refusal::new(RefusalCause::OverBound);
+    Ok(AcceptEnd::Refused(match retry_after {
+        Some(span) => refusal.retry_after(span),
+        None => refusal,
+    }))
+}
+
+fn retry_pace<D: Dialect>(node: &Node<D>) -> RetryPace {
+    RetryPace::new(node.incarnation)
+        .attempts(STORE_TRIES)
+        .longest_wait(LONGEST_PAUSE)
+}
+
+fn note_accepted<D: Dialect>(
+    node: &Node<D>,
+    submission: &Submission,
+    revision: Revision,
+) -> AcceptEnd {
+    log::info!(
+        lot = submission.lot, customer = submission.customer.settings.name, revision = revision;
+        "lots: accepted"
+    );
+    node.metrics.lot("accepted", 1);
+    node.tell_lot(LotNotice::Accepted(submission.lot.clone()));
+    AcceptEnd::Accepted
 }
 
 /// A lot is accepted once; a repeat of it gets the same answer.
-fn accepted_before(submission: &Submission, found: &[KeyValue]) -> Result<(), Refusal> {
+fn accepted_before<D: Dialect>(
+    node: &Node<D>,
+    submission: &Submission,
+    found: &[KeyValue],
+) -> AcceptEnd {
     let head = found
         .iter()
         .find(|it| it.key == keys::head(&submission.lot));
     let Some(Ok(head)) = head.map(from_json::<LotHead>) else {
-        return Err(RefusalCause::Undecided.into());
+        return AcceptEnd::Refused(RefusalCause::Undecided.into());
     };
     if head.customer != submission.customer.settings.name {
-        return Err(RefusalCause::BadRequest.into());
+        return AcceptEnd::Refused(RefusalCause::BadRequest.into());
     }
     log::info!(lot = submission.lot; "lots: accepted before");
-    Ok(())
+    // The daemon that wrote it may have been lost before it could tell, and the lot
+    // would lie until all open ones are listed. One that is done or ended would be
+    // claimed to find nothing left.
+    if found.iter().any(|it| it.key == keys::open(&submission.lot)) {
+        node.tell_lot(LotNotice::Accepted(submission.lot.clone()));
+    }
+    AcceptEnd::Accepted
 }
 
-fn lot_batch<D: Dialect>(node: &Node<D>, submission: &Submission, lot: &NewLot) -> WriteBatch {
+fn lot_batch<D: Dialect>(
+    node: &Node<D>,
+    submission: &Submission,
+    lot: &NewLot,
+    tokens: u64,
+) -> WriteBatch {
     let id = &submission.lot;
     let submitted = unix_millis();
     let due = submitted + submission.terms.due_after.as_millis() as u64;
@@ -169,6 +304,7 @@
         submitted,
         due,
         given_up: submitted + submission.terms.kept_for.as_millis() as u64,
+        route: submission.route.name.clone(),
     };
     let put = |key, value| Write::Put {
         key,
@@ -177,7 +313,7 @@
     };
     let mut then = vec![
         put(keys::head(id), to_json(&head)),
-        put(keys::open(id), to_json(&OpenMark { due })),
+        put(keys::open(id), to_json(&OpenMark::new(&head, tokens))),
     ];
     let packs = pack_items(&lot.items, node.settings.store.value_bytes);
     for (number, pack) in packs.into_iter().enumerate() {
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -13,7 +13,7 @@
     item_run::{ItemEnd, ItemProgress},
     keys,
     notices::ClaimBasis,
-    records::{DamagedRecord, ItemFaults, LotHead, from_json, from_packed},
+    records::{DamagedRecord, ItemFaults, LotHead, OpenMark, from_json, from_packed},
 };
 use crate::model::{ItemResult, ItemState, LotItem};
 
@@ -158,6 +158,13 @@
             .all(|it| matches!(it.phase, ItemPhase::Ended))
     }
 
+    /// The mark of the lot while items of it wait.
+    pub(super) fn open_mark(&self) -> OpenMark {
+        let is_open = |it: &&HeldItem| !matches!(it.phase, ItemPhase::Ended);
+        let tokens = self.items.iter().filter(is_open).map(|it| it.item.tokens);
+        OpenMark::new(&self.head, tokens.fold(0, u64::saturating_add))
+    }
+
     /// The next item that may run.
     pub(super) fn next_waiting(&self, now: Timestamp) -> Option<usize> {
         if self.is_closing {
--- a/crates/serving/src/lots/keys.rs
+++ b/crates/serving/src/lots/keys.rs
@@ -1,9 +1,13 @@
 //! The keys of lots in the store.
 
+use sha2::{Digest, Sha256};
+
 /// Open lots, by id: written with the lot, removed with its last result or end.
 pub(super) const OPEN: &str = "lots/open/";
 /// The key of the daemon that runs a lot, under that daemon's lease.
 const CLAIM: &str = "lots/claim/";
+/// The ledgers of tokens that wait.
+const LEDGER: &str = "lots/waiting/";
 /// The lot's head, its items, groups of results, and the end.
 const DATA: &str = "lots/data/";
 
@@ -73,3 +77,20 @@
 pub(super) fn all_data() -> &'static str {
     DATA
 }
+
+/// The bytes of a hash that stand in a ledger's key.
+const HASH_BYTES: usize = 16;
+
+/// The ledger of what waits of a customer's lots on a route. Names may hold whatever
+/// operators write, keys may not.
+pub(super) fn ledger(customer: &str, route: &str) -> String {
+    let mut hash = Sha256::new();
+    hash.update(customer.as_bytes());
+    hash.update([0]);
+    hash.update(route.as_bytes());
+    let hex: Vec<String> = hash.finalize()[..HASH_BYTES]
+        .iter()
+        .map(|it| format!("{it:02x}"))
+        .collect();
+    format!("{LEDGER}{}", hex.concat())
+}
--- a/crates/serving/src/lots/mod.rs
+++ b/crates/serving/src/lots/mod.rs
@@ -20,6 +20,7 @@
 mod records;
 mod retire;
 mod sweep;
+mod waiting;
 mod worker;
 mod writer;
 
@@ -31,4 +32,5 @@
 pub use read::answer_reader;
 pub use retire::follow_retire;
 pub use sweep::sweep_lots;
+pub use waiting::LedgerDesk;
 pub use worker::run_lots;
--- a/crates/serving/src/lots/records.rs
+++ b/crates/serving/src/lots/records.rs
@@ -29,6 +29,9 @@
     pub due: u64,
     /// From when on items may be given up.
     pub given_up: u64,
+    /// Its route, by name. Lots of a former version have none.
+    #[serde(default)]
+    pub route: String,
 }
 
 /// Who runs a lot.
@@ -52,11 +55,33 @@
     pub(super) faults: u32,
 }
 
-/// What a daemon that runs lots needs to know before it claims one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What there is to know of a lot while items of it wait. Lots of a former version tell
+/// only when they are due.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct OpenMark {
     /// When the lot is due, in Unix milliseconds.
     pub(super) due: u64,
+    /// Whose it is.
+    #[serde(default)]
+    pub(super) customer: String,
+    /// Its route, by name.
+    #[serde(default)]
+    pub(super) route: String,
+    /// The tokens of its items without a result.
+    #[serde(default)]
+    pub(super) tokens: u64,
+}
+
+impl OpenMark {
+    /// The mark of a lot of which so many tokens wait.
+    pub(super) fn new(head: &LotHead, tokens: u64) -> Self {
+        OpenMark {
+            due: head.due,
+            customer: head.customer.clone(),
+            route: head.route.clone(),
+            tokens,
+        }
+    }
 }
 
 /// A record that can't be read, which only damage or a newer version explains.
--- /dev/null
+++ b/crates/serving/src/lots/waiting.rs
@@ -0,0 +1,235 @@
+//! The ledgers of tokens that wait, as this daemon last saw them in the store.
+
+use std::{cell::RefCell, sync::Arc, time::Duration};
+
+use comfreyramp_policy::{
+    Timestamp,
+    lots::{LotsKnown, ReturnPace, TokenLedger, TokenVerdict, WaitingLot},
+};
+use comfreyramp_store::{
+    Comparison, KeyRange, KeyValue, PlatformStore, Revision, StoreError, Write, WriteBatch,
+};
+use tokio::sync::{Mutex, OwnedMutexGuard};
+
+use super::{
+    keys,
+    records::{OpenMark, from_json, to_json},
+};
+use crate::{dialect::Dialect, node::Node};
+
+/// A lot isn't refused by what was known of the open ones longer ago.
+const COMPARED_FOR: Duration = Duration::from_millis(500);
+/// The ledgers of which copies are kept at most.
+const MOST_COPIES: usize = 512;
+
+/// Whose tokens are bounded, and how.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LedgerTerms<'a> {
+    pub(super) customer: &'a str,
+    pub(super) route: &'a str,
+    /// The tokens that may wait.
+    pub(super) bound: u64,
+    /// When what is accepted now is due: nobody waits longer for room.
+    pub(super) due_after: Duration,
+}
+
+/// Why a lot isn't written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LedgerRefusal {
+    /// It was accepted before.
+    Known,
+    /// There is no room; if there ever is, it should be after this span.
+    Full(Option<Duration>),
+}
+
+/// This daemon's copies of ledgers, by key.
+#[derive(Debug, Default)]
+pub struct LedgerDesk {
+    /// Sorted by key.
+    copies: RefCell<Vec<(String, Arc<Mutex<LedgerCopy>>)>>,
+}
+
+impl LedgerDesk {
+    /// Waits for a ledger's copy. One lot of a customer is decided after the other
+    /// here: each would find the ledger changed by the one before.
+    pub(super) async fn open(&self, customer: &str, route: &str) -> OwnedMutexGuard<LedgerCopy> {
+        self.copy(keys::ledger(customer, route)).lock_owned().await
+    }
+
+    fn copy(&self, key: String) -> Arc<Mutex<LedgerCopy>> {
+        let mut copies = self.copies.borrow_mut();
+        // A copy saves a read of the store, and no more.
+        if copies.len() >= MOST_COPIES {
+            copies.clear();
+        }
+        match copies.binary_search_by(|it| it.0.cmp(&key)) {
+            Ok(place) => copies[place].1.clone(),
+            Err(place) => {
+                let copy = Arc::new(Mutex::new(LedgerCopy::new(key.clone())));
+                copies.insert(place, (key, copy.clone()));
+                copy
+            }
+        }
+    }
+}
+
+/// A ledger as the store held it at a revision, less what is finished since.
+#[derive(Debug)]
+pub(super) struct LedgerCopy {
+    key: String,
+    ledger: TokenLedger,
+    /// The revision of its last write, 0 if there is none. Unknown before it was read,
+    /// and after a write whose answer was lost.
+    revision: Option<Revision>,
+    known: LotsKnown,
+    pace: ReturnPace,
+    /// When the open lots were last asked for.
+    compared_at: Option<Timestamp>,
+}
+
+impl LedgerCopy {
+    fn new(key: String) -> Self {
+        LedgerCopy {
+            key,
+            ledger: TokenLedger::default(),
+            revision: None,
+            known: LotsKnown::default(),
+            pace: ReturnPace::default(),
+            compared_at: None,
+        }
+    }
+
+    /// Decides whether a lot fits by what is known, and asks the store where that isn't
+    /// enough to refuse it.
+    pub(super) async fn check<D: Dialect>(
+        &mut self,
+        node: &Node<D>,
+        lot: &WaitingLot,
+        terms: LedgerTerms<'_>,
+    ) -> Result<Option<LedgerRefusal>, StoreError> {
+        if self.revision.is_none() {
+            self.read(node).await?;
+        }
+        self.ledger.drop_finished(|it| node.told_finished(it));
+        let mut verdict = self.ledger.judge(lot, terms.bound);
+        let is_refused = matches!(verdict, TokenVerdict::Full { .. });
+        let is_old = || {
+            let now = node.clock.now();
+            self.compared_at
+                .is_none_or(|it| now.since(it) >= COMPARED_FOR)
+        };
+        if self.ledger.is_doubtful(terms.bound) || is_refused && is_old() {
+            self.compare(node, terms).await?;
+            verdict = self.ledger.judge(lot, terms.bound);
+        }
+        Ok(match verdict {
+            TokenVerdict::Fits => None,
+            TokenVerdict::Known => Some(LedgerRefusal::Known),
+            TokenVerdict::NeverFits => Some(LedgerRefusal::Full(None)),
+            TokenVerdict::Full { missing } => {
+                let span = self.pace.room_in(missing, terms.due_after);
+                Some(LedgerRefusal::Full(Some(span)))
+            }
+        })
+    }
+
+    /// Has a batch take effect only if the ledger is as it was counted, with a lot noted.
+    pub(super) fn guard(&self, mut batch: WriteBatch, lot: WaitingLot) -> GuardedBatch {
+        let mut ledger = self.ledger.clone();
+        ledger.add(lot);
+        let key = self.key.clone();
+        batch.when.push(match self.revision {
+            Some(revision) if revision > 0 => Comparison::ModifiedAt(key.clone(), revision),
+            _ => Comparison::Absent(key.clone()),
+        });
+        batch.then.push(Write::Put {
+            key: key.clone(),
+            value: to_json(&ledger),
+            lease: None,
+        });
+        batch.read_back.push(key);
+        GuardedBatch { batch, ledger }
+    }
+
+    /// Notes that a ledger was written at a revision.
+    pub(super) fn note_written(&mut self, ledger: TokenLedger, revision: Revision) {
+        self.ledger = ledger;
+        self.revision = Some(revision);
+    }
+
+    /// Notes that nobody knows whether a write took effect.
+    pub(super) fn note_undecided(&mut self) {
+        self.revision = None;
+    }
+
+    /// Takes over what the store holds, which may be no ledger at all.
+    pub(super) fn take(&mut self, found: &[KeyValue]) {
+        let pair = found.iter().find(|it| it.key == self.key);
+        self.revision = Some(pair.map_or(0, |it| it.modified));
+        let read = pair.map(from_json::<TokenLedger>).transpose();
+        // A damaged ledger is counted anew from the open lots: the empty one has no bound.
+        let ledger = read.unwrap_or_else(|error| {
+            log::error!(error:% = error; "lots: a ledger is counted anew");
+            None
+        });
+        self.ledger = ledger.unwrap_or_default();
+        self.ledger.reduce(&self.known);
+        // What it counts was compared by nobody here.
+        self.compared_at = None;
+    }
+
+    /// The tokens that wait, at most.
+    pub(super) fn total(&self) -> u64 {
+        self.ledger.total()
+    }
+
+    async fn read<D: Dialect>(&mut self, node: &Node<D>) -> Result<(), StoreError> {
+        let range = KeyRange::One(self.key.clone());
+        let answer = node.store.range(range, 0).await?;
+        self.take(&answer.pairs);
+        Ok(())
+    }
+
+    /// Compares the ledger with the open lots. Each lot of the ledger was written with
+    /// its open mark, at a revision that this list has seen.
+    async fn compare<D: Dialect>(
+        &mut self,
+        node: &Node<D>,
+        terms: LedgerTerms<'_>,
+    ) -> Result<(), StoreError> {
+        let range = KeyRange::Prefix(keys::OPEN.to_owned());
+        let answer = node.store.range(range, 0).await?;
+        let open: Vec<WaitingLot> = answer
+            .pairs
+            .iter()
+            .filter_map(|pair| {
+                let mark: OpenMark = from_json(pair).ok()?;
+                let is_own = mark.customer == terms.customer && mark.route == terms.route;
+                let lot = pair.key.strip_prefix(keys::OPEN)?;
+                is_own.then(|| WaitingLot {
+                    lot: lot.to_owned(),
+                    tokens: mark.tokens,
+                })
+            })
+            .collect();
+        let now = node.clock.now();
+        let before = self.ledger.total();
+        self.pace.note(&open, now);
+        self.known = self.ledger.compare(&open, terms.bound);
+        self.compared_at = Some(now);
+        log::info!(
+            customer = terms.customer, route = terms.route, bound = terms.bound,
+            counted = before, open = open.len(), waiting = self.ledger.total();
+            "lots: waiting tokens compared"
+        );
+        Ok(())
+    }
+}
+
+/// A batch that takes effect only with its ledger.
+#[derive(Debug)]
+pub(super) struct GuardedBatch {
+    pub(super) batch: WriteBatch,
+    /// The ledger that it writes.
+    pub(super) ledger: TokenLedger,
+}
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -134,10 +134,12 @@
             held.is_writing = true;
             let results = held.unwritten[..held.writing].to_vec();
             let is_last = held.listed + results.len() >= held.head.total;
+            let mark = (!is_last).then(|| held.open_mark());
             let (node, sender) = (self.node.clone(), self.sender.clone());
             let (lot, number) = (held.id.clone(), held.groups);
             tokio::task::spawn_local(async move {
-                let writing = writer::write_results(&node, &lot, claim, number, &results, is_last);
+                let writing =
+                    writer::write_results(&node, &lot, claim, number, &results, mark.as_ref());
                 let answer = writing.await;
                 let _ = sender.send(WorkerEvent::Written(lot, answer));
             });
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -10,7 +10,7 @@
 use super::{
     held_lot::HeldLot,
     keys,
-    records::{ClaimRecord, ItemFaults, from_json, to_json, to_packed},
+    records::{ClaimRecord, ItemFaults, OpenMark, from_json, to_json, to_packed},
 };
 use crate::{dialect::Dialect, model::ItemResult, node::Node};
 
@@ -164,15 +164,15 @@
     }
 }
 
-/// Writes a group of results. The last one takes the claim and the open mark
-/// away with it.
+/// Writes a group of results, and what the lot's mark tells from then on: none once it
+/// has all results. Then its claim goes as well.
 pub(super) async fn write_results<D: Dialect>(
     node: &Node<D>,
     lot: &str,
     claim: Revision,
     number: usize,
     results: &[ItemResult],
-    is_last: bool,
+    mark: Option<&OpenMark>,
 ) -> WriteAnswer {
     let claim_key = keys::claim(lot);
     let group_key = keys::group(lot, number);
@@ -181,9 +181,16 @@
         value: to_packed(&results),
         lease: None,
     }];
-    if is_last {
-        then.push(Write::Delete(claim_key.clone()));
-        then.push(Write::Delete(keys::open(lot)));
+    match mark {
+        Some(mark) => then.push(Write::Put {
+            key: keys::open(lot),
+            value: to_json(mark),
+            lease: None,
+        }),
+        None => {
+            then.push(Write::Delete(claim_key.clone()));
+            then.push(Write::Delete(keys::open(lot)));
+        }
     }
     let batch = WriteBatch {
         when: vec![
--- a/crates/serving/src/model/fleet_settings.rs
+++ b/crates/serving/src/model/fleet_settings.rs
@@ -36,6 +36,9 @@
     pub due_after: Duration,
     /// After this span an item may be given up.
     pub kept_for: Duration,
+    /// The tokens of unfinished items that a customer may have here, counted over the
+    /// whole fleet; none for no limit.
+    pub waiting_tokens: Option<u64>,
 }
 
 /// A service with its part of a route's requests.
--- a/crates/serving/src/model/lot_types.rs
+++ b/crates/serving/src/model/lot_types.rs
@@ -17,7 +17,7 @@
     #[serde_as(as = "Base64")]
     pub body: Vec<u8>,
     /// The tokens of prompt and longest answer together.
-    pub tokens: u32,
+    pub tokens: u64,
 }
 
 /// A lot that is handed in.
@@ -27,6 +27,14 @@
     pub items: Vec<LotItem>,
 }
 
+impl NewLot {
+    /// The tokens of all items; nothing where their sum is beyond all counts.
+    pub fn tokens(&self) -> Option<u64> {
+        let mut items = self.items.iter();
+        items.try_fold(0_u64, |sum, it| sum.checked_add(it.tokens))
+    }
+}
+
 /// How an item ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/serving/src/model/refusal.rs
+++ b/crates/serving/src/model/refusal.rs
@@ -15,6 +15,8 @@
     TooLong,
     /// Its customer is over its rate. It hasn't run.
     OverRate,
+    /// Too many tokens of its customer's lots wait. Nothing of it runs.
+    OverBound,
     /// The daemon has no settings yet. It hasn't run.
     NoSettings,
     /// No server of its service takes requests. It hasn't run.
@@ -46,6 +48,7 @@
             RefusalCause::BadRequest => "bad_request",
             RefusalCause::TooLong => "too_long",
             RefusalCause::OverRate => "over_rate",
+            RefusalCause::OverBound => "over_bound",
             RefusalCause::NoSettings => "no_settings",
             RefusalCause::NoServer => "no_server",
             RefusalCause::Full => "full",
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -35,7 +35,7 @@
         FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewDesk, ViewLags,
         ViewRevisions, WholeList,
     },
-    lots::{LotCache, LotNotice, LotNotices},
+    lots::{LedgerDesk, LotCache, LotNotice, LotNotices},
     metrics::NodeMetrics,
     path::ConnectionPool,
     settings::NodeSettings,
@@ -121,6 +121,8 @@
     pub connections: ConnectionPool,
     /// What was read of lots.
     pub lot_cache: RefCell<LotCache>,
+    /// The ledgers of tokens that wait, as they were last seen.
+    pub ledgers: LedgerDesk,
     /// What is told of lots.
     pub lot_notices: RefCell<LotNotices>,
     /// Told when something changed that other daemons should hear of.
@@ -162,6 +164,7 @@
             servers: RefCell::new(PlacementTable::new(PeerId::of_name(&settings.name))),
             connections: ConnectionPool::default(),
             lot_cache: RefCell::default(),
+            ledgers: LedgerDesk::default(),
             lot_notices: RefCell::default(),
             load_changed: Notify::new(),
             tell_wanted: Notify::new(),
--- a/crates/standins/src/kv/door.rs
+++ b/crates/standins/src/kv/door.rs
@@ -49,7 +49,7 @@
 }
 
 async fn answer(
-    state: &KvState,
+    state: &Arc<KvState>,
     faults: &KvFaults,
     request: Request<Incoming>,
 ) -> Response<MessageBody> {
@@ -154,7 +154,7 @@
 }
 
 async fn transact(
-    state: &KvState,
+    state: &Arc<KvState>,
     faults: &KvFaults,
     request: Request<Incoming>,
 ) -> Response<MessageBody> {
@@ -164,6 +164,14 @@
     let Ok(body) = serde_json::from_slice::<TransactionBody>(&body) else {
         return json_response(StatusCode::BAD_REQUEST, &json!({}));
     };
+    if let Some(span) = faults.delays_write() {
+        let state = state.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(span).await;
+            state.transact(body);
+        });
+        return cut_short().await;
+    }
     let keys = body.written_keys();
     let end = state.transact(body);
     if matches!(end, TransactionEnd::Written(_)) {
@@ -173,9 +181,7 @@
         tokio::time::sleep(LOOK_INTERVAL).await;
     }
     if faults.loses_answer() {
-        let (sender, body) = MessageBody::stream();
-        sender.cut_short("the answer is lost").await;
-        return Response::new(body);
+        return cut_short().await;
     }
     match end {
         TransactionEnd::Written(revision) => {
@@ -188,3 +194,10 @@
         TransactionEnd::NoLease => json_response(StatusCode::NOT_FOUND, &json!({})),
     }
 }
+
+/// An answer that breaks off: nobody knows whether the call took effect.
+async fn cut_short() -> Response<MessageBody> {
+    let (sender, body) = MessageBody::stream();
+    sender.cut_short("the answer is lost").await;
+    Response::new(body)
+}
--- a/crates/standins/src/kv/faults.rs
+++ b/crates/standins/src/kv/faults.rs
@@ -1,8 +1,11 @@
 //! What goes wrong at one door of the store.
 
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicU32, Ordering},
+use std::{
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
 /// What goes wrong at one door of the store.
@@ -10,6 +13,8 @@
 pub struct KvFaults {
     turned_away: AtomicBool,
     lost_answers: AtomicU32,
+    late_writes: AtomicU32,
+    late_by_ms: AtomicU64,
     held_answers: AtomicBool,
     /// The keys of writes whose answers are held back.
     held_writes: Mutex<Vec<String>>,
@@ -26,6 +31,13 @@
         self.lost_answers.store(count, Ordering::SeqCst);
     }
 
+    /// Breaks the connections of the next writes off, and does them only after a span.
+    pub fn delay_writes(&self, count: u32, span: Duration) {
+        self.late_by_ms
+            .store(span.as_millis() as u64, Ordering::SeqCst);
+        self.late_writes.store(count, Ordering::SeqCst);
+    }
+
     /// Does writes, and holds the answers to them back until this is switched off.
     pub fn hold_answers(&self, is_on: bool) {
         self.held_answers.store(is_on, Ordering::SeqCst);
@@ -61,11 +73,19 @@
     }
 
     pub(super) fn loses_answer(&self) -> bool {
-        let left = self.lost_answers.load(Ordering::SeqCst);
-        if left == 0 {
-            return false;
-        }
-        self.lost_answers.store(left - 1, Ordering::SeqCst);
-        true
+        takes_one(&self.lost_answers)
     }
+
+    /// How late the next write is done, if it is.
+    pub(super) fn delays_write(&self) -> Option<Duration> {
+        let span = Duration::from_millis(self.late_by_ms.load(Ordering::SeqCst));
+        takes_one(&self.late_writes).then_some(span)
+    }
+}
+
+fn takes_one(count: &AtomicU32) -> bool {
+    let less = |left: u32| left.checked_sub(1);
+    count
+        .fetch_update(Ordering::SeqCst, Ordering::SeqCst, less)
+        .is_ok()
 }
