Give each daemon of a large fleet the same number of servers; place accepted lots with the daemon that has less to do

Each server drew four of 24 daemons, so that some daemons had one server or none and sent elsewhere, by counts up to 0.75 s old: 45 in 100 requests of a server came from daemons that don't share it; of these 28 in 100 were late, of the others 10.

Change: each daemon takes as many of a service's servers as gives a server four users.

Accepted lots are given to the daemon with less to do of two that are drawn, and all daemons are told.

--- a/crates/node/tests/stale_zone.rs
+++ b/crates/node/tests/stale_zone.rs
@@ -121,6 +121,8 @@
         progress: Vec::new(),
         reaches_store: true,
         is_leaving: false,
+        items: 0,
+        placed: Vec::new(),
     }
 }
 
--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -12,6 +12,7 @@
 //! - [`may_begin_items`] says whether a daemon back from a cut may go on with a lot.
 //! - [`StartRank`] orders items that wait while all slots are taken.
 //! - [`TokenLedger`] bounds the tokens of a customer's lots that wait on a route.
+//! - [`choose_runner`] gives an accepted lot to a daemon that has less to do.
 //! - [`ResultGrouping`] says when a group of results is written.
 //!
 //! See `docs/LOTS.md`.
@@ -23,6 +24,7 @@
 mod lot_forecast;
 mod lot_ranking;
 mod result_grouping;
+mod runner_choice;
 mod segment_choice;
 mod start_order;
 mod waiting_tokens;
@@ -34,6 +36,7 @@
 pub use lot_forecast::{LotForecast, PaceMeter};
 pub use lot_ranking::{LotKey, LotRanking, RankedLot};
 pub use result_grouping::ResultGrouping;
+pub use runner_choice::{RunnerLoad, choose_runner};
 pub use segment_choice::SegmentChoice;
 pub use start_order::{ItemTimes, RunPace, StartRank};
 pub use waiting_tokens::{LotsKnown, ReturnPace, TokenLedger, TokenVerdict, WaitingLot};
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -20,7 +20,7 @@
 mod placement_table;
 mod server_load;
 
-pub use home_set::home_daemons;
+pub use home_set::{HomePair, home_pairs};
 pub use placement_table::{
     Placement, PlacementQuery, PlacementRefusal, PlacementTable, ServerListing, YieldOrder,
 };
--- a/crates/serving/src/fleet/announcer.rs
+++ b/crates/serving/src/fleet/announcer.rs
@@ -7,7 +7,7 @@
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
-use super::{ArrivalClock, PeerMessage, QUIET_LOOK};
+use super::{ArrivalClock, MESSAGE_PADDING, PeerMessage, QUIET_LOOK};
 use crate::{dialect::Dialect, node::Node};
 
 /// After a change of load the daemons nearby hear of it this soon. In between,
@@ -99,7 +99,7 @@
     socket: Rc<UdpSocket>,
     stop: CancellationToken,
 ) {
-    let mut buffer = vec![0; LONGEST_MESSAGE];
+    let mut buffer = vec![0; LONGEST_MESSAGE + MESSAGE_PADDING];
     let mut arrivals = ArrivalClock::new(node.clock.now());
     loop {
         let woken = tokio::select! {
@@ -107,7 +107,7 @@
             () = stop.cancelled() => return,
         };
         let now = node.clock.now();
-        let length = match socket.try_recv_from(&mut buffer) {
+        let length = match socket.try_recv_from(&mut buffer[..LONGEST_MESSAGE]) {
             Ok((length, _)) => length,
             Err(error) if error.kind() == ErrorKind::WouldBlock => {
                 if is_quiet(&socket, woken.is_ok()) {
@@ -118,7 +118,9 @@
             // An earlier datagram couldn't be delivered; nothing was received.
             Err(_) => continue,
         };
-        match postcard::from_bytes::<PeerMessage>(&buffer[..length]) {
+        let padded = length + MESSAGE_PADDING;
+        buffer[length..padded].fill(0);
+        match postcard::from_bytes::<PeerMessage>(&buffer[..padded]) {
             Ok(message) => node.hear_peer(&message, arrivals.arrival(now)),
             Err(error) => log::warn!(error:% = error; "peers: a message can't be read"),
         }
--- a/crates/serving/src/fleet/known_member.rs
+++ b/crates/serving/src/fleet/known_member.rs
@@ -27,6 +27,8 @@
     pub(super) progress: Vec<LotProgress>,
     pub(super) reaches_store: bool,
     pub(super) is_leaving: bool,
+    /// The items of lots that it has to run still, as it said.
+    pub(super) items: u32,
     /// Whether it uses servers first that this daemon uses first.
     pub(super) shares_servers: bool,
 }
@@ -44,6 +46,7 @@
             progress: Vec::new(),
             reaches_store: false,
             is_leaving: false,
+            items: 0,
             shares_servers: false,
         }
     }
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -2,9 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use comfreyramp_policy::{
-    Timestamp, lots::was_out_of_touch, placement::home_daemons, usage::PeerId,
-};
+use comfreyramp_policy::{Timestamp, lots::was_out_of_touch, placement::home_pairs, usage::PeerId};
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{MemberRecord, PeerMessage, ViewRevisions, known_member::KnownMember};
@@ -56,6 +54,8 @@
     /// Sorted by id.
     pub(super) members: Vec<KnownMember>,
     regained_at: Option<Timestamp>,
+    /// Items of lots that this daemon placed not long ago, and where.
+    pub(super) placed: Vec<(PeerId, u32, Timestamp)>,
 }
 
 impl MemberList {
@@ -65,6 +65,7 @@
             own: PeerId::of_name(own_name),
             members: Vec::new(),
             regained_at: None,
+            placed: Vec::new(),
         }
     }
 
@@ -168,6 +169,7 @@
         member.progress.clone_from(&message.progress);
         member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
+        member.items = message.items;
         let id = member.id;
         if is_regained {
             self.regained_at = Some(now);
@@ -225,10 +227,10 @@
         }
     }
 
-    /// Works out which of a zone's servers, by the hashes of their names, the
-    /// daemon `own` uses first, and which others use the same. Returns nothing in
-    /// a small fleet, where everybody uses all.
-    pub fn share_servers(&mut self, own: &MemberRecord, servers: &[u64]) -> Option<Vec<u64>> {
+    /// Works out which of a zone's servers, by the hashes of their names and apart for
+    /// each service, the daemon `own` uses first, and which others use the same.
+    /// Returns nothing in a small fleet, where everybody uses all.
+    pub fn share_servers(&mut self, own: &MemberRecord, services: &[Vec<u64>]) -> Option<Vec<u64>> {
         if self.is_small() {
             return None;
         }
@@ -240,16 +242,15 @@
             members.map(|it| it.id).chain(own).collect()
         };
         let (entries, runners) = (of_zone(false), of_zone(true));
-        let mut homes = Vec::new();
-        let mut sharing = Vec::new();
-        for &server in servers {
-            let mut users = home_daemons(server, &entries, ENTRIES_PER_SERVER);
-            users.extend(home_daemons(server, &runners, RUNNERS_PER_SERVER));
-            if users.contains(&self.own) {
-                homes.push(server);
-                sharing.extend(users);
-            }
+        let mut pairs = Vec::new();
+        for servers in services {
+            pairs.extend(home_pairs(servers, &entries, ENTRIES_PER_SERVER));
+            pairs.extend(home_pairs(servers, &runners, RUNNERS_PER_SERVER));
         }
+        let own_pairs = pairs.iter().filter(|it| it.1 == self.own);
+        let homes: Vec<u64> = own_pairs.map(|it| it.0).collect();
+        let sharing = pairs.iter().filter(|it| homes.contains(&it.0));
+        let sharing: Vec<PeerId> = sharing.map(|it| it.1).collect();
         for member in &mut self.members {
             member.shares_servers = sharing.contains(&member.id);
         }
--- a/crates/serving/src/fleet/member_lots.rs
+++ b/crates/serving/src/fleet/member_lots.rs
@@ -4,8 +4,10 @@
 
 use comfreyramp_policy::{
     Timestamp,
-    lots::{RunnerVouch, home_daemon},
+    lots::{RunnerLoad, RunnerVouch, choose_runner, home_daemon},
+    usage::PeerId,
 };
+use rand::Rng;
 
 use super::{MemberList, known_member::KnownMember};
 use crate::lots::LotStage;
@@ -129,6 +131,50 @@
         home_daemon(lot, &daemons) == Some(own)
     }
 
+    /// Chooses a daemon for an accepted lot of so many items.
+    pub fn place_lot(
+        &mut self,
+        items: usize,
+        random: &mut impl Rng,
+        now: Timestamp,
+    ) -> Option<PeerId> {
+        let interval = self.interval();
+        self.placed.retain(|it| now.since(it.2) < interval);
+        let takes = self.members.iter().filter(|it| self.is_runner(it, now));
+        let loads: Vec<RunnerLoad> = takes
+            .map(|it| {
+                let placed = self.placed.iter().filter(|placed| placed.0 == it.id);
+                RunnerLoad {
+                    runner: it.id,
+                    items: it.items + placed.map(|it| it.1).sum::<u32>(),
+                }
+            })
+            .collect();
+        let runner = choose_runner(&loads, random)?;
+        self.placed.push((runner, items as u32, now));
+        Some(runner)
+    }
+
+    /// Whether a daemon is there to run lots.
+    pub fn takes_lots(&self, id: PeerId, now: Timestamp) -> bool {
+        let place = self.members.binary_search_by_key(&id, |it| it.id);
+        place.is_ok_and(|place| self.is_runner(&self.members[place], now))
+    }
+
+    /// The name of a daemon, for logs.
+    pub fn name_of(&self, id: PeerId) -> &str {
+        let place = self.members.binary_search_by_key(&id, |it| it.id);
+        place.map_or("", |place| &self.members[place].record.name)
+    }
+
+    /// Whether a daemon is there to run lots, and can claim them.
+    fn is_runner(&self, member: &KnownMember, now: Timestamp) -> bool {
+        member.record.runs_lots
+            && member.reaches_store
+            && !member.is_leaving
+            && member.was_heard(self.heard_lately(), now)
+    }
+
     /// Whether the daemon `own` is the first by name of those that run lots.
     pub fn is_first_lot_runner(&self, own: &str) -> bool {
         let mut runners = self.members.iter().filter(|it| it.record.runs_lots);
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -23,7 +23,9 @@
 pub use member_lots::RunnerWord;
 pub use membership::{HeldLease, MEMBERS, keep_membership};
 pub use peer_door::answer_peer;
-pub use peer_message::{MemberRecord, PeerMessage, SuspectCount, ViewLags, ViewRevisions};
+pub use peer_message::{
+    MESSAGE_PADDING, MemberRecord, PeerMessage, SuspectCount, ViewLags, ViewRevisions,
+};
 pub use peer_views::follow_peers;
 pub use store_relay::RelayedStore;
 pub use store_view::{StoreView, WholeList};
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -5,7 +5,7 @@
 use comfreyramp_policy::{Timestamp, ViewLag, placement::LoadShare, usage::UsageCount};
 use serde::{Deserialize, Serialize};
 
-use crate::lots::{LotNotice, LotProgress};
+use crate::lots::{LotNotice, LotProgress, PlacedLot};
 
 /// A daemon as it registers in the store, under its lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,4 +105,11 @@
     pub reaches_store: bool,
     /// Whether it is about to stop.
     pub is_leaving: bool,
+    /// The items of lots that it has to run still.
+    pub items: u32,
+    /// Lots that it accepted, and who is asked to run them.
+    pub placed: Vec<PlacedLot>,
 }
+
+/// Zeros behind a message of a former version stand for the fields that it lacks.
+pub const MESSAGE_PADDING: usize = 2;
--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -93,7 +93,7 @@
     let now = node.clock.now();
     let span = submission.deadline.since(now).mul_f64(STORE_PART);
     match write_lot(node, submission, lot, tokens, span).await {
-        Ok(AcceptEnd::Accepted) => accepted(),
+        Ok(AcceptEnd::Written(_) | AcceptEnd::Known) => accepted(),
         Ok(AcceptEnd::Refused(refusal)) => Err(refusal),
         Err(StoreError::AnswerLost(_)) => Err(RefusalCause::Undecided.into()),
         Err(error) => {
@@ -107,8 +107,10 @@
 /// How it was decided whether a lot is accepted.
 #[derive(Debug)]
 enum AcceptEnd {
-    /// The store holds it, by this write or an earlier one.
-    Accepted,
+    /// The store took it now.
+    Written(Revision),
+    /// The store had it before.
+    Known,
     /// The store doesn't, and won't by any write of this daemon.
     Refused(Refusal),
 }
@@ -125,10 +127,14 @@
     let shared = node.clone();
     let writing = tokio::task::spawn_local(async move {
         let batch = lot_batch(&shared, &submission, &lot, tokens);
-        match submission.terms.waiting_tokens {
-            None => write_free(&shared, &submission, batch).await,
-            Some(bound) => write_bounded(&shared, &submission, batch, tokens, bound, span).await,
+        let end = match submission.terms.waiting_tokens {
+            None => write_free(&shared, &submission, batch).await?,
+            Some(bound) => write_bounded(&shared, &submission, batch, tokens, bound, span).await?,
+        };
+        if let AcceptEnd::Written(revision) = end {
+            note_accepted(&shared, &submission, lot.items.len(), revision);
         }
+        Ok(end)
     });
     let lost = |text: String| Err(StoreError::AnswerLost(text));
     match tokio::time::timeout(span, writing).await {
@@ -145,7 +151,7 @@
     batch: WriteBatch,
 ) -> Result<AcceptEnd, StoreError> {
     match write_once(&node.store, batch, retry_pace(node)).await? {
-        OnceOutcome::Written(revision) => Ok(note_accepted(node, submission, revision)),
+        OnceOutcome::Written(revision) => Ok(AcceptEnd::Written(revision)),
         OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. } => {
             Ok(accepted_before(node, submission, &found))
         }
@@ -189,7 +195,7 @@
         let found = match outcome {
             Ok(OnceOutcome::Written(revision)) => {
                 copy.note_written(guarded.ledger, revision);
-                return Ok(note_accepted(node, submission, revision));
+                return Ok(AcceptEnd::Written(revision));
             }
             Ok(OnceOutcome::Refused { found, .. } | OnceOutcome::Overtaken { found, .. }) => found,
             Err(error) => {
@@ -218,7 +224,7 @@
 ) -> Result<AcceptEnd, StoreError> {
     let LedgerRefusal::Full(retry_after) = refusal else {
         node.tell_lot(LotNotice::Accepted(submission.lot.clone()));
-        return Ok(AcceptEnd::Accepted);
+        return Ok(AcceptEnd::Known);
     };
     let range = KeyRange::One(keys::head(&submission.lot));
     let answer = node.store.range(range, 0).await?;
@@ -251,15 +257,16 @@
 fn note_accepted<D: Dialect>(
     node: &Node<D>,
     submission: &Submission,
+    items: usize,
     revision: Revision,
-) -> AcceptEnd {
+) {
     log::info!(
-        lot = submission.lot, customer = submission.customer.settings.name, revision = revision;
+        lot = submission.lot, customer = submission.customer.settings.name,
+        items = items, revision = revision;
         "lots: accepted"
     );
     node.metrics.lot("accepted", 1);
-    node.tell_lot(LotNotice::Accepted(submission.lot.clone()));
-    AcceptEnd::Accepted
+    node.place_lot(&submission.lot, items);
 }
 
 /// A lot is accepted once; a repeat of it gets the same answer.
@@ -284,7 +291,7 @@
     if found.iter().any(|it| it.key == keys::open(&submission.lot)) {
         node.tell_lot(LotNotice::Accepted(submission.lot.clone()));
     }
-    AcceptEnd::Accepted
+    AcceptEnd::Known
 }
 
 fn lot_batch<D: Dialect>(
--- a/crates/serving/src/lots/candidates.rs
+++ b/crates/serving/src/lots/candidates.rs
@@ -1,12 +1,14 @@
 //! Lots that wait for a claim.
 
-use comfreyramp_policy::Timestamp;
+use comfreyramp_policy::{Timestamp, usage::PeerId};
 
 /// A lot that waits for a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LotCandidate {
     /// The lot.
     pub lot: String,
+    /// The daemon that is asked to run it, if its acceptor chose one.
+    pub runner: Option<PeerId>,
     /// Since when it is known that nobody runs it.
     pub known_at: Timestamp,
     /// It isn't claimed before.
@@ -34,6 +36,7 @@
         }
         self.candidates.push(LotCandidate {
             lot: lot.to_owned(),
+            runner: None,
             known_at: now,
             not_before,
             is_claiming: false,
@@ -45,6 +48,14 @@
         self.candidates.iter().any(|it| it.lot == lot)
     }
 
+    /// Notes which daemon is asked to run a lot. The first word counts: a lot that was
+    /// handed in twice may be placed twice.
+    pub fn place(&mut self, lot: &str, runner: PeerId) {
+        if let Some(candidate) = self.find(lot) {
+            candidate.runner.get_or_insert(runner);
+        }
+    }
+
     /// Takes a lot out.
     pub fn remove(&mut self, lot: &str) {
         self.candidates.retain(|it| it.lot != lot);
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -160,11 +160,23 @@
 
     /// The mark of the lot while items of it wait.
     pub(super) fn open_mark(&self) -> OpenMark {
-        let is_open = |it: &&HeldItem| !matches!(it.phase, ItemPhase::Ended);
-        let tokens = self.items.iter().filter(is_open).map(|it| it.item.tokens);
+        let tokens = self.open().map(|it| it.item.tokens);
         OpenMark::new(&self.head, tokens.fold(0, u64::saturating_add))
     }
 
+    /// How many items have to be run here still.
+    pub(super) fn open_items(&self) -> u32 {
+        match self.is_closing {
+            true => 0,
+            false => self.open().count() as u32,
+        }
+    }
+
+    fn open(&self) -> impl Iterator<Item = &HeldItem> {
+        let items = self.items.iter();
+        items.filter(|it| !matches!(it.phase, ItemPhase::Ended))
+    }
+
     /// The next item that may run.
     pub(super) fn next_waiting(&self, now: Timestamp) -> Option<usize> {
         if self.is_closing {
@@ -223,6 +235,13 @@
     ) {
         let attempts = self.head.attempts;
         let item = &mut self.items[place];
+        if let ItemPhase::Running { begun, .. } = &item.phase {
+            log::info!(
+                lot:% = self.id, item = item.item.id, end = end.as_str(),
+                events = end.events(), ran_ms = now.since(*begun).as_millis() as u64;
+                "lots: a run of an item ends"
+            );
+        }
         item.note_pace(&end, pace, now);
         match end {
             ItemEnd::Done(progress) => {
@@ -289,9 +308,7 @@
     /// it, and each one that takes the lot over would begin anew with an item that wears
     /// servers out.
     pub(super) fn unrecorded_faults(&self) -> Option<Vec<ItemFaults>> {
-        let is_open = |it: &&HeldItem| !matches!(it.phase, ItemPhase::Ended);
-        let mut open = self.items.iter().filter(is_open);
-        if !open.any(|it| it.faults > it.recorded_faults) {
+        if !self.open().any(|it| it.faults > it.recorded_faults) {
             return None;
         }
         let failed = self.items.iter().filter(|it| it.faults > 0);
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -162,6 +162,17 @@
 }
 
 impl ItemEnd {
+    /// How many events the item has by then, as far as they are kept.
+    pub(super) fn events(&self) -> u32 {
+        match self {
+            ItemEnd::Done(progress)
+            | ItemEnd::NotRun(progress)
+            | ItemEnd::Broken(progress)
+            | ItemEnd::Stopped(progress) => progress.events,
+            ItemEnd::Impossible | ItemEnd::Failed => 0,
+        }
+    }
+
     /// The end as a label.
     pub(super) fn as_str(&self) -> &'static str {
         match self {
--- a/crates/serving/src/lots/mod.rs
+++ b/crates/serving/src/lots/mod.rs
@@ -27,7 +27,7 @@
 pub use accept::{Submission, accept_lot};
 pub use candidates::{LotCandidate, LotCandidates};
 pub use lot_cache::{CopySource, LotCache};
-pub use notices::{ClaimBasis, LotNotice, LotNotices, LotProgress, LotStage};
+pub use notices::{ClaimBasis, LotNotice, LotNotices, LotProgress, LotStage, PlacedLot};
 pub use peer_read::{LOT_PATH, show_lot};
 pub use read::answer_reader;
 pub use retire::follow_retire;
--- a/crates/serving/src/lots/notices.rs
+++ b/crates/serving/src/lots/notices.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyramp_policy::{Timestamp, lots::knows_all_results};
+use comfreyramp_policy::{Timestamp, lots::knows_all_results, usage::PeerId};
 use comfreyramp_store::LeaseId;
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +28,15 @@
     Ended(String),
 }
 
+/// An accepted lot, and the daemon that is asked to run it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedLot {
+    /// The lot.
+    pub lot: String,
+    /// The daemon.
+    pub runner: PeerId,
+}
+
 impl LotNotice {
     fn told_for(&self) -> Duration {
         match self {
@@ -120,6 +129,7 @@
 #[derive(Debug, Default)]
 pub struct LotNotices {
     notices: Vec<(LotNotice, Timestamp)>,
+    placed: Vec<(PlacedLot, Timestamp)>,
     progress: Vec<ToldProgress>,
 }
 
@@ -129,6 +139,18 @@
         self.notices.push((notice, now));
     }
 
+    /// Tells who is asked to run a lot, as long as it is told that it was accepted.
+    pub fn place(&mut self, placed: PlacedLot, now: Timestamp) {
+        self.placed.push((placed, now));
+    }
+
+    /// Which daemons are asked to run which lots.
+    pub fn current_placed(&mut self, now: Timestamp) -> Vec<PlacedLot> {
+        self.placed.retain(|it| now.since(it.1) < ACCEPTED_TOLD_FOR);
+        let placed = self.placed.iter().rev().take(MOST_NOTICES);
+        placed.map(|it| it.0.clone()).collect()
+    }
+
     /// Tells how far a lot is.
     pub fn tell_progress(&mut self, progress: LotProgress, basis: ClaimBasis, now: Timestamp) {
         self.progress.retain(|it| it.progress.lot != progress.lot);
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -36,6 +36,9 @@
         for lot in inbox.accepted {
             self.add_candidate(&lot, now);
         }
+        for placed in inbox.placed {
+            self.candidates.place(&placed.lot, placed.runner);
+        }
         for lot in inbox.ended {
             self.candidates.remove(&lot);
             if let Some(held) = self.find(&lot) {
@@ -126,7 +129,8 @@
                 candidate.known_at = now;
                 continue;
             }
-            let is_own = self.node.is_own_lot(&candidate.lot);
+            let placed = candidate.runner.and_then(|it| self.node.is_placed_here(it));
+            let is_own = placed.unwrap_or_else(|| self.node.is_own_lot(&candidate.lot));
             if !is_own && now.since(candidate.known_at) < CLAIM_PATIENCE {
                 continue;
             }
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -147,6 +147,13 @@
             stop,
         };
         self.running += 1;
+        log::info!(
+            lot:% = held.id, item = held.items[item].item.id,
+            server = self.node.servers.borrow().listing(server).name,
+            events = held.items[item].progress.events,
+            due_ms = held.head.due as i64 - unix_millis() as i64, running = self.running;
+            "lots: an item starts"
+        );
         let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Bulk);
         let node = self.node.clone();
         let sender = self.sender.clone();
--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -128,6 +128,15 @@
         self.write_faults(now);
         self.write_groups(now);
         self.release_closed();
+        self.note_held_items();
+    }
+
+    /// Has others hear how much there is to do here.
+    fn note_held_items(&self) {
+        let items = self.held.iter().map(HeldLot::open_items).sum();
+        if self.node.held_items.replace(items) != items {
+            self.node.load_changed.notify_one();
+        }
     }
 
     fn on_event(&mut self, event: WorkerEvent) {
--- a/crates/serving/src/node/directory.rs
+++ b/crates/serving/src/node/directory.rs
@@ -102,12 +102,14 @@
     pub(super) fn share_servers(&self) {
         let own = self.member_record();
         let mut servers = self.servers.borrow_mut();
-        let of_zone = servers
-            .listed()
-            .into_iter()
-            .filter(|it| it.1.zone == own.zone);
-        let of_zone: Vec<u64> = of_zone.map(|it| it.0).collect();
-        let homes = self.members.borrow_mut().share_servers(&own, &of_zone);
+        let mut of_zone = servers.listed();
+        of_zone.retain(|it| it.1.zone == own.zone);
+        of_zone.sort_unstable_by(|left, right| left.1.service.cmp(&right.1.service));
+        let by_service = of_zone.chunk_by(|left, right| left.1.service == right.1.service);
+        let services: Vec<Vec<u64>> = by_service
+            .map(|servers| servers.iter().map(|it| it.0).collect())
+            .collect();
+        let homes = self.members.borrow_mut().share_servers(&own, &services);
         servers.set_homes(|server| homes.as_ref().is_none_or(|it| it.contains(&server)));
     }
 }
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use comfreyramp_policy::{Timestamp, lots::RunnerVouch};
+use comfreyramp_policy::{Timestamp, lots::RunnerVouch, usage::PeerId};
 use comfreyramp_store::KeyValue;
 
 use super::{LotInbox, Node};
 use crate::{
     dialect::{Dialect, FleetRecords},
     fleet::RunnerWord,
-    lots::LotNotice,
+    lots::{LotNotice, PlacedLot},
     model::RetireOrder,
 };
 
@@ -29,6 +29,29 @@
         self.load_changed.notify_one();
     }
 
+    /// Tells other daemons of a lot that was accepted here, and who is asked to run it.
+    pub fn place_lot(&self, lot: &str, items: usize) {
+        let now = self.clock.now();
+        let mut members = self.members.borrow_mut();
+        if let Some(runner) = members.place_lot(items, &mut rand::rng(), now) {
+            log::info!(lot = lot, runner = members.name_of(runner); "lots: placed");
+            let lot = lot.to_owned();
+            let placed = PlacedLot { lot, runner };
+            self.lot_notices.borrow_mut().place(placed, now);
+        }
+        drop(members);
+        self.tell_lot(LotNotice::Accepted(lot.to_owned()));
+    }
+
+    /// Whether a lot that this daemon or another is asked to run falls to this one.
+    pub fn is_placed_here(&self, runner: PeerId) -> Option<bool> {
+        if runner == PeerId::of_name(&self.settings.name) {
+            return Some(true);
+        }
+        let is_there = self.members.borrow().takes_lots(runner, self.clock.now());
+        is_there.then_some(false)
+    }
+
     /// Takes the lots that other daemons told of.
     pub fn take_lot_inbox(&self) -> LotInbox {
         std::mem::take(&mut self.lot_inbox.borrow_mut())
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -35,7 +35,7 @@
         FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewDesk, ViewLags,
         ViewRevisions, WholeList,
     },
-    lots::{LedgerDesk, LotCache, LotNotice, LotNotices},
+    lots::{LedgerDesk, LotCache, LotNotice, LotNotices, PlacedLot},
     metrics::NodeMetrics,
     path::ConnectionPool,
     settings::NodeSettings,
@@ -82,6 +82,8 @@
 pub struct LotInbox {
     /// Lots that wait for a daemon to run them.
     pub accepted: Vec<String>,
+    /// Who is asked to run them.
+    pub placed: Vec<PlacedLot>,
     /// Lots that were ended.
     pub ended: Vec<String>,
 }
@@ -133,6 +135,8 @@
     pub yield_wanted: Notify,
     /// Told when a slot became free, or lots have news.
     pub bulk_wake: Notify,
+    /// The items of lots that this daemon has to run still.
+    pub held_items: Cell<u32>,
     /// Whether this VM is being emptied.
     pub is_retiring: Cell<bool>,
     /// Whether the daemon is about to stop.
@@ -170,6 +174,7 @@
             tell_wanted: Notify::new(),
             yield_wanted: Notify::new(),
             bulk_wake: Notify::new(),
+            held_items: Cell::new(0),
             is_retiring: Cell::new(false),
             is_stopping: Cell::new(false),
             fleet: RefCell::default(),
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -67,7 +67,9 @@
         self.message_number.set(number);
         let views = self.views.borrow();
         let lease = self.lease().map(|it| it.id);
-        let (lots, progress) = self.lot_notices.borrow_mut().current(lease, now);
+        let mut notices = self.lot_notices.borrow_mut();
+        let (lots, progress) = notices.current(lease, now);
+        let placed = notices.current_placed(now);
         PeerMessage {
             from: self.member_record(),
             number,
@@ -79,6 +81,8 @@
             progress,
             reaches_store: self.store.is_direct(),
             is_leaving: self.is_stopping.get(),
+            items: self.held_items.get(),
+            placed,
         }
     }
 
@@ -104,6 +108,7 @@
             for notice in &message.lots {
                 inbox.take(notice);
             }
+            inbox.placed.extend_from_slice(&message.placed);
             self.bulk_wake.notify_one();
         }
     }
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -26,6 +26,8 @@
         progress,
         reaches_store: true,
         is_leaving: false,
+        items: 0,
+        placed: Vec::new(),
     }
 }
 
