--- a/crates/policy/src/lots/runner_choice.rs
+++ b/crates/policy/src/lots/runner_choice.rs
@@ -15,10 +15,10 @@
 
 /// Chooses the daemon for a lot: the one with less to do of two that are drawn.
 ///
-/// Chosen by a hash of the lot, one of three daemons had 100 items waiting while the
-/// others ran dry. Were all daemons to choose the one with the least to do, a burst of
-/// lots would go to a single one before it can tell what it has. A lot whose daemon is
-/// lost is claimed by another all the same.
+/// Chosen by a hash of the lot, one daemon has many items waiting while others run dry.
+/// Were all daemons to choose the one with the least to do, a burst of lots would go to a
+/// single one before it can tell what it has. A lot whose daemon is lost is claimed by
+/// another all the same.
 ///
 /// `tests/runner_choice.rs` replays a burst.
 pub fn choose_runner(runners: &[RunnerLoad], random: &mut impl Rng) -> Option<PeerId> {
@@ -35,7 +35,7 @@
 /// than what is left here.
 ///
 /// After a restart of all VMs the first daemon that is back finds all lots with nobody to
-/// run them. One had 212 items waiting for 40 s, and thirteen others had none.
+/// run them, claims them, and would run them alone.
 pub fn choose_successor(own: u32, moved: u32, others: &[RunnerLoad]) -> Option<PeerId> {
     let least = others.iter().min_by_key(|it| (it.items, it.runner))?;
     let after = least.items.saturating_add(moved).saturating_add(LEAST_GAP);
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -17,9 +17,8 @@
 /// as a full one. What is known of it is old.
 const FOREIGN_PENALTY: f64 = 1.5;
 /// Slots of each server that items leave free for live requests that arrive
-/// while the daemons' counts are on their way to each other. In the replay of
-/// steps none would mean 7.3 starts an item instead of 3.5, for 0.92 instead of
-/// 0.87 of what live work leaves; two would leave lots 0.82.
+/// while the daemons' counts are on their way to each other. Without them each such
+/// request has an item step aside.
 const BULK_MARGIN: u32 = 1;
 /// The shortest and the longest time after which a refused caller may come back.
 const SHORTEST_RETRY: Duration = Duration::from_millis(250);
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -19,9 +19,7 @@
 /// in which other daemons hear of the first.
 const BULK_INTERVAL: Duration = Duration::from_millis(60);
 /// Where items stepped aside none starts for so long: about as long as a live
-/// request holds its slot. In the replay of steps (`tests/placement_load.rs`) an
-/// item is started 3.5 times with it, 4.7 times without any pause, and lots have
-/// 0.87 instead of 0.89 of what live work leaves.
+/// request holds its slot. Without a pause items start and step aside over and over.
 const YIELD_PAUSE: Duration = Duration::from_millis(800);
 /// How much a new span counts in the mean of spans.
 const SPAN_WEIGHT: f64 = 0.1;
--- a/crates/policy/src/usage/speak_schedule.rs
+++ b/crates/policy/src/usage/speak_schedule.rs
@@ -10,11 +10,8 @@
 ///
 /// Daemons that were killed together start together. Were they to speak in step from
 /// then on, all words would grow old at the same time, and at the end of each interval
-/// everybody would leave most of every customer's tokens to everybody else: in
-/// `tests/usage_large.rs` (seeds 1 to 40) 9.9 of 100 requests within the rate are
-/// refused in a cut and 4.7 of 100 at steps, 4.2 and 2.2 where the first pause is
-/// drawn; of that a little more doubt takes back 1.4 and 0.9, to keep a customer who
-/// is hot at the moment of a cut within its bound.
+/// everybody would leave most of every customer's tokens to everybody else
+/// (`tests/usage_large.rs`).
 #[derive(Clone, Copy, Debug)]
 pub struct SpeakSchedule {
     due_at: Timestamp,
