--- /dev/null
+++ b/crates/policy/tests/placement_large.rs
@@ -0,0 +1,254 @@
+//! A zone of a large fleet at the height of a step, replayed on virtual time: many daemons
+//! send to the same servers, and hear of each other late.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+    time::Duration,
+};
+
+use comfreyramp_policy::{
+    ServerId, Timestamp,
+    placement::{
+        HomePair, LoadShare, PlacementQuery, PlacementTable, ServerListing, SlotReport, WorkKind,
+        home_pairs,
+    },
+    usage::PeerId,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const SERVERS: usize = 16;
+const SLOTS: usize = 8;
+const ENTRIES: usize = 24;
+const USERS: usize = 4;
+const STEP: Duration = Duration::from_millis(5);
+/// Daemons that share servers tell each other after so long for each of them.
+const NEAR_FOR_EACH: Duration = Duration::from_millis(5);
+const FAR: Duration = Duration::from_millis(750);
+const HELD: Duration = Duration::from_millis(840);
+/// At the height of a step nine tenths of the slots are wanted.
+const HIGH_RATE: f64 = 137.0;
+const LOW_RATE: f64 = 28.0;
+const RUN: Duration = Duration::from_secs(27);
+const ON_TIME: Duration = Duration::from_millis(250);
+/// After this long in its slot a request has its first event, and with it the server's
+/// own report.
+const FIRST_EVENT: Duration = Duration::from_millis(50);
+const SEEDS: u64 = 3;
+
+/// A live request at a server.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct LiveJob {
+    ends: Timestamp,
+    daemon: usize,
+}
+
+struct ZoneReplay {
+    now: Timestamp,
+    tables: Vec<PlacementTable>,
+    homes: Vec<HomePair>,
+    running: Vec<BinaryHeap<Reverse<LiveJob>>>,
+    /// Requests that wait at each server, with their daemons.
+    waiting: Vec<Vec<(Timestamp, usize)>>,
+    /// How many callers each daemon has, against the others.
+    weights: Vec<f64>,
+    random: StdRng,
+    waits: Vec<Duration>,
+    /// When which daemon reads which server's report.
+    reports: VecDeque<(Timestamp, usize, usize)>,
+}
+
+impl ZoneReplay {
+    fn new(seed: u64, homes: impl Fn(&[u64], &[PeerId]) -> Vec<HomePair>) -> Self {
+        let listings: Vec<ServerListing> = (0..SERVERS)
+            .map(|number| ServerListing {
+                name: format!("server-{seed}-{number}"),
+                service: "drafts".to_owned(),
+                zone: "zone-1".to_owned(),
+                address: format!("10.0.0.{number}:80"),
+                slots: SLOTS as u32,
+                is_ready: true,
+                start: 1,
+            })
+            .collect();
+        let mut random = StdRng::seed_from_u64(seed);
+        let peers: Vec<PeerId> = (0..ENTRIES).map(peer).collect();
+        let mut tables: Vec<PlacementTable> = Vec::new();
+        let mut pairs = Vec::new();
+        for own in &peers {
+            let mut table = PlacementTable::new(*own);
+            table.set_listings(&listings);
+            let servers: Vec<u64> = table.listed().iter().map(|it| it.0).collect();
+            pairs = homes(&servers, &peers);
+            table.set_homes(|server| pairs.contains(&(server, *own)));
+            tables.push(table);
+        }
+        ZoneReplay {
+            now: Timestamp::from_micros(1_000_000),
+            tables,
+            homes: pairs,
+            running: vec![BinaryHeap::new(); SERVERS],
+            waiting: vec![Vec::new(); SERVERS],
+            weights: (0..ENTRIES)
+                .map(|_| random.random_range(0.3..1.7))
+                .collect(),
+            random,
+            waits: Vec::new(),
+            reports: VecDeque::new(),
+        }
+    }
+
+    /// The part of the requests that start late.
+    fn run(mut self) -> f64 {
+        let near: Vec<Vec<usize>> = (0..ENTRIES).map(|it| self.near(it)).collect();
+        let begin = self.now;
+        let mut near_due: Vec<Timestamp> = vec![begin; ENTRIES];
+        let mut far_due: Vec<Timestamp> = (0..ENTRIES)
+            .map(|_| begin + FAR.mul_f64(self.random.random::<f64>()))
+            .collect();
+        while self.now.since(begin) < RUN {
+            self.now = self.now + STEP;
+            self.work();
+            self.read_reports();
+            self.arrivals(self.now.since(begin));
+            for daemon in 0..ENTRIES {
+                if self.now >= far_due[daemon] {
+                    far_due[daemon] = self.now + FAR;
+                    self.tell(daemon, 0..ENTRIES);
+                }
+                if self.now >= near_due[daemon] {
+                    let gathered = NEAR_FOR_EACH * near[daemon].len() as u32;
+                    near_due[daemon] = self.now + gathered.max(Duration::from_millis(30));
+                    self.tell(daemon, near[daemon].iter().copied());
+                }
+            }
+        }
+        let late = self.waits.iter().filter(|it| **it > ON_TIME).count();
+        late as f64 / self.waits.len().max(1) as f64
+    }
+
+    /// The daemons with which one shares servers.
+    fn near(&self, own: usize) -> Vec<usize> {
+        let uses = |daemon: usize, server: u64| self.homes.contains(&(server, peer(daemon)));
+        let servers: Vec<u64> = self.homes.iter().map(|it| it.0).collect();
+        let shares = |other: usize| {
+            let mut servers = servers.iter();
+            servers.any(|it| uses(own, *it) && uses(other, *it))
+        };
+        (0..ENTRIES)
+            .filter(|it| *it != own && shares(*it))
+            .collect()
+    }
+
+    fn work(&mut self) {
+        for server in 0..SERVERS {
+            while let Some(Reverse(job)) = self.running[server].peek().copied() {
+                if job.ends > self.now {
+                    break;
+                }
+                self.running[server].pop();
+                self.tables[job.daemon].end(ServerId(server as u32), WorkKind::Live);
+            }
+            while self.running[server].len() < SLOTS && !self.waiting[server].is_empty() {
+                let (arrived, daemon) = self.waiting[server].remove(0);
+                self.waits.push(self.now.since(arrived));
+                let ends = self.now + HELD;
+                self.running[server].push(Reverse(LiveJob { ends, daemon }));
+                let read = self.now + FIRST_EVENT;
+                self.reports.push_back((read, daemon, server));
+            }
+        }
+    }
+
+    fn read_reports(&mut self) {
+        while let Some(&(read, daemon, server)) = self.reports.front() {
+            if read > self.now {
+                break;
+            }
+            self.reports.pop_front();
+            let report = SlotReport {
+                running: self.running[server].len() as u32,
+                waiting: self.waiting[server].len() as u32,
+                slots: SLOTS as u32,
+            };
+            self.tables[daemon].report(ServerId(server as u32), report, self.now);
+        }
+    }
+
+    fn arrivals(&mut self, since: Duration) {
+        let is_high = since.as_secs_f64() % 6.6 >= 3.8;
+        let rate = if is_high { HIGH_RATE } else { LOW_RATE };
+        if !self.random.random_bool(rate * STEP.as_secs_f64()) {
+            return;
+        }
+        let daemon = self.draw_daemon();
+        let query = PlacementQuery {
+            service: "drafts",
+            zone: "zone-1",
+            exclude: &[],
+            longest_wait: Duration::from_secs(60),
+        };
+        let placement = self.tables[daemon].choose_live(query, self.now, &mut self.random);
+        if let Ok(placement) = placement {
+            self.tables[daemon].begin(placement.server, WorkKind::Live, self.now);
+            self.waiting[placement.server.index()].push((self.now, daemon));
+        }
+    }
+
+    fn draw_daemon(&mut self) -> usize {
+        let all: f64 = self.weights.iter().sum();
+        let mut drawn = self.random.random_range(0.0..all);
+        let place = self.weights.iter().position(|weight| {
+            drawn -= weight;
+            drawn < 0.0
+        });
+        place.unwrap_or(0)
+    }
+
+    fn tell(&mut self, from: usize, to: impl Iterator<Item = usize>) {
+        let shares: Vec<(u64, LoadShare)> = self.tables[from].own_shares();
+        for to in to.filter(|it| *it != from) {
+            self.tables[to].hear(peer(from), &shares, self.now);
+        }
+    }
+}
+
+fn peer(daemon: usize) -> PeerId {
+    PeerId::of_name(&format!("entry-{daemon}"))
+}
+
+/// Each server draws its daemons, so that daemons have more servers or fewer.
+fn drawn_by_servers(servers: &[u64], daemons: &[PeerId]) -> Vec<HomePair> {
+    let one = |server: &u64| home_pairs(&[*server], daemons, USERS);
+    servers.iter().flat_map(one).collect()
+}
+
+fn mean_late(homes: impl Fn(&[u64], &[PeerId]) -> Vec<HomePair> + Copy) -> f64 {
+    let late = (1..=SEEDS).map(|seed| ZoneReplay::new(seed, homes).run());
+    late.sum::<f64>() / SEEDS as f64
+}
+
+/// Some daemons have one server or none of their own, and send their callers' requests to
+/// servers that looked idle most of a second ago, where they wait behind others.
+#[test]
+fn daemons_with_as_many_servers_each_keep_callers_on_time() {
+    let drawn = mean_late(drawn_by_servers);
+    let even = mean_late(|servers, daemons| home_pairs(servers, daemons, USERS));
+    eprintln!("late: {even:.4} with as many servers each, {drawn:.4} drawn by servers");
+    assert!(even <= 0.02, "{even} late");
+    assert!(even * 1.5 <= drawn, "{even} and {drawn} late");
+}
+
+/// A service with one server in a zone would have all daemons near each other, and each
+/// would speak to all of them with every change.
+#[test]
+fn few_servers_are_shared_by_few_daemons() {
+    let daemons: Vec<PeerId> = (0..ENTRIES).map(peer).collect();
+    let pairs = home_pairs(&[1], &daemons, USERS);
+    assert_eq!(pairs.len(), USERS);
+    let pairs = home_pairs(&(0..SERVERS as u64).collect::<Vec<_>>(), &daemons, USERS);
+    for daemon in &daemons {
+        let own = pairs.iter().filter(|it| it.1 == *daemon).count();
+        assert_eq!(own, (SERVERS * USERS).div_ceil(ENTRIES));
+    }
+}
