--- a/crates/serving/src/fleet/known_member.rs
+++ b/crates/serving/src/fleet/known_member.rs
@@ -24,6 +24,8 @@
     /// The number of the last message; 0 while none was heard of this life.
     pub(super) number: u64,
     pub(super) revisions: ViewRevisions,
+    /// What it says of lots, sorted by lot: in a flood there are hundreds, and each lot
+    /// that waits is looked up among those of all daemons.
     pub(super) progress: Vec<LotProgress>,
     pub(super) reaches_store: bool,
     pub(super) is_leaving: bool,
@@ -84,7 +86,10 @@
 
     /// What it says of a lot.
     pub(super) fn told_of(&self, lot: &str) -> Option<&LotProgress> {
-        self.progress.iter().find(|it| it.lot == lot)
+        let place = self
+            .progress
+            .binary_search_by(|it| it.lot.as_str().cmp(lot));
+        Some(&self.progress[place.ok()?])
     }
 
     pub(super) fn was_heard(&self, within: Duration, now: Timestamp) -> bool {
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -167,6 +167,9 @@
         member.heard_at = Some(now);
         member.revisions = message.revisions;
         member.progress.clone_from(&message.progress);
+        member
+            .progress
+            .sort_unstable_by(|left, right| left.lot.cmp(&right.lot));
         member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
         member.items = message.items;
--- a/crates/serving/src/fleet/member_lots.rs
+++ b/crates/serving/src/fleet/member_lots.rs
@@ -92,26 +92,27 @@
 
     /// Whether a daemon tells that it ran a lot to its end.
     pub fn told_finished(&self, lot: &str) -> bool {
-        let mut told = self.members.iter().flat_map(|it| &it.progress);
-        told.any(|it| it.lot == lot && it.stage == LotStage::Finished)
+        let mut told = self.members.iter().filter_map(|it| it.told_of(lot));
+        told.any(|it| it.stage == LotStage::Finished)
     }
 
     /// Whether a daemon that was heard not long ago runs a lot.
     pub fn is_held(&self, lot: &str, now: Timestamp) -> bool {
-        self.held(now).any(|it| it == lot)
+        let mut told = self.heard_runners(now).filter_map(|it| it.told_of(lot));
+        told.any(|it| it.stage.is_running())
     }
 
     /// The lots that daemons heard not long ago say they run.
     pub fn held_lots(&self, now: Timestamp) -> Vec<String> {
-        self.held(now).map(str::to_owned).collect()
+        let told = self.heard_runners(now).flat_map(|it| &it.progress);
+        let running = told.filter(|it| it.stage.is_running());
+        running.map(|it| it.lot.clone()).collect()
     }
 
-    fn held(&self, now: Timestamp) -> impl Iterator<Item = &str> {
+    /// The daemons that hold the lots of which they tell, if they hold any.
+    fn heard_runners(&self, now: Timestamp) -> impl Iterator<Item = &KnownMember> {
         let members = self.members.iter();
-        let heard = members.filter(move |it| it.was_heard(HOLDS_LOTS_FOR, now));
-        let told = heard.flat_map(|it| &it.progress);
-        let running = told.filter(|it| it.stage.is_running());
-        running.map(|it| it.lot.as_str())
+        members.filter(move |it| !it.progress.is_empty() && it.was_heard(HOLDS_LOTS_FOR, now))
     }
 
     /// Whether a lot falls to the daemon `own`, out of those that run lots.
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -1,6 +1,6 @@
 //! Which items run: they start, step aside and are given up.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
@@ -18,6 +18,7 @@
         held_lot::ItemPhase,
         item_run::{ItemRun, run_item},
     },
+    model::RouteSettings,
     path::AttemptGuard,
 };
 
@@ -73,6 +74,8 @@
         let Some(fleet) = self.node.fleet() else {
             return;
         };
+        // Hundreds of lots may wait; a route without a free slot is asked for once.
+        let mut full: Vec<Arc<RouteSettings>> = Vec::new();
         for place in self.start_order(now) {
             while self.running < MOST_RUNNING {
                 let Some(item) = self.held[place].next_waiting(now) else {
@@ -85,7 +88,11 @@
                     self.held[place].give_up_waiting("no route", now);
                     break;
                 };
+                if full.iter().any(|it| Arc::ptr_eq(it, &route)) {
+                    break;
+                }
                 let Some(server) = self.choose_server(&route, now) else {
+                    full.push(route);
                     break;
                 };
                 self.start(place, item, server, now);
@@ -110,11 +117,7 @@
         ranked.into_iter().map(|it| it.1).collect()
     }
 
-    fn choose_server(
-        &self,
-        route: &crate::model::RouteSettings,
-        now: Timestamp,
-    ) -> Option<ServerId> {
+    fn choose_server(&self, route: &RouteSettings, now: Timestamp) -> Option<ServerId> {
         let servers = self.node.servers.borrow();
         let mut random = rand::rng();
         let service = draw_service(route, |it| servers.has_server(it), &mut random)?;
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -55,6 +55,31 @@
     assert!(members.held_lots(begin).is_empty(), "it is done");
 }
 
+/// In a flood a daemon tells of hundreds of lots, in no order, and each lot that waits is
+/// looked up among them many times a second: one that isn't found would be claimed by
+/// daemon after daemon.
+#[test]
+fn each_of_many_lots_is_found() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("lots-1");
+    let lot = |number: usize| format!("lot-{}", number * 37 % 200);
+    let told = (0..200).map(|number| LotProgress {
+        lot: lot(number),
+        results: 1,
+        stage: match number % 2 {
+            0 => LotStage::Held,
+            _ => LotStage::Finished,
+        },
+    });
+    members.hear(&message(1, told.collect()), begin);
+    for number in 0..200 {
+        let is_held = number % 2 == 0;
+        assert_eq!(members.is_held(&lot(number), begin), is_held, "{number}");
+        assert_eq!(members.told_finished(&lot(number)), !is_held, "{number}");
+    }
+    assert!(!members.is_held("lot-x", begin) && !members.told_finished("lot-x"));
+}
+
 /// A daemon that runs a lot is restarted, and is heard again before anybody noticed.
 /// What it said in its former life tells nothing of what the store holds by now, and
 /// a reader must not be told that a result isn't there on the strength of it.
