Ask daemons for a word four times a second at most

Daemons that can't answer were asked up to 40 times a second by each daemon that had a request to refuse; the answers of the others are whole messages.

--- a/crates/serving/src/node/admission.rs
+++ b/crates/serving/src/node/admission.rs
@@ -12,8 +12,10 @@
 /// How long a request waits for words of other daemons that decide whether it is let in:
 /// one look for those nearby, and one for all.
 const WORD_WAITS: [Duration; 2] = [Duration::from_millis(5), Duration::from_millis(10)];
-/// Others are asked no more often than this, however many requests wait.
-const ASK_INTERVAL: Duration = Duration::from_millis(25);
+/// Others are asked no more often than this, however many requests wait. Who answered is
+/// in no doubt for about as long, and who didn't won't a moment later; asked by all daemons
+/// for each request, a fleet behind a cut would be busy with answers.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
 
 impl<D: Dialect> Node<D> {
     /// Hears other daemons out before a request is refused for what they may have let in
