A daemon that has just started asks for no words

Cause: while it is young each word it hears lowers its tokens to what the speaker has, and asked for words it was driven down to the lowest copy of all.

--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -242,11 +242,17 @@
         }
     }
 
+    /// Whether this daemon started a moment ago, and takes the others' word for what was
+    /// spent before. Each word it hears lowers its tokens.
+    fn is_young(&self, now: Timestamp) -> bool {
+        now.since(self.started_at) < self.silent_after * 2
+    }
+
     /// Whether a request of a customer would be refused just for what daemons may have
     /// let in since their last word. A word of theirs decides it
     /// ([`UsageBook::doubted_peers`]).
     pub fn is_refused_by_doubt(&self, customer: u64, now: Timestamp) -> bool {
-        let Some(place) = self.find(customer) else {
+        let Some(place) = self.find(customer).filter(|_| !self.is_young(now)) else {
             return false;
         };
         let reserved = self.reserved_part(customer, now);
@@ -323,7 +329,7 @@
         self.peers[place].heard_at = now;
         self.peers[place].is_silent = false;
         self.peers[place].was_heard = true;
-        let is_young = now.since(self.started_at) < self.silent_after * 2;
+        let is_young = self.is_young(now);
         for count in counts {
             let spent = self.peers[place].note(count, now);
             let Some(at) = self.find(count.customer) else {
