Log how long a lost call to the store had waited, and show how old views are

The record of the incident can't tell a watch that hung from daemons that came back late: 'store: lost' said neither for how long the call had waited nor whether the store answered others meanwhile. It does now, and comfreyramp_view_age_seconds shows for how long nothing was heard of a view. No logic changed.

--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -1,6 +1,9 @@
 //! Following a prefix of the store.
 
-use std::time::Duration;
+use std::{
+    cell::Cell,
+    time::{Duration, Instant},
+};
 
 use comfreyramp_store::{KeyRange, PlatformStore, StoreError, WatchBatch, WatchStream};
 use rand::Rng;
@@ -32,7 +35,12 @@
     /// Changes since.
     Changed(WatchBatch),
     /// The store can't be reached, or turned the call away.
-    Lost(StoreError),
+    Lost {
+        /// Why.
+        error: StoreError,
+        /// How long the call had waited.
+        waited: Duration,
+    },
 }
 
 /// Follows a prefix until `stop` is cancelled: lists it, then waits for changes
@@ -63,11 +71,12 @@
         }
         let settle = if is_known { Duration::ZERO } else { settle };
         is_known = true;
+        let asked = Cell::new(Instant::now());
         let round = async {
             let mut watch = list_prefix(&store, prefix, &mut sink).await?;
             pause = FIRST_PAUSE;
             tokio::time::sleep(settle).await;
-            watch_prefix(&mut watch, &mut sink, &is_watcher).await
+            watch_prefix(&mut watch, &mut sink, &is_watcher, &asked).await
         };
         let ended = tokio::select! {
             ended = round => ended,
@@ -78,7 +87,8 @@
             continue;
         };
         let is_history = matches!(error, StoreError::Compacted(_));
-        sink(FollowNews::Lost(error));
+        let waited = asked.get().elapsed();
+        sink(FollowNews::Lost { error, waited });
         if is_history {
             continue;
         }
@@ -106,13 +116,15 @@
     store.watch(range, from).await
 }
 
-/// Watches until a call fails, or others watch.
+/// Watches until a call fails, or others watch. Notes when the last call was `asked`.
 async fn watch_prefix(
     watch: &mut impl WatchStream,
     sink: &mut impl FnMut(FollowNews),
     is_watcher: &impl Fn() -> bool,
+    asked: &Cell<Instant>,
 ) -> Result<(), StoreError> {
     while is_watcher() {
+        asked.set(Instant::now());
         let batch = watch.next().await?;
         let is_change = !batch.written.is_empty() || !batch.deleted.is_empty();
         sink(FollowNews::Changed(batch));
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -4,8 +4,8 @@
 
 use comfreyramp_store::{CallCounts, CallEnd, StoreCall};
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Buckets for waits in seconds, fine where objectives lie.
@@ -27,6 +27,7 @@
     lots: IntCounterVec,
     in_flight: IntGaugeVec,
     view_revision: IntGaugeVec,
+    view_age: GaugeVec,
     /// Log lines that were dropped since the writer was behind.
     pub dropped_lines: IntGauge,
 }
@@ -85,6 +86,13 @@
                 "The store's revision that a view shows.",
                 &["view"],
             )?,
+            view_age: GaugeVec::new(
+                Opts::new(
+                    "comfreyramp_view_age_seconds",
+                    "Since a view was last known to be current.",
+                ),
+                &["view"],
+            )?,
             dropped_lines: IntGauge::new(
                 "comfreyramp_dropped_log_lines",
                 "Log lines that were dropped.",
@@ -99,6 +107,7 @@
         registry.register(Box::new(metrics.lots.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.view_revision.clone()))?;
+        registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
         Ok(metrics)
     }
@@ -142,6 +151,13 @@
         self.view_revision.with_label_values(&[view]).set(revision);
     }
 
+    /// Sets for how long a view hasn't been known to be current.
+    pub fn view_age(&self, view: &str, age: Duration) {
+        self.view_age
+            .with_label_values(&[view])
+            .set(age.as_secs_f64());
+    }
+
     /// Calls to the store since the start, by kind and end.
     pub fn store_calls(&self) -> String {
         let mut counts = Vec::new();
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -275,6 +275,7 @@
         if self.missing.borrow().iter().any(|it| it.1 <= now) {
             self.use_listings();
         }
+        self.show_view_ages();
         self.metrics
             .dropped_lines
             .set(crate::logs::dropped_lines() as i64);
--- a/crates/serving/src/node/store_health.rs
+++ b/crates/serving/src/node/store_health.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct StoreHealth {
     failing_since: Option<Timestamp>,
+    /// When it last answered.
+    answered_at: Option<Timestamp>,
     /// When it answered again after an outage.
     pub(super) returned_at: Option<Timestamp>,
 }
@@ -30,6 +32,7 @@
     pub fn note_store_answer(&self) {
         let mut health = self.store_health.get();
         let now = self.clock.now();
+        health.answered_at = Some(now);
         let since = health.failing_since.take();
         if since.is_some_and(|it| now.since(it) >= LEAST_OUTAGE) {
             health.returned_at = Some(now);
@@ -37,6 +40,27 @@
         self.store_health.set(health);
     }
 
+    /// How long ago the store last answered any call of this daemon.
+    pub fn store_answered_ago(&self) -> Option<Duration> {
+        let answered_at = self.store_health.get().answered_at?;
+        Some(self.clock.now().since(answered_at))
+    }
+
+    /// Shows how old the views are: for how long the store has said nothing of them.
+    pub(super) fn show_view_ages(&self) {
+        let now = self.clock.now();
+        let views = self.views.borrow();
+        for (name, view) in [
+            ("settings", &views.operators),
+            ("servers", &views.servers),
+            ("members", &views.members),
+        ] {
+            if let Some(confirmed_at) = view.confirmed_at() {
+                self.metrics.view_age(name, now.since(confirmed_at));
+            }
+        }
+    }
+
     /// The lease that claims hang on.
     pub fn lease(&self) -> Option<HeldLease> {
         let lease = self.lease.borrow().clone()?;
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -224,20 +224,20 @@
     spawn_follow(node, operators, stop, move |news| match news {
         FollowNews::Whole(list) => shared.take_operators(list),
         FollowNews::Changed(batch) => shared.change_operators(batch),
-        FollowNews::Lost(_) => {}
+        FollowNews::Lost { .. } => {}
     });
     let shared = node.clone();
     let servers = <D::Records as FleetRecords>::SERVERS;
     spawn_follow(node, servers, stop, move |news| match news {
         FollowNews::Whole(list) => shared.take_servers(list),
         FollowNews::Changed(batch) => shared.change_servers(batch),
-        FollowNews::Lost(_) => {}
+        FollowNews::Lost { .. } => {}
     });
     let shared = node.clone();
     spawn_follow(node, MEMBERS, stop, move |news| match news {
         FollowNews::Whole(list) => shared.take_members(list),
         FollowNews::Changed(batch) => shared.change_members(batch),
-        FollowNews::Lost(_) => {}
+        FollowNews::Lost { .. } => {}
     });
     tokio::task::spawn_local(listen_to_peers(node.clone(), socket.clone(), stop.clone()));
     tokio::task::spawn_local(run_prompt_words(node.clone(), socket.clone(), stop.clone()));
@@ -259,15 +259,22 @@
             // The store answers; only what it kept of the past doesn't reach back far
             // enough. Taken for an outage, lots were refused, and servers that left
             // a moment later were used on.
-            FollowNews::Lost(StoreError::Compacted(revision)) => {
+            FollowNews::Lost {
+                error: StoreError::Compacted(revision),
+                ..
+            } => {
                 shared.note_store_answer();
                 log::info!(prefix = prefix, revision = *revision; "store: history dropped, listed anew");
             }
-            FollowNews::Lost(error) => {
+            FollowNews::Lost { error, waited } => {
                 shared.note_store_trouble();
                 shared.store.note_failed();
                 if !is_lost {
-                    log::warn!(prefix = prefix, error:% = error; "store: lost");
+                    log::warn!(
+                        prefix = prefix, error:% = error, waited_ms = waited.as_millis() as u64,
+                        answered_ms_ago = shared.store_answered_ago().map(|it| it.as_millis() as u64);
+                        "store: lost"
+                    );
                 }
                 is_lost = true;
             }
