--- a/crates/standins/src/kv/door.rs
+++ b/crates/standins/src/kv/door.rs
@@ -42,7 +42,14 @@
         tokio::spawn(serve(listener, stand_in_limits(), stop, move |request| {
             let state = state.clone();
             let faults = shared.clone();
-            async move { answer(&state, &faults, request).await }
+            async move {
+                let call = faults.begin_call();
+                let answer = answer(&state, &faults, request).await;
+                if faults.swallows(call) {
+                    return std::future::pending().await;
+                }
+                answer
+            }
         }));
         Ok(KvDoor { faults, address })
     }
--- a/crates/standins/src/kv/faults.rs
+++ b/crates/standins/src/kv/faults.rs
@@ -8,6 +8,13 @@
     time::Duration,
 };
 
+/// How things were when a call came in.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BegunCall {
+    silences: u32,
+    was_silent: bool,
+}
+
 /// What goes wrong at one door of the store.
 #[derive(Debug, Default)]
 pub struct KvFaults {
@@ -16,6 +23,8 @@
     late_writes: AtomicU32,
     late_by_ms: AtomicU64,
     held_answers: AtomicBool,
+    is_silent: AtomicBool,
+    silences: AtomicU32,
     /// The keys of writes whose answers are held back.
     held_writes: Mutex<Vec<String>>,
 }
@@ -26,6 +35,28 @@
         self.turned_away.store(is_on, Ordering::SeqCst);
     }
 
+    /// Answers nothing while this is on. Calls that were open at any moment of it, watches
+    /// that wait included, have no answer afterwards either.
+    pub fn fall_silent(&self, is_on: bool) {
+        if is_on {
+            self.silences.fetch_add(1, Ordering::SeqCst);
+        }
+        self.is_silent.store(is_on, Ordering::SeqCst);
+    }
+
+    /// A call that comes in now.
+    pub(super) fn begin_call(&self) -> BegunCall {
+        BegunCall {
+            silences: self.silences.load(Ordering::SeqCst),
+            was_silent: self.is_silent.load(Ordering::SeqCst),
+        }
+    }
+
+    /// Whether the answer to a call is never sent.
+    pub(super) fn swallows(&self, call: BegunCall) -> bool {
+        call.was_silent || call.silences != self.silences.load(Ordering::SeqCst)
+    }
+
     /// Does the next writes without answering them.
     pub fn lose_answers(&self, count: u32) {
         self.lost_answers.store(count, Ordering::SeqCst);
