Ask waiting calls anew after the store was silent

What callers saw: settings that had been replaced 2 to 6 s before were still in force; routes that existed got 404 and keys 401, withdrawn keys were let in.

Cause: a watch that is asked while the store is silent is never answered, not even after its return, and nothing but its own timeout of 13.5 s ended it. All daemons ask 0.4 s after the same change, so all hang together and none is ahead of another. Other calls of the same daemon failed and worked again meanwhile, and the watch learned nothing from either. The class: a belief without a limit of its own on how long it may go without evidence.

Change: every direct call reports whether it was answered (StoreContact). One daemon of each zone probes by a renewal of its lease, which costs a tenth of a call, soon after each ask and every 1.5 s at the latest; the others hear from it what they lack. In a silence daemons that watch probe each 0.6 s and make no other call for their views. With the first answer all watches that were asked before are asked anew, from the last revision rather than by a list. Why it works: any silence of 1.5 s meets a probe, whichever calls it swallowed, and no watch that began before its end is believed after it.

--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -19,7 +19,7 @@
 /// How long a watch waits before it is asked anew. Each asking is billed; but the
 /// store keeps 20 s of history, and a watch that waits as long has to list anew
 /// whenever anything else was written meanwhile.
-const WATCH_WAIT: Duration = Duration::from_secs(12);
+const WATCH_WAIT: Duration = Duration::from_secs(17);
 
 /// A daemon of comfreyramp on the users' platform.
 #[derive(FromArgs)]
--- a/crates/policy/src/freshness.rs
+++ b/crates/policy/src/freshness.rs
@@ -8,12 +8,14 @@
 //!
 //! On the users' platform one daemon of each zone watches. [`ViewLag`] tells how long
 //! a view has been behind and who stands in, [`ShowBudget`] how many are shown a large
-//! view at once, and [`PassedSources`] whom not to ask for a while.
+//! view at once, and [`PassedSources`] whom not to ask for a while. [`StoreContact`] tells
+//! which calls that wait for a change may have been lost.
 
 mod fleet_member;
 mod freshness_settings;
 mod passed_sources;
 mod show_budget;
+mod store_contact;
 mod view_age;
 mod view_lag;
 mod view_offer;
@@ -23,6 +25,7 @@
 pub use freshness_settings::FreshnessSettings;
 pub use passed_sources::PassedSources;
 pub use show_budget::ShowBudget;
+pub use store_contact::StoreContact;
 pub use view_age::ViewAge;
 pub use view_lag::ViewLag;
 pub use view_offer::{OfferVerdict, ViewOffer};
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -46,8 +46,8 @@
     ClaimState, ClaimTicket, ClaimVerdict, GroupAnswer,
 };
 pub use freshness::{
-    FleetMember, FreshnessSettings, OfferVerdict, PassedSources, ShowBudget, ViewAge, ViewLag,
-    ViewOffer, WatchPlan, member_score,
+    FleetMember, FreshnessSettings, OfferVerdict, PassedSources, ShowBudget, StoreContact, ViewAge,
+    ViewLag, ViewOffer, WatchPlan, member_score,
 };
 pub use hash::name_key;
 pub use ids::{CustomerId, DaemonId, GroupId, Incarnation, ServerId, ServiceId, ZoneId};
--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -1,15 +1,12 @@
 //! Following a prefix of the store.
 
-use std::{
-    cell::Cell,
-    time::{Duration, Instant},
-};
+use std::time::Duration;
 
-use comfreyramp_store::{KeyRange, PlatformStore, StoreError, WatchBatch, WatchStream};
+use comfreyramp_store::{KeyRange, PlatformStore, Revision, StoreError, WatchBatch, WatchStream};
 use rand::Rng;
 use tokio_util::sync::CancellationToken;
 
-use super::WholeList;
+use super::{ContactDesk, WholeList};
 
 /// The pause after a first failed call, and the longest after several in a row.
 /// Each call is billed, refused ones too, and a store that is down needs no load.
@@ -43,51 +40,92 @@
     },
 }
 
+impl FollowNews {
+    /// Up to which revision all is known with it.
+    fn revision(&self) -> Option<Revision> {
+        match self {
+            FollowNews::Whole(list) => Some(list.revision),
+            FollowNews::Changed(batch) => Some(batch.revision),
+            FollowNews::Lost { .. } => None,
+        }
+    }
+
+    /// How long to gather further changes before the store is asked again.
+    fn gather_span(&self) -> Duration {
+        match self {
+            FollowNews::Changed(batch) if batch.changed > 0 => GATHER_SPAN,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
+/// A store that is followed, and whether it answers.
+#[derive(Clone, Debug)]
+pub struct FollowedStore<S> {
+    /// The store, without a way round.
+    pub store: S,
+    /// Whether it answers.
+    pub contact: ContactDesk,
+}
+
 /// Follows a prefix until `stop` is cancelled: lists it, then waits for changes
 /// as long as this daemon is one of those that watch; after the first list only once
 /// `settle` has passed.
 ///
 /// A watch that lost its history may have missed changes, so the prefix is
-/// listed anew, and from the store itself, never from a copy that may be behind.
+/// listed anew, and from the store itself, never from a copy that may be behind. One that
+/// may have been lost while the store was silent goes on from the last known revision.
 pub async fn follow_store<S: PlatformStore>(
-    store: S,
+    followed: FollowedStore<S>,
     prefix: &'static str,
     mut sink: impl FnMut(FollowNews),
     is_watcher: impl Fn() -> bool,
     settle: Duration,
     stop: CancellationToken,
 ) {
+    let contact = &followed.contact;
     let mut pause = FIRST_PAUSE;
+    let mut settle = Some(settle);
+    let mut shown = None;
     let mut is_known = false;
     let mut was_idle = false;
     while !stop.is_cancelled() {
         if is_known && !is_watcher() {
             was_idle = true;
+            shown = None;
             tokio::time::sleep(IDLE_LOOK).await;
             continue;
         }
         if std::mem::take(&mut was_idle) {
             log::info!(prefix = prefix; "store: asked in place of others");
         }
-        let settle = if is_known { Duration::ZERO } else { settle };
         is_known = true;
-        let asked = Cell::new(Instant::now());
-        let round = async {
-            let mut watch = list_prefix(&store, prefix, &mut sink).await?;
-            pause = FIRST_PAUSE;
-            tokio::time::sleep(settle).await;
-            watch_prefix(&mut watch, &mut sink, &is_watcher, &asked).await
-        };
-        let ended = tokio::select! {
-            ended = round => ended,
+        let asked = contact.note_waiting();
+        let news = tokio::select! {
+            news = followed.next_news(prefix, shown) => news,
+            () = contact.doubted(asked) => continue,
             () = stop.cancelled() => return,
         };
-        // Others watch now. Should they be lost, this daemon has to come back.
-        let Err(error) = ended else {
-            continue;
+        match shown {
+            Some(_) => contact.note_wait_end(asked, &news),
+            None => contact.note_end(asked, &news),
+        }
+        let error = match news {
+            Ok(news) => {
+                shown = news.revision();
+                pause = FIRST_PAUSE;
+                let rest = settle.take().unwrap_or(news.gather_span());
+                sink(news);
+                tokio::time::sleep(rest).await;
+                continue;
+            }
+            Err(error) => error,
         };
         let is_history = matches!(error, StoreError::Compacted(_));
-        let waited = asked.get().elapsed();
+        if is_history || matches!(error, StoreError::Rejected(_)) {
+            shown = None;
+        }
+        let waited = contact.now().since(asked);
         sink(FollowNews::Lost { error, waited });
         if is_history {
             continue;
@@ -96,41 +134,31 @@
         let part = rand::rng().random_range(0.5..1.0);
         tokio::time::sleep(pause.mul_f64(part)).await;
         pause = (pause * 2).min(LONGEST_PAUSE);
+        // Probes are cheaper than calls that find the store still away.
+        tokio::select! {
+            () = contact.answering() => {}
+            () = stop.cancelled() => return,
+        }
     }
 }
 
-/// Lists a prefix, and returns a watch from there on.
-async fn list_prefix<S: PlatformStore>(
-    store: &S,
-    prefix: &str,
-    sink: &mut impl FnMut(FollowNews),
-) -> Result<S::Watch, StoreError> {
-    let range = KeyRange::Prefix(prefix.to_owned());
-    let listed = store.range(range.clone(), 0).await?;
-    let from = listed.revision + 1;
-    sink(FollowNews::Whole(WholeList {
-        pairs: listed.pairs,
-        revision: listed.revision,
-        changed: None,
-    }));
-    store.watch(range, from).await
-}
-
-/// Watches until a call fails, or others watch. Notes when the last call was `asked`.
-async fn watch_prefix(
-    watch: &mut impl WatchStream,
-    sink: &mut impl FnMut(FollowNews),
-    is_watcher: &impl Fn() -> bool,
-    asked: &Cell<Instant>,
-) -> Result<(), StoreError> {
-    while is_watcher() {
-        asked.set(Instant::now());
-        let batch = watch.next().await?;
-        let is_change = !batch.written.is_empty() || !batch.deleted.is_empty();
-        sink(FollowNews::Changed(batch));
-        if is_change {
-            tokio::time::sleep(GATHER_SPAN).await;
-        }
+impl<S: PlatformStore> FollowedStore<S> {
+    /// The changes after the revision `shown`, or the whole prefix.
+    async fn next_news(
+        &self,
+        prefix: &str,
+        shown: Option<Revision>,
+    ) -> Result<FollowNews, StoreError> {
+        let range = KeyRange::Prefix(prefix.to_owned());
+        let Some(shown) = shown else {
+            let listed = self.store.range(range, 0).await?;
+            return Ok(FollowNews::Whole(WholeList {
+                pairs: listed.pairs,
+                revision: listed.revision,
+                changed: None,
+            }));
+        };
+        let mut watch = self.store.watch(range, shown + 1).await?;
+        Ok(FollowNews::Changed(watch.next().await?))
     }
-    Ok(())
 }
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -97,16 +97,27 @@
         if self.is_small() {
             return true;
         }
+        let before = self.before(own, now);
+        let (reaching, turned_away): (Vec<_>, Vec<_>) = before.partition(|it| it.reaches_store);
+        let wanted = LEAST_WATCHERS.div_ceil(self.zones(&own.zone)) + stand_ins;
+        reaching.len() < wanted && reaching.len() + turned_away.len() < wanted * MOST_TRYING
+    }
+
+    /// Whether the daemon `own` is the first of its zone, out of those that are heard and
+    /// reach the store.
+    pub fn is_first_of_zone(&self, own: &MemberRecord, now: Timestamp) -> bool {
+        !self.before(own, now).any(|it| it.reaches_store)
+    }
+
+    /// The daemons of a zone that are heard and come before the daemon `own`, by a hash.
+    fn before(&self, own: &MemberRecord, now: Timestamp) -> impl Iterator<Item = &KnownMember> {
         let own_score = PeerId::of_name(&own.name);
-        let before = self.members.iter().filter(|it| {
+        self.members.iter().filter(move |it| {
             it.record.zone == own.zone
                 && !it.is_leaving
                 && it.was_heard(self.heard_lately(), now)
                 && it.id < own_score
-        });
-        let (reaching, turned_away): (Vec<_>, Vec<_>) = before.partition(|it| it.reaches_store);
-        let wanted = LEAST_WATCHERS.div_ceil(self.zones(&own.zone)) + stand_ins;
-        reaching.len() < wanted && reaching.len() + turned_away.len() < wanted * MOST_TRYING
+        })
     }
 
     /// How many zones the fleet has, that of this daemon included.
--- a/crates/serving/src/fleet/store_relay.rs
+++ b/crates/serving/src/fleet/store_relay.rs
@@ -21,6 +21,8 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
+use super::ContactDesk;
+
 /// The path at which daemons make calls for each other.
 pub(crate) const RELAY_PATH: &str = "/store";
 /// After a failed call the store is left alone for so long, and other daemons
@@ -107,15 +109,17 @@
 #[derive(Clone, Debug)]
 pub struct RelayedStore<S> {
     direct: S,
+    contact: ContactDesk,
     client: HttpClient,
     state: Arc<Mutex<RelayState>>,
 }
 
 impl<S: PlatformStore> RelayedStore<S> {
     /// A store that is asked directly until other daemons are known.
-    pub fn new(direct: S) -> Self {
+    pub fn new(direct: S, contact: ContactDesk) -> Self {
         RelayedStore {
             direct,
+            contact,
             client: HttpClient::new(RELAY_TIMEOUT / 4),
             state: Arc::default(),
         }
@@ -126,6 +130,11 @@
         &self.direct
     }
 
+    /// Whether the store answers this daemon itself.
+    pub fn contact(&self) -> &ContactDesk {
+        &self.contact
+    }
+
     /// Sets the daemons that say they reach the store.
     pub fn set_peers(&self, peers: Vec<SocketAddr>) {
         self.lock().peers = peers;
@@ -136,6 +145,11 @@
         self.lock().direct_after = Some(Instant::now() + DIRECT_PAUSE);
     }
 
+    /// Notes that the store answered a call that was made without a way round.
+    pub(super) fn note_reached(&self) {
+        self.lock().direct_after = None;
+    }
+
     /// Whether the store was reached, as far as the last call tells.
     pub fn is_direct(&self) -> bool {
         self.lock()
@@ -173,7 +187,7 @@
         F: Future<Output = Result<T, StoreError>>,
     {
         let result = match self.is_direct() {
-            true => call(self.direct.clone()).await,
+            true => self.call_direct(call).await,
             false => Err(StoreError::Unreachable(
                 "this daemon doesn't reach it".to_owned(),
             )),
@@ -183,6 +197,17 @@
         postcard::to_stdvec(&result).unwrap_or_default()
     }
 
+    /// Makes a call directly, and notes whether the store answers.
+    async fn call_direct<T, F>(&self, call: impl FnOnce(S) -> F) -> Result<T, StoreError>
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        let asked = self.contact.now();
+        let answer = call(self.direct.clone()).await;
+        self.contact.note_end(asked, &answer);
+        answer
+    }
+
     /// Makes a call directly, or by way of another daemon.
     async fn reach<T, F>(&self, relayed: RelayCall, call: impl FnOnce(S) -> F) -> ReachedCall<T>
     where
@@ -191,7 +216,7 @@
     {
         let mut failure = StoreError::Unreachable("the store was away a moment ago".to_owned());
         if self.is_direct() {
-            match call(self.direct.clone()).await {
+            match self.call_direct(call).await {
                 Err(error @ (StoreError::Unreachable(_) | StoreError::AnswerLost(_))) => {
                     failure = error;
                     self.note_failed();
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -32,7 +32,7 @@
     clock::BootClock,
     dialect::{Dialect, FleetRecords},
     fleet::{
-        FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewDesk, ViewLags,
+        ContactDesk, FleetView, HeldLease, MemberList, RelayedStore, StoreView, ViewDesk, ViewLags,
         ViewRevisions, WholeList,
     },
     lots::{LedgerDesk, LotCache, LotNotice, LotNotices, PlacedLot},
@@ -170,7 +170,7 @@
         let clock = BootClock::default();
         Node {
             incarnation: rand::random(),
-            store: RelayedStore::new(store),
+            store: RelayedStore::new(store, ContactDesk::new(clock)),
             peer_client: HttpClient::new(PEER_CONNECT),
             metrics,
             views: RefCell::default(),
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -194,6 +194,24 @@
         self.is_among_watchers(lag.stand_ins(now))
     }
 
+    /// Whether this daemon asks the store for anything that it follows.
+    pub fn follows_store(&self) -> bool {
+        let (servers, operators) = (
+            <D::Records as FleetRecords>::SERVERS,
+            <D::Records as FleetRecords>::OPERATORS,
+        );
+        [MEMBERS, servers, operators]
+            .iter()
+            .any(|it| self.is_watcher_of(it))
+    }
+
+    /// Whether this daemon probes the store for its zone.
+    pub fn is_probe_lead(&self) -> bool {
+        let now = self.clock.now();
+        let own = self.member_record();
+        self.members.borrow().is_first_of_zone(&own, now)
+    }
+
     fn is_among_watchers(&self, stand_ins: usize) -> bool {
         let now = self.clock.now();
         let own = self.member_record();
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -16,8 +16,8 @@
 use crate::{
     dialect::{CallerDialect, Dialect, FleetRecords},
     fleet::{
-        FollowNews, MEMBERS, SETTLE_SPAN, answer_peer, follow_peers, follow_store, keep_membership,
-        listen_to_peers, run_announcer, run_prompt_words,
+        FollowNews, FollowedStore, MEMBERS, SETTLE_SPAN, answer_peer, follow_peers, follow_store,
+        keep_membership, listen_to_peers, probe_store, run_announcer, run_prompt_words,
     },
     lots::{follow_retire, run_lots, sweep_lots},
     node::Node,
@@ -243,6 +243,7 @@
     tokio::task::spawn_local(run_prompt_words(node.clone(), socket.clone(), stop.clone()));
     tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
     tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
+    tokio::task::spawn_local(probe_store(node.clone(), stop.clone()));
     tokio::task::spawn_local(log_calls(node.clone(), stop.clone()));
 }
 
@@ -291,11 +292,14 @@
     };
     let watching = node.clone();
     let is_watcher = move || watching.is_watcher_of(prefix);
-    let store = node.store.direct().clone();
+    let followed = FollowedStore {
+        store: node.store.direct().clone(),
+        contact: node.store.contact().clone(),
+    };
     let settle = match prefix {
         MEMBERS => Duration::ZERO,
         _ => SETTLE_SPAN,
     };
-    let following = follow_store(store, prefix, sink, is_watcher, settle, stop.clone());
+    let following = follow_store(followed, prefix, sink, is_watcher, settle, stop.clone());
     tokio::task::spawn_local(following);
 }
