Reopen watches of comfreyrampd that say nothing for 30 s

What callers would see: after a watch of the index of lots, or of requests that crash servers, lost its messages while its connection stood, a daemon went on for ever without lots accepted since, and sent it requests that had crashed servers elsewhere.

Cause: the same as of settings that stay old after a silence of the store, found by looking for it elsewhere: a watch without news was believed without any limit. The settings of comfreyrampd are compared with the store once a second and aren't concerned; these two watches had nothing of the kind.

Change: RenewedWatch opens a watch anew, from where it stood, when nothing was heard for 30 s. With 360 daemons that is 24 calls a second of 2,000 while nothing changes.

Evidence: renewed_watch on virtual time; with the plain watch it fails with nothing heard for a minute.

--- a/crates/daemon/src/suspects/suspect_sync.rs
+++ b/crates/daemon/src/suspects/suspect_sync.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, sync::Arc, time::Duration};
 
 use comfreyramp_policy::{DaemonId, NoticeAck, SuspectNotice};
-use comfreyramp_store::{KeyRange, PlatformStore, StoreError, WatchStream};
+use comfreyramp_store::{KeyRange, PlatformStore, RenewedWatch, StoreError, WatchStream};
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -140,8 +140,8 @@
             .filter_map(|it| read_fact(it, own))
             .collect();
         self.keeper.import(&facts);
-        let store = self.records.store();
-        let mut watch = store.watch(range, known.revision + 1).await?;
+        let store = self.records.store().clone();
+        let mut watch = RenewedWatch::open(store, range, known.revision + 1).await?;
         loop {
             let batch = watch.next().await?;
             let facts: Vec<_> = batch
--- a/crates/lots/src/lot_watch.rs
+++ b/crates/lots/src/lot_watch.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use comfreyramp_store::{
-    KeyRange, KeyValue, PlatformStore, Revision, StoreError, WatchBatch, WatchStream,
+    KeyRange, KeyValue, PlatformStore, RenewedWatch, Revision, StoreError, WatchBatch, WatchStream,
 };
 use tokio::{sync::mpsc, time::sleep};
 
@@ -39,9 +39,8 @@
     sender: &mpsc::Sender<IndexNews>,
 ) -> Result<(), StoreError> {
     let (pairs, revision) = read_index(store).await?;
-    let mut watch = store
-        .watch(KeyRange::Prefix(LotKeys.index()), revision + 1)
-        .await?;
+    let range = KeyRange::Prefix(LotKeys.index());
+    let mut watch = RenewedWatch::open(store.clone(), range, revision + 1).await?;
     if sender.send(IndexNews::Whole(pairs)).await.is_err() {
         return Ok(());
     }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -16,6 +16,7 @@
 mod gateway_watch;
 mod lease_term;
 mod line_reader;
+mod renewed_watch;
 mod retry_pace;
 mod store;
 mod vms;
@@ -28,6 +29,7 @@
 pub use gateway_vm_list::GatewayVmList;
 pub use gateway_watch::GatewayWatch;
 pub use lease_term::LeaseTerm;
+pub use renewed_watch::RenewedWatch;
 pub use retry_pace::RetryPace;
 pub use store::{
     Comparison, KeyRange, KeyValue, LeaseId, PlatformStore, RangeAnswer, Revision, STEP_LIMIT,
--- /dev/null
+++ b/crates/store/tests/renewed_watch.rs
@@ -0,0 +1,92 @@
+//! A watch that hangs is opened anew.
+
+#![allow(clippy::unwrap_used, reason = "tests end where something is missing")]
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use comfreyramp_store::{
+    KeyRange, LeaseId, PlatformStore, RangeAnswer, RenewedWatch, Revision, StoreError,
+    TransactionAnswer, WatchBatch, WatchStream, WriteBatch,
+};
+
+/// A store of which each second watch hangs: it stands, and its messages are lost.
+#[derive(Clone, Debug, Default)]
+struct HangingStore {
+    /// The revisions from which watches were opened.
+    opened: Arc<Mutex<Vec<Revision>>>,
+}
+
+#[derive(Debug)]
+struct HangingWatch {
+    /// What it says first; nothing where it hangs.
+    first: Option<Revision>,
+}
+
+impl WatchStream for HangingWatch {
+    async fn next(&mut self) -> Result<WatchBatch, StoreError> {
+        let Some(revision) = self.first.take() else {
+            return std::future::pending().await;
+        };
+        Ok(WatchBatch {
+            revision,
+            ..WatchBatch::default()
+        })
+    }
+}
+
+fn unused<T>() -> Result<T, StoreError> {
+    Err(StoreError::Rejected("not used here".to_owned()))
+}
+
+impl PlatformStore for HangingStore {
+    type Watch = HangingWatch;
+
+    async fn range(&self, _: KeyRange, _: usize) -> Result<RangeAnswer, StoreError> {
+        unused()
+    }
+
+    async fn transact(&self, _: WriteBatch) -> Result<TransactionAnswer, StoreError> {
+        unused()
+    }
+
+    async fn grant(&self, _: Duration) -> Result<LeaseId, StoreError> {
+        unused()
+    }
+
+    async fn renew(&self, _: LeaseId) -> Result<Duration, StoreError> {
+        unused()
+    }
+
+    async fn revoke(&self, _: LeaseId) -> Result<(), StoreError> {
+        unused()
+    }
+
+    async fn watch(&self, _: KeyRange, from: Revision) -> Result<HangingWatch, StoreError> {
+        let mut opened = self.opened.lock().unwrap();
+        opened.push(from);
+        let is_hung = opened.len() % 2 == 1;
+        Ok(HangingWatch {
+            first: (!is_hung).then_some(from + 4),
+        })
+    }
+}
+
+/// The messages of a watch are lost while its connection stands. Lots that were accepted
+/// since, and requests that crash servers, stayed unknown to the daemon for ever.
+#[tokio::test(start_paused = true)]
+async fn a_watch_hangs_while_its_connection_stands() {
+    let store = HangingStore::default();
+    let range = KeyRange::Prefix("lots/".to_owned());
+    let mut watch = RenewedWatch::open(store.clone(), range, 7).await.unwrap();
+    let minute = Duration::from_secs(60);
+    let first = tokio::time::timeout(minute, watch.next()).await.unwrap();
+    assert_eq!(first.unwrap().revision, 11);
+    let second = tokio::time::timeout(2 * minute, watch.next())
+        .await
+        .unwrap();
+    assert_eq!(second.unwrap().revision, 16);
+    assert_eq!(*store.opened.lock().unwrap(), [7, 7, 12, 12]);
+}
