--- a/crates/node/tests/soak/fault_driver.rs
+++ b/crates/node/tests/soak/fault_driver.rs
@@ -11,8 +11,9 @@
 use crate::{
     DAEMONS, Stage,
     fault_plan::{Fault, LINKS, PlannedFault, WriteFault},
-    fleet::Fleet,
+    fleet::{Fleet, KEY},
     harm_log::Harm,
+    settings_changes::key_of,
 };
 
 /// How often it is looked for what is due.
@@ -88,6 +89,9 @@
             Fault::FillServer(server) => self.fleet.runners[server].set_full(true),
             Fault::EmptyServer(server) => self.fleet.runners[server].set_full(false),
             Fault::ForgetHistory => self.fleet.store.forget_history(),
+            Fault::ChangeSettings => self.change_settings(),
+            Fault::SilenceStore => self.silence(true),
+            Fault::AnswerAgain => self.silence(false),
             Fault::HarmLink(link, mode) => self.harm_link(link, mode),
             Fault::ResetLink(link) => self.fleet.links[link].faults.reset(),
             Fault::HealLink(link) => self.harm_link(link, LinkMode::Open),
@@ -99,6 +103,21 @@
         self.note(Harm::TurnedAway(node), is_on);
     }
 
+    /// Takes away the key of the change before, and gives out another one.
+    fn change_settings(&mut self) {
+        let change = self.stage.changes().len();
+        let key = key_of(change);
+        self.fleet.put_settings(&[KEY, &key], 1_000.0);
+        self.stage.changes().push(Instant::now());
+    }
+
+    fn silence(&self, is_on: bool) {
+        for node in &self.fleet.nodes {
+            node.door.faults.fall_silent(is_on);
+        }
+        self.note(Harm::Silent, is_on);
+    }
+
     fn pause(&self, node: usize) {
         if self.is_up[node] {
             self.note(Harm::Paused(node), true);
--- a/crates/node/tests/soak/harm_log.rs
+++ b/crates/node/tests/soak/harm_log.rs
@@ -13,6 +13,8 @@
     TurnedAway(usize),
     /// Not everything passes this link.
     Cut(usize),
+    /// The store answers nobody.
+    Silent,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -5,7 +5,8 @@
 //! - an accepted lot is known to every daemon, and so are the bodies of its items;
 //! - a result that anybody was shown stays at its position, at every daemon;
 //! - of a lot that was ended or refused nothing is run;
-//! - each lot is finished, each item once.
+//! - each lot is finished, each item once;
+//! - a change of the settings is in force at every daemon in touch within two seconds.
 //!
 //! A daemon that can't be sure may have readers come back, never tell them otherwise.
 //!
@@ -26,11 +27,12 @@
 mod harm_log;
 mod lot_ledger;
 mod readers;
+mod settings_changes;
 mod traffic;
 
 use std::{
     sync::{Arc, Mutex, MutexGuard},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use fault_driver::FaultDriver;
@@ -48,6 +50,8 @@
     // as long as it heard all daemons that run lots.
     2, 28, 36,
 ];
+/// The seeds of the check script with settings that change.
+const SEEDS_OF_CHANGES: [u64; 2] = [500, 501];
 /// How long faults go on.
 const TROUBLE: Duration = Duration::from_secs(8);
 /// Daemons for callers. They come first in the fleet.
@@ -61,6 +65,8 @@
     callers: Callers,
     ledger: Mutex<LotLedger>,
     harms: Mutex<HarmLog>,
+    /// When the settings changed.
+    changes: Mutex<Vec<Instant>>,
     stop: CancellationToken,
 }
 
@@ -72,11 +78,22 @@
     fn harms(&self) -> MutexGuard<'_, HarmLog> {
         self.harms.lock().unwrap()
     }
+
+    fn changes(&self) -> MutexGuard<'_, Vec<Instant>> {
+        self.changes.lock().unwrap()
+    }
 }
 
-async fn soak(seed: u64) {
+async fn soak(seed: u64, has_changes: bool) {
     let mut random = StdRng::seed_from_u64(seed);
-    let faults = fault_plan::timeline(&mut random);
+    let mut faults = fault_plan::timeline(&mut random);
+    let (live, lots) = (branch(&mut random), branch(&mut random));
+    let mut span = TROUBLE;
+    if has_changes {
+        faults.extend(settings_changes::timeline(&mut random));
+        faults.sort_by_key(|it| it.0);
+        span = settings_changes::CHANGING;
+    }
     eprintln!("soak: seed {seed}: {faults:?}");
     let mut fleet = Fleet::linked().await;
     fleet.add_node("lots-2", "zone-2", false).await;
@@ -86,13 +103,16 @@
         callers: fleet.callers(),
         ledger: Mutex::default(),
         harms: Mutex::default(),
+        changes: Mutex::default(),
         stop: CancellationToken::new(),
     });
-    let live = tokio::spawn(traffic::send_requests(stage.clone(), branch(&mut random)));
-    let lots = tokio::spawn(traffic::hand_in_lots(stage.clone(), branch(&mut random)));
+    let live = tokio::spawn(traffic::send_requests(stage.clone(), live));
+    let lots = tokio::spawn(traffic::hand_in_lots(stage.clone(), lots));
+    let settings = tokio::spawn(settings_changes::watch_settings(stage.clone()));
     let driver = FaultDriver::new(fleet, &stage, faults);
-    let fleet = driver.run(TROUBLE).await;
+    let fleet = driver.run(span).await;
     stage.stop.cancel();
+    settings.await.unwrap();
     let told = live.await.unwrap();
     lots.await.unwrap();
     checks::check_runs(&fleet, &told, seed);
@@ -109,16 +129,28 @@
     StdRng::seed_from_u64(random.random())
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn promises_hold_under_random_faults() {
+/// The seeds that were asked for, or else those of the check script.
+fn chosen_seeds(seeds: &[u64]) -> Vec<u64> {
     let chosen = std::env::var("SOAK_SEEDS").unwrap_or_default();
     let chosen: Vec<u64> = chosen.split(',').filter_map(|it| it.parse().ok()).collect();
-    let seeds = if chosen.is_empty() {
-        SEEDS.to_vec()
-    } else {
-        chosen
-    };
-    for seed in seeds {
-        soak(seed).await;
+    if chosen.is_empty() {
+        return seeds.to_vec();
+    }
+    chosen
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn promises_hold_under_random_faults() {
+    for seed in chosen_seeds(&SEEDS) {
+        soak(seed, false).await;
+    }
+}
+
+/// The same while settings change all the time, and the store falls silent right after a
+/// change. Watches that had been asked by then hung, and all daemons acted by old settings.
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_in_force_under_random_faults() {
+    for seed in chosen_seeds(&SEEDS_OF_CHANGES) {
+        soak(seed, true).await;
     }
 }
