Follow the store in shorter steps; a test that one daemon of a zone probes

The new test holds MemberList::is_first_of_zone to one daemon of a zone, and to the next one beside it where the first doesn't reach the store.

--- a/crates/policy/src/freshness/store_contact.rs
+++ b/crates/policy/src/freshness/store_contact.rs
@@ -62,7 +62,7 @@
         self.pause = PROBE_INTERVAL.mul_f64(random.random_range(0.3..1.0));
     }
 
-    /// Notes that a call was answered at once. Returns whether a silence ends with it.
+    /// Notes that a call was answered that doesn't wait for anything. Returns whether a silence ends with it.
     pub fn note_answer(&mut self, asked: Timestamp, now: Timestamp) -> bool {
         self.answer_span = now.since(asked);
         self.note_news(asked, now)
--- a/crates/serving/src/fleet/contact_desk.rs
+++ b/crates/serving/src/fleet/contact_desk.rs
@@ -53,17 +53,19 @@
 
     /// Notes how a call ended that was `asked` then.
     pub fn note_end<T>(&self, asked: Timestamp, end: &Result<T, StoreError>) {
-        match is_answered(end) {
-            false => self.note_lost(asked),
-            true => self.regain(|it, now| it.note_answer(asked, now)),
+        if is_answered(end) {
+            self.regain(|it, now| it.note_answer(asked, now));
+        } else {
+            self.note_lost(asked);
         }
     }
 
     /// Notes how a call ended that had waited for a change since it was `asked`.
     pub fn note_wait_end<T>(&self, asked: Timestamp, end: &Result<T, StoreError>) {
-        match is_answered(end) {
-            false => self.note_lost(asked),
-            true => self.regain(|it, now| it.note_news(asked, now)),
+        if is_answered(end) {
+            self.regain(|it, now| it.note_news(asked, now));
+        } else {
+            self.note_lost(asked);
         }
     }
 
--- a/crates/serving/src/fleet/follow.rs
+++ b/crates/serving/src/fleet/follow.rs
@@ -121,27 +121,32 @@
             }
             Err(error) => error,
         };
-        let is_history = matches!(error, StoreError::Compacted(_));
-        if is_history || matches!(error, StoreError::Rejected(_)) {
+        let is_compacted = matches!(error, StoreError::Compacted(_));
+        if is_compacted || matches!(error, StoreError::Rejected(_)) {
             shown = None;
         }
         let waited = contact.now().since(asked);
         sink(FollowNews::Lost { error, waited });
-        if is_history {
+        if is_compacted {
             continue;
         }
-        // Daemons that lost the store together must not come back together.
-        let part = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(pause.mul_f64(part)).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
-        // Probes are cheaper than calls that find the store still away.
         tokio::select! {
-            () = contact.answering() => {}
+            () = pause_after_failure(pause, contact) => {}
             () = stop.cancelled() => return,
         }
+        pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
+/// Waits for a while, and as long as probes find the store silent: they are cheaper than
+/// calls that find it still away.
+async fn pause_after_failure(pause: Duration, contact: &ContactDesk) {
+    // Daemons that lost the store together must not come back together.
+    let part = rand::rng().random_range(0.5..1.0);
+    tokio::time::sleep(pause.mul_f64(part)).await;
+    contact.answering().await;
+}
+
 impl<S: PlatformStore> FollowedStore<S> {
     /// The changes after the revision `shown`, or the whole prefix.
     async fn next_news(
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -284,16 +284,46 @@
     members
 }
 
-/// Those of the first zone that ask the store, where `stand_ins` of them stand in.
-fn watchers(stand_ins: usize, reaches_store: impl Fn(usize) -> bool) -> Vec<usize> {
-    let begin = Timestamp::from_micros(1_000_000);
-    let asks = |own: &usize| {
+/// Those of the first zone of which something holds.
+fn chosen(
+    reaches_store: impl Fn(usize) -> bool,
+    holds: impl Fn(&MemberList, &MemberRecord) -> bool,
+) -> Vec<usize> {
+    let is_chosen = |own: &usize| {
         let mut record = message(1, Vec::new()).from;
         record.name = format!("entry-{own}");
         record.zone = "zone-0".to_owned();
-        zone_of_thirty(*own, &reaches_store).is_watcher(&record, stand_ins, begin)
+        holds(&zone_of_thirty(*own, &reaches_store), &record)
     };
-    (0..30).filter(asks).collect()
+    (0..30).filter(is_chosen).collect()
+}
+
+/// Those of the first zone that ask the store, where `stand_ins` of them stand in.
+fn watchers(stand_ins: usize, reaches_store: impl Fn(usize) -> bool) -> Vec<usize> {
+    let begin = Timestamp::from_micros(1_000_000);
+    chosen(reaches_store, |members, own| {
+        members.is_watcher(own, stand_ins, begin)
+    })
+}
+
+/// Nobody of a zone probes the store, so that its silence goes unnoticed, or each daemon
+/// does, and all probes are billed.
+#[test]
+fn one_daemon_of_a_zone_probes_the_store() {
+    let begin = Timestamp::from_micros(1_000_000);
+    let leads = |reaches_store: &dyn Fn(usize) -> bool| {
+        chosen(reaches_store, |members, own| {
+            members.is_first_of_zone(own, begin)
+        })
+    };
+    let first = leads(&|_| true);
+    assert_eq!(first.len(), 1, "{first:?}");
+    let with_next = leads(&|it| it != first[0]);
+    assert_eq!(
+        with_next.len(),
+        2,
+        "the next one of those that reach it too"
+    );
 }
 
 /// The store is away for all. Each daemon that fails says so, and the next one steps
