--- a/crates/policy/src/freshness/store_contact.rs
+++ b/crates/policy/src/freshness/store_contact.rs
@@ -15,8 +15,11 @@
 const SHORTEST_TIMEOUT: Duration = Duration::from_millis(600);
 const LONGEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 const TIMEOUT_ANSWERS: u32 = 3;
-/// A probe follows a call that waits after so long: several calls often begin together.
+/// A probe follows a call that waits after so long, since several calls often begin
+/// together, but not sooner than so long after the probe before: a directory that changes
+/// all the time would cost more in probes than in watches.
 const PROOF_LAG: Duration = Duration::from_millis(50);
+const SHORTEST_PAUSE: Duration = Duration::from_millis(500);
 
 /// Whether the store answers, and which waiting calls that puts in doubt.
 ///
@@ -59,7 +62,7 @@
     /// well, a short silence would go unnoticed by all.
     pub fn note_probe(&mut self, random: &mut impl Rng, now: Timestamp) {
         self.probed = Some(now);
-        self.pause = PROBE_INTERVAL.mul_f64(random.random_range(0.3..1.0));
+        self.pause = PROBE_INTERVAL.mul_f64(random.random_range(0.5..1.0));
     }
 
     /// Notes that a call was answered that doesn't wait for anything. Returns whether a silence ends with it.
@@ -130,6 +133,10 @@
         let proved = self.answered.filter(is_proved);
         let due = proved.map_or(waiting + PROOF_LAG, |it| it + self.pause);
         let is_open = self.probed > self.answered;
-        Some(lost_at.filter(|_| is_open).map_or(due, |it| it.max(due)))
+        let rested_at = match is_open {
+            true => lost_at,
+            false => self.probed.map(|it| it + SHORTEST_PAUSE),
+        };
+        Some(rested_at.map_or(due, |it| it.max(due)))
     }
 }
