Hand slots of rates over in one write, and use them until the taker knows

What callers saw: in an outage of the platform that began within seconds of a daemon's start, every request of some customers was refused with 429 until the platform was back. Test an_outage_of_the_platform_neither_stops_nor_widens_the_rate failed now and then.

Cause: slots changed hands by two writes of two daemons. The first released what was more than its part, the other took it up to a second later. If the platform was lost in between, the slots were nobody's. The same gap stood behind a fleet's start, a planned stop and the removal of a lost member; and a taker that hadn't read the record yet left the slot unused as well.

Evidence: on virtual time without load, platform lost 0.1 s after the second daemon's start: 117 requests of one customer refused; the same with a giver that stops at once. With real daemons on the code before, an_outage_just_after_a_start_leaves_no_slot_without _a_holder: one of two customers got nothing where the outage began 0.8 to 2.4 s after the start, nine moments of twelve, and the listed test failed beside it.

Fix: each record names a holder for every slot (ZoneRoster::next_change, now also what the tests' bus writes). The giver uses a slot until 4 s after it last knew that the taker hadn't read the record; the taker's 7 s begin when it has. Where the answer to the write is lost the same holds.

Ruled out: daemons that don't trust their view (the other customer was served).

--- a/crates/daemon/src/rates/board_state.rs
+++ b/crates/daemon/src/rates/board_state.rs
@@ -5,10 +5,13 @@
 use comfreyramp_policy::{
     DaemonId, Timestamp,
     rates::{
-        CustomerRate, ExpulsionWatch, LedgerTiming, MemberState, SLOTS, ShareLedger, ZoneRoster,
+        CustomerRate, ExpulsionWatch, LedgerTiming, MemberState, RosterChange, RosterMember, SLOTS,
+        ShareLedger,
     },
 };
 
+use comfreyramp_store::WriteBatch;
+
 use super::RosterView;
 
 /// How long a member must have been silent before it may be marked as expelled.
@@ -49,6 +52,19 @@
     pub(super) leaving: bool,
 }
 
+/// A change of the own zone's roster that is about to be written.
+#[derive(Debug)]
+pub(super) struct PlannedChange {
+    /// The own zone.
+    pub(super) zone: usize,
+    pub(super) change: RosterChange,
+    /// The slots that had no holder before; a bit each.
+    pub(super) first: u64,
+    pub(super) batch: WriteBatch,
+    /// The slots that it gives away and that weren't on their way before.
+    pub(super) given: Vec<u8>,
+}
+
 impl BoardState {
     /// The id of the daemon called `name`, which gets one if it has none.
     pub(super) fn id_of(&mut self, name: &str) -> DaemonId {
@@ -88,38 +104,69 @@
         self.watch.note(&self.view.records[own].roster, now);
     }
 
-    /// The next change that the own zone's roster needs, and the slots in it
-    /// that get their first holder.
-    pub(super) fn next_roster(&mut self, now: Timestamp) -> Option<(ZoneRoster, u64)> {
-        let own = self.own_zone()?;
-        let roster = self.view.records[own].roster.clone();
+    /// The next change that the own zone's roster needs.
+    fn next_change(&self, now: Timestamp) -> Option<RosterChange> {
+        let roster = &self.view.records[self.own_zone()?].roster;
         if self.leaving {
-            return roster.without_member(&self.name).map(|roster| (roster, 0));
+            return roster.leaving_change(&self.name);
         }
-        let joined = roster.with_member(&self.name, &self.address, self.incarnation);
-        if let Some(joined) = joined {
-            return Some((joined, 0));
+        let me = RosterMember {
+            name: self.name.clone(),
+            address: self.address.clone(),
+            incarnation: self.incarnation,
+            state: MemberState::Active,
+        };
+        let expulsion = LedgerTiming::default().expulsion;
+        let gone = |name: &str| self.is_gone(name);
+        let silent = |name: &str| self.is_silent(name, now);
+        roster.next_change(&me, &self.watch, expulsion, gone, silent, now)
+    }
+
+    /// Plans the write of the next change, and notes the slots that it gives away.
+    pub(super) fn plan_change(&mut self, now: Timestamp) -> anyhow::Result<Option<PlannedChange>> {
+        let Some((zone, change)) = self.own_zone().zip(self.next_change(now)) else {
+            return Ok(None);
+        };
+        // Another zone that still divides by fewer may use this one's part.
+        let is_alone = self.view.zones.len() == 1;
+        let first = match is_alone {
+            true => change.roster.used & !self.view.records[zone].roster.used,
+            false => 0,
+        };
+        let batch = self.view.put_roster(zone, &change.roster)?;
+        let given = self.give_slots(&change.given, now);
+        Ok(Some(PlannedChange {
+            zone,
+            change,
+            first,
+            batch,
+            given,
+        }))
+    }
+
+    fn give_slots(&mut self, given: &[(u8, String)], now: Timestamp) -> Vec<u8> {
+        let revision = self.view.revision;
+        let mut fresh = Vec::new();
+        if self.leaving {
+            return fresh;
         }
-        if let Some(taken) = roster.with_slots(&self.name) {
-            // Another zone that still divides by fewer may use this one's part.
-            let alone = self.view.zones.len() == 1;
-            let first = if alone { taken.used & !roster.used } else { 0 };
-            return Some((taken, first));
+        for (slot, taker) in given {
+            let taker = self.id_of(taker);
+            let ledger = self.ledger.as_mut();
+            if ledger.is_some_and(|ledger| ledger.give_slot(*slot, taker, revision, now)) {
+                fresh.push(*slot);
+            }
         }
-        let excess = roster.excess(&self.name);
-        if !excess.is_empty() {
-            self.stop_slots(own, &excess, now);
-            let released = roster.without_slots(&self.name, &excess);
-            return released.map(|roster| (roster, 0));
+        fresh
+    }
+
+    /// Goes on using slots: the write that would have given them away has not run.
+    pub(super) fn take_slots_back(&mut self, slots: &[u8], now: Timestamp) {
+        if let Some(ledger) = &mut self.ledger {
+            for slot in slots {
+                ledger.take_slot_back(*slot, now);
+            }
         }
-        let timing = LedgerTiming::default();
-        let freed = self.watch.freed(&roster, timing.expulsion, now);
-        let marked = || {
-            let gone = |name: &str| self.is_gone(name);
-            let silent = |name: &str| self.is_silent(name, now);
-            self.watch.marked(&roster, &self.name, gone, silent)
-        };
-        freed.or_else(marked).map(|roster| (roster, 0))
     }
 
     /// The other active members of the own zone.
@@ -141,23 +188,16 @@
         since.is_some_and(|since| now.since(since) >= SILENCE)
     }
 
-    /// Stops using slots before the record that frees them is written.
-    fn stop_slots(&mut self, own: usize, slots: &[u8], now: Timestamp) {
-        let mut holders = self.holders(own);
-        for slot in slots {
-            holders[usize::from(*slot)] = None;
-        }
-        if let Some(ledger) = &mut self.ledger {
-            ledger.set_holders(own, &holders, 0, now);
-        }
-    }
-
     /// Stops using all slots.
     pub(super) fn stop_all(&mut self, now: Timestamp) {
-        let slots: Vec<u8> = (0..SLOTS as u8).collect();
         self.leaving = true;
-        if let Some(own) = self.own_zone() {
-            self.stop_slots(own, &slots, now);
+        let Some(own) = self.own_zone() else {
+            return;
+        };
+        let holders = self.holders(own);
+        if let Some(ledger) = &mut self.ledger {
+            ledger.end_giving();
+            ledger.set_holders(own, &holders, 0, now);
         }
     }
 
@@ -193,6 +233,7 @@
             let first = if zone == own { first } else { 0 };
             ledger.set_holders(zone, holders, first, now);
         }
+        ledger.note_roster(self.view.records[own].modified, now);
         ledger.set_rates(&self.rates, now);
         ledger.set_members(&peers);
     }
--- a/crates/daemon/src/rates/roster_keeper.rs
+++ b/crates/daemon/src/rates/roster_keeper.rs
@@ -2,15 +2,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use comfreyramp_policy::{DaemonId, Timestamp, member_score};
-use comfreyramp_store::{PlatformStore, TransactionAnswer};
+use comfreyramp_policy::{DaemonId, Timestamp, member_score, rates::RosterChange};
+use comfreyramp_store::{PlatformStore, Revision, StoreError, TransactionAnswer};
 use futures::future::join_all;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
 use crate::shared::SharedState;
 
-use super::RosterView;
+use super::{RosterView, board_state::PlannedChange};
 
 /// How often the rosters are confirmed.
 const CONFIRM_INTERVAL: Duration = Duration::from_secs(1);
@@ -64,7 +64,7 @@
         if let Some(watcher) = state.rates.watcher(&state.settings.zone) {
             vouched(state, watcher).await;
         }
-        if state.rates.age() > OLD_VIEW {
+        if state.rates.age() > OLD_VIEW || state.rates.is_giving() {
             ask_zone(state).await;
         }
         probe(state, round.is_multiple_of(PROBE_ROUNDS)).await;
@@ -124,34 +124,38 @@
 async fn change_roster(state: &SharedState) -> anyhow::Result<()> {
     for _ in 0..MAX_CHANGES {
         let sent = state.clock.now();
-        let change = {
-            let mut board = state.rates.lock();
-            let Some(zone) = board.own_zone() else {
-                return Ok(());
-            };
-            let Some((roster, first)) = board.next_roster(sent) else {
-                return Ok(());
-            };
-            let batch = board.view.put_roster(zone, &roster)?;
-            (zone, roster, first, batch)
+        let Some(planned) = state.rates.lock().plan_change(sent)? else {
+            return Ok(());
         };
-        let (zone, roster, first, batch) = change;
+        let PlannedChange {
+            zone,
+            change,
+            first,
+            batch,
+            given,
+        } = planned;
         // If the answer is lost, the next read shows whether it was written.
         // Slots got in such a write have to wait, as if they had been held.
         let answer = match state.store.transact(batch).await {
             Ok(answer) => answer,
             Err(error) => {
+                if matches!(error, StoreError::Unreachable(_)) {
+                    let now = state.clock.now();
+                    state.rates.lock().take_slots_back(&given, now);
+                }
                 read(state).await?;
                 return Err(error.into());
             }
         };
+        let now = state.clock.now();
         let TransactionAnswer::Written(revision) = answer else {
+            state.rates.lock().take_slots_back(&given, now);
             read(state).await?;
             continue;
         };
-        let now = state.clock.now();
+        log_change(&change, revision);
         let mut board = state.rates.lock();
-        let view = board.view.with_roster(zone, roster, revision);
+        let view = board.view.with_roster(zone, change.roster, revision);
         // Other zones' rosters may have changed meanwhile.
         let at = board.verified.unwrap_or(Timestamp::ZERO);
         board.apply(view, first, at, now);
@@ -159,6 +163,14 @@
     Ok(())
 }
 
+/// Notes slots that were handed over, and to whom.
+fn log_change(change: &RosterChange, revision: Revision) {
+    if let Some((_, taker)) = change.given.first() {
+        let slots = change.given.len();
+        log::info!(slots, revision, first_taker = taker; "rates: slots were given to other daemons");
+    }
+}
+
 /// Asks a daemon that asks the platform how current its view is.
 async fn vouched(state: &SharedState, watcher: DaemonId) {
     let sent = state.clock.now();
@@ -204,6 +216,7 @@
 
 async fn beat(state: &SharedState, peer: DaemonId) -> Option<comfreyramp_peers::PeerBeat> {
     let (link, address) = state.rates.way_to(peer)?;
+    let sent = state.clock.now();
     let answer = link.beat(address, state.own_beat(), PEER_ANSWER).await;
     let now = state.clock.now();
     let mut board = state.rates.lock();
@@ -211,6 +224,9 @@
     match answer {
         Ok(beat) if beat.member.name == known.name => {
             known.silent_since = None;
+            if let Some(ledger) = &mut board.ledger {
+                ledger.note_view(peer, beat.roster_revision, sent);
+            }
             Some(beat)
         }
         _ => {
@@ -232,6 +248,14 @@
         self.clock.now().since(verified)
     }
 
+    /// Whether slots are on their way whose takers may not know yet.
+    fn is_giving(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let ledger = state.ledger.as_ref();
+        ledger.is_some_and(|ledger| ledger.is_giving(now))
+    }
+
     /// Whether the rosters have to be read: they never were, or a peer knows
     /// newer ones.
     fn is_behind(&self) -> bool {
--- a/crates/daemon/tests/rates.rs
+++ b/crates/daemon/tests/rates.rs
@@ -28,10 +28,14 @@
 
 /// Sends to one daemon for so long and returns how many were let in.
 async fn send(fleet: &TestFleet, daemon: usize, span: Duration) -> u32 {
+    send_as(fleet, KEY, daemon, span).await
+}
+
+async fn send_as(fleet: &TestFleet, key: &str, daemon: usize, span: Duration) -> u32 {
     let began = Instant::now();
     let mut admitted = 0;
     while began.elapsed() < span {
-        let answer = fleet.chat(daemon, KEY, &chat("a verse", 1, false)).await;
+        let answer = fleet.chat(daemon, key, &chat("a verse", 1, false)).await;
         match answer.status {
             StatusCode::OK => admitted += 1,
             status => {
@@ -105,3 +109,39 @@
     let admitted = sent.0 + sent.1 + last;
     assert!(f64::from(admitted) <= allowed, "{admitted} of {allowed}");
 }
+
+/// A second daemon starts and the platform is lost at some moment of its first seconds.
+/// Customers whose slots it hadn't taken yet were refused everything in the outage.
+#[tokio::test]
+async fn an_outage_just_after_a_start_leaves_no_slot_without_a_holder() {
+    let moments = (1..=12).map(|step| Duration::from_millis(200 * step));
+    let admitted = futures::future::join_all(moments.map(admitted_in_outage)).await;
+    let refused: Vec<_> = admitted.iter().filter(|it| it.1.contains(&0)).collect();
+    assert!(refused.is_empty(), "nobody is let in: {refused:?}");
+}
+
+/// Starts a second daemon, and the platform's outage so long after it. Returns that span
+/// and how many requests of each customer the first daemon lets in once slots that were on
+/// their way count again.
+async fn admitted_in_outage(after: Duration) -> (Duration, [u32; 2]) {
+    let mut settings = tight_settings();
+    settings.customers[1].rate = RATE;
+    settings.customers[1].burst = BURST;
+    let plan = FleetPlan {
+        settings: Some(settings),
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(plan).await;
+    fleet.add_daemon("zone-1").await;
+    tokio::time::sleep(after).await;
+    let outage = comfreyramp_standins::platform::FaultChange {
+        outage: Some(true),
+        ..Default::default()
+    };
+    fleet.platform.change_faults(outage);
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    let span = Duration::from_secs(1);
+    let press = send_as(&fleet, KEY, 0, span).await;
+    let market = send_as(&fleet, SECOND_KEY, 0, span).await;
+    (after, [press, market])
+}
--- a/crates/policy/src/rates/mod.rs
+++ b/crates/policy/src/rates/mod.rs
@@ -32,6 +32,7 @@
 mod rate_part;
 mod reach_table;
 mod share_ledger;
+mod slot_handover;
 mod slot_share;
 mod token_bucket;
 mod token_pocket;
@@ -49,4 +50,4 @@
 pub use share_ledger::{Attempt, Decision, ShareLedger, ShareLevel};
 pub use token_bucket::TokenBucket;
 pub use tokens::Tokens;
-pub use zone_roster::{ExpulsionWatch, MemberState, RosterMember, SLOTS, ZoneRoster};
+pub use zone_roster::{ExpulsionWatch, MemberState, RosterChange, RosterMember, SLOTS, ZoneRoster};
--- a/crates/policy/src/rates/share_ledger.rs
+++ b/crates/policy/src/rates/share_ledger.rs
@@ -1,6 +1,7 @@
 //! The rates of all customers at one daemon.
 
 mod division;
+mod handover;
 mod lending;
 mod request_path;
 
@@ -9,7 +10,8 @@
 use super::{
     CustomerKey, DemandMeter, LedgerTiming, MAX_CUSTOMER_SLOTS, MAX_ZONES, Outgoing, RatePart,
     SLOTS, freshness::Freshness, message_outbox::MessageOutbox, rate_part::roster_slot,
-    reach_table::ReachTable, slot_share::SlotShare, token_pocket::TokenPocket,
+    reach_table::ReachTable, slot_handover::SlotHandovers, slot_share::SlotShare,
+    token_pocket::TokenPocket,
 };
 
 pub use request_path::{Attempt, Decision};
@@ -33,6 +35,10 @@
     timing: LedgerTiming,
     next_id: u64,
     holders: Vec<[Option<DaemonId>; SLOTS]>,
+    /// The holders in this daemon's zone as its roster names them. Slots that this daemon
+    /// gave away a moment ago are still its own in `holders`.
+    recorded: [Option<DaemonId>; SLOTS],
+    handovers: SlotHandovers,
     /// From when the slots held here count.
     held_from: [Timestamp; SLOTS],
     reach: ReachTable,
@@ -88,6 +94,8 @@
             timing,
             next_id: first_id >> 1,
             holders: vec![[None; SLOTS]; zones],
+            recorded: [None; SLOTS],
+            handovers: SlotHandovers::default(),
             held_from: [now; SLOTS],
             reach: ReachTable::new(zones),
             freshness: Freshness::new(now),
@@ -146,6 +154,7 @@
 
     /// Ends what has lapsed, renews and returns what is lent to this daemon.
     pub fn tick(&mut self, now: Timestamp) {
+        self.end_handovers(now);
         self.freshness.tick(now, self.timing.fresh);
         let spending = self.freshness.may_spend(now, self.timing.fresh);
         for index in 0..self.shares.len() {
--- a/crates/policy/src/rates/share_ledger/division.rs
+++ b/crates/policy/src/rates/share_ledger/division.rs
@@ -1,7 +1,5 @@
 //! How rates and rosters become parts that this daemon may spend from.
 
-use std::time::Duration;
-
 use crate::{DaemonId, Timestamp};
 
 use super::{
@@ -76,24 +74,8 @@
             self.holders[zone] = *holders;
             return;
         }
-        for (slot, holder) in holders.iter().enumerate() {
-            let before = std::mem::replace(&mut self.holders[zone][slot], *holder);
-            if *holder != Some(self.me) || before == *holder {
-                continue;
-            }
-            let unused = first & (1 << slot) != 0;
-            let wait = if unused {
-                Duration::ZERO
-            } else {
-                self.timing.settle()
-            };
-            self.held_from[slot] = now + wait;
-        }
-        let mine = |slot: u8| holders[usize::from(slot)] == Some(self.me);
-        for share in &mut self.shares {
-            share.held.retain(|held| mine(held.slot));
-            share.hold_missing(mine, self.zone, &self.held_from, now);
-        }
+        self.recorded = *holders;
+        self.use_own_slots(first, now);
     }
 
     fn new_share(&self, customer: CustomerKey, part: RatePart, now: Timestamp) -> CustomerShare {
--- a/crates/policy/src/rates/share_ledger/lending.rs
+++ b/crates/policy/src/rates/share_ledger/lending.rs
@@ -16,6 +16,7 @@
 impl ShareLedger {
     /// Answers an ask of another daemon.
     pub fn handle(&mut self, from: DaemonId, ask: &RateAsk, now: Timestamp) -> RateAnswer {
+        self.end_handovers(now);
         match ask {
             RateAsk::Tokens(ask) => RateAnswer::Tokens(self.handle_tokens(ask, now)),
             RateAsk::Slices(wants) => {
@@ -45,6 +46,7 @@
 
     /// Answers an ask for tokens, the most frequent one, without allocating.
     pub fn handle_tokens(&mut self, ask: &TokenAsk, now: Timestamp) -> TokenAnswer {
+        self.end_handovers(now);
         if !self.may_spend(now) {
             return TokenAnswer::Stale;
         }
--- a/crates/policy/src/rates/share_ledger/request_path.rs
+++ b/crates/policy/src/rates/share_ledger/request_path.rs
@@ -170,6 +170,7 @@
 
     /// Spends a token that is here: a granted one, or one of a slot held.
     fn spend_here(&mut self, index: usize, now: Timestamp) -> bool {
+        self.end_handovers(now);
         if let Some(used_up) = self.shares[index].pocket.spend(now) {
             if let Some(grant) = used_up {
                 self.settle_spent(index, &grant);
--- a/crates/policy/src/rates/zone_roster.rs
+++ b/crates/policy/src/rates/zone_roster.rs
@@ -38,6 +38,7 @@
 /// It is written by compare-and-swap, and only when members change. Each method
 /// returns the record to write, or `None` if nothing is to be written; a daemon
 /// acts on a record only after it has read it back or been told it was written.
+/// What is written comes from [`ZoneRoster::next_change`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ZoneRoster {
@@ -50,6 +51,15 @@
     pub used: u64,
 }
 
+/// A change of a zone's roster that one of its members writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RosterChange {
+    /// The record to write.
+    pub roster: ZoneRoster,
+    /// The slots that the writer gives away by it, each with its taker's name.
+    pub given: Vec<(u8, String)>,
+}
+
 impl Default for ZoneRoster {
     fn default() -> Self {
         ZoneRoster {
@@ -102,15 +112,14 @@
     }
 
     /// The slots that `name` holds beyond its equal part.
-    ///
-    /// It must stop using them before it writes the record without them.
     pub fn excess(&self, name: &str) -> Vec<u8> {
         let excess = self.count(name).saturating_sub(self.equal_part());
         let held = (0..SLOTS as u8).filter(|slot| self.holder(*slot) == Some(name));
         held.take(excess).collect()
     }
 
-    /// Without the holder `name` of these slots.
+    /// Without the holder `name` of these slots. It uses them until their next holder
+    /// knows, and no longer.
     pub fn without_slots(&self, name: &str, slots: &[u8]) -> Option<ZoneRoster> {
         let mut roster = self.clone();
         for slot in slots {
@@ -121,6 +130,61 @@
         (roster != *self).then_some(roster)
     }
 
+    /// With each slot that nobody holds given to a member that has less than its equal
+    /// part.
+    ///
+    /// Each record that is written has to name a holder for every slot. Left to be taken
+    /// with a second write, slots would be nobody's for as long as the platform is away
+    /// if it is lost in between.
+    pub fn with_free_slots_given(&self) -> ZoneRoster {
+        let mut roster = self.clone();
+        for member in &self.members {
+            roster = roster.with_slots(&member.name).unwrap_or(roster);
+        }
+        roster
+    }
+
+    /// The next change that `me` has to write, if any.
+    ///
+    /// `expulsion` is how long a member that is marked keeps its slots; `gone` and
+    /// `silent` are as in [`ExpulsionWatch::marked`].
+    pub fn next_change(
+        &self,
+        me: &RosterMember,
+        watch: &ExpulsionWatch,
+        expulsion: Duration,
+        gone: impl Fn(&str) -> bool,
+        silent: impl Fn(&str) -> bool,
+        now: Timestamp,
+    ) -> Option<RosterChange> {
+        let joined = self.with_member(&me.name, &me.address, me.incarnation);
+        let changed = joined.or_else(|| self.with_slots(&me.name));
+        let changed = changed.or_else(|| self.without_slots(&me.name, &self.excess(&me.name)));
+        let changed = changed.or_else(|| watch.freed(self, expulsion, now));
+        let changed = changed.or_else(|| watch.marked(self, &me.name, gone, silent));
+        Some(self.change_to(&me.name, &changed?))
+    }
+
+    /// The change by which `me`, which has stopped using its slots, leaves.
+    pub fn leaving_change(&self, me: &str) -> Option<RosterChange> {
+        let left = self.without_member(me)?;
+        Some(self.change_to(me, &left))
+    }
+
+    fn change_to(&self, me: &str, changed: &ZoneRoster) -> RosterChange {
+        let roster = changed.with_free_slots_given();
+        let mut given = Vec::new();
+        for (slot, taker) in roster.slots.iter().enumerate() {
+            if let Some(taker) = taker
+                && taker != me
+                && self.holder(slot as u8) == Some(me)
+            {
+                given.push((slot as u8, taker.clone()));
+            }
+        }
+        RosterChange { roster, given }
+    }
+
     /// Without a member that leaves by itself and has stopped using its slots.
     pub fn without_member(&self, name: &str) -> Option<ZoneRoster> {
         let position = self.position(name).ok()?;
--- a/crates/policy/tests/rates_bus/mod.rs
+++ b/crates/policy/tests/rates_bus/mod.rs
@@ -13,8 +13,8 @@
 use comfreyramp_policy::{
     DaemonId, Timestamp,
     rates::{
-        Attempt, CustomerKey, CustomerRate, Decision, ExpulsionWatch, LedgerTiming, Outgoing,
-        RateAnswer, RateAsk, ShareLedger, ZoneRoster,
+        Attempt, CustomerKey, CustomerRate, Decision, ExpulsionWatch, LedgerTiming, MemberState,
+        Outgoing, RateAnswer, RateAsk, RosterMember, ShareLedger, ZoneRoster,
     },
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -104,6 +104,8 @@
     pub(crate) delays: (u64, u64),
     /// The time between two ticks.
     pub(crate) tick: u64,
+    /// Whether the last daemon of each zone isn't there yet; a restart brings it.
+    pub(crate) is_last_late: bool,
 }
 
 impl Default for BusOptions {
@@ -115,6 +117,7 @@
             timing: LedgerTiming::default(),
             delays: (500, 2_000),
             tick: 250_000,
+            is_last_late: false,
         }
     }
 }
@@ -129,6 +132,8 @@
     pub(crate) rosters: Vec<ZoneRoster>,
     pub(crate) now: u64,
     version: u64,
+    /// The version at which each roster was written.
+    modified: Vec<u64>,
     rates: Vec<CustomerRate>,
     members: Vec<Member>,
     cut_until: Vec<u64>,
@@ -150,6 +155,7 @@
             rosters: vec![ZoneRoster::default(); options.zones],
             now: 0,
             version: 1,
+            modified: vec![1; options.zones],
             rates: rates.to_vec(),
             members: Vec::new(),
             cut_until: vec![0; options.zones],
@@ -162,13 +168,21 @@
         for daemon in 0..count {
             let member = bus.new_member(daemon);
             bus.members.push(member);
-            bus.join(daemon);
         }
-        for daemon in 0..count {
-            bus.take_slots(daemon);
+        let is_late = |daemon: &usize| (daemon + 1).is_multiple_of(options.per_zone);
+        let early = (0..count).filter(|it| !options.is_last_late || !is_late(it));
+        let early: Vec<usize> = early.collect();
+        for daemon in (0..count).filter(|it| !early.contains(it)) {
+            bus.members[daemon].alive = false;
         }
-        for daemon in 0..count {
-            bus.beat(daemon);
+        for daemon in &early {
+            bus.join(*daemon);
+        }
+        for daemon in &early {
+            bus.take_slots(*daemon);
+        }
+        for daemon in &early {
+            bus.beat(*daemon);
         }
         bus
     }
@@ -473,6 +487,8 @@
                 let (read, version) = (there.read, there.version);
                 let here = &mut self.members[daemon];
                 here.ledger.note_peer(DaemonId(peer as u32), now, now - age);
+                here.ledger
+                    .note_view(DaemonId(peer as u32), version as i64, now);
                 here.heard.insert(peer, self.now);
                 if read > here.read && version == here.version {
                     here.read = read;
@@ -494,16 +510,16 @@
             let holders = roster.holders(|name| name.parse().ok().map(DaemonId));
             member.ledger.set_holders(other, &holders, 0, now);
         }
+        member.ledger.note_roster(self.modified[zone] as i64, now);
         member.ledger.confirm(now);
     }
 
+    /// Writes what `daemon` has to change on its zone's roster, as it last read it.
     fn keep_roster(&mut self, daemon: usize) {
         let zone = daemon / self.options.per_zone;
-        self.join(daemon);
-        self.take_slots(daemon);
         let now = local(&self.members[daemon], self.now);
-        let roster = &self.rosters[zone];
-        self.members[daemon].watch.note(roster, now);
+        let roster = self.rosters[zone].clone();
+        self.members[daemon].watch.note(&roster, now);
         let member = &self.members[daemon];
         let number = |name: &str| name.parse::<usize>().unwrap_or_default();
         let gone = |name: &str| !self.members[number(name)].listed;
@@ -511,13 +527,26 @@
             let heard = member.heard.get(&number(name)).copied();
             self.now - heard.unwrap_or(0) > 5 * SECOND
         };
-        let marked = member.watch.marked(roster, &name(daemon), gone, silent);
+        let me = RosterMember {
+            name: name(daemon),
+            address: String::new(),
+            incarnation: member.incarnation,
+            state: MemberState::Active,
+        };
         let wait = self.options.timing.expulsion;
-        let freed = member.watch.freed(roster, wait, now);
-        if let Some(roster) = freed.or(marked) {
-            self.rosters[zone] = roster;
-            self.version += 1;
+        let change = roster.next_change(&me, &member.watch, wait, gone, silent, now);
+        let Some(change) = change else {
+            return;
+        };
+        let revision = self.version;
+        for (slot, taker) in change.given {
+            let taker = DaemonId(number(&taker) as u32);
+            let ledger = &mut self.members[daemon].ledger;
+            ledger.give_slot(slot, taker, revision as i64, now);
         }
+        self.rosters[zone] = change.roster;
+        self.version += 1;
+        self.modified[zone] = self.version;
     }
 
     fn join(&mut self, daemon: usize) {
@@ -526,6 +555,7 @@
         if let Some(roster) = self.rosters[zone].with_member(&name(daemon), "", incarnation) {
             self.rosters[zone] = roster;
             self.version += 1;
+            self.modified[zone] = self.version;
         }
     }
 
@@ -534,6 +564,7 @@
         if let Some(roster) = self.rosters[zone].with_slots(&name(daemon)) {
             self.rosters[zone] = roster;
             self.version += 1;
+            self.modified[zone] = self.version;
         }
     }
 
