Charge requests of other daemons as of when they were let in

Cause: what others let in is heard up to 0.85 s later. A bucket that is full until then loses what comes in, and the charge is taken from a level that never had room for it.

Fix: a word says when its requests were let in, as a total of times, so that lost words cost nothing (3 bytes a customer, behind everything a former version reads). Tokens that were lost after that come back, but only up to the time of which all daemons have spoken: where a customer begins to send many times its usual, what isn't heard of is more than what was lost. A cut is noticed after 2.4 intervals in place of 2.8 and requests are told after a tenth of the burst in place of an eighth, since copies are no longer short of tokens by accident.

The bounds of the restart, cut and hot customer tests are unchanged; tests/usage.rs names the new field of a count.

--- a/crates/node/tests/stale_zone.rs
+++ b/crates/node/tests/stale_zone.rs
@@ -124,6 +124,7 @@
         items: 0,
         placed: Vec::new(),
         asks_word: false,
+        usage_times: Default::default(),
     }
 }
 
--- a/crates/policy/src/usage/mod.rs
+++ b/crates/policy/src/usage/mod.rs
@@ -9,10 +9,11 @@
 //! or in the time that a message takes. [`UsageBook`] then sets aside what the
 //! silent daemons may be spending. docs/PLATFORM.md has the figures.
 
+mod late_charges;
 mod speak_schedule;
 mod usage_book;
 mod usage_bucket;
 
 pub use speak_schedule::SpeakSchedule;
-pub use usage_book::{CustomerLimit, PeerId, UsageBook, UsageCount};
+pub use usage_book::{CustomerLimit, PeerId, SpendingTimes, UsageBook, UsageCount};
 pub use usage_bucket::UsageBucket;
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -12,7 +12,7 @@
 const USUAL_INTERVAL: Duration = Duration::from_millis(250);
 /// After so many intervals without a word a daemon counts as silent: that is one
 /// lost datagram and some delay.
-const SILENT_INTERVALS: f64 = 2.8;
+const SILENT_INTERVALS: f64 = 2.4;
 /// From the first of these many intervals without a word on, tokens are left to a
 /// daemon, and from the second on all that it may spend. Both sides of a cut would
 /// otherwise spend the whole bucket before they notice: 690 requests in a window
@@ -27,7 +27,7 @@
 /// Of a customer's burst, the part that a daemon lets in before it tells the others
 /// at once. Within the time in which changes usually gather a customer could have
 /// its whole burst at each daemon.
-const UNTOLD_PART: f64 = 0.125;
+const UNTOLD_PART: f64 = 0.1;
 /// The same for customers with hardly any burst, in requests.
 const LEAST_UNTOLD: f64 = 2.0;
 
@@ -39,6 +39,9 @@
 /// Over so long a daemon's part in a customer's requests is measured.
 const PART_SPAN: Duration = Duration::from_secs(5);
 
+/// In so long steps daemons say when they let requests in.
+const TIME_TICK: Duration = Duration::from_millis(10);
+
 /// The number by which daemons name each other: the hash of their name.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -72,6 +75,35 @@
     pub admitted: u32,
     /// The tokens in its copy of the bucket.
     pub level: f32,
+    /// When these requests were let in; nothing where a daemon doesn't say.
+    #[serde(skip)]
+    pub times: Option<SpendingTimes>,
+}
+
+/// When a daemon let requests in, in [`TIME_TICK`]s of a clock of its own, modulo 2^16.
+///
+/// As totals they outlive lost messages: from two of them follows how long before the
+/// later one the requests in between were let in, on average.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpendingTimes {
+    /// The sum of the times of all requests that were let in.
+    pub sum: u16,
+    /// The time at which the daemon says so.
+    pub told: u16,
+}
+
+impl SpendingTimes {
+    /// How long ago `requests` were let in on average, if these are all since the earlier
+    /// word.
+    fn mean_age(self, earlier: SpendingTimes, requests: u32) -> Duration {
+        let times = self.sum.wrapping_sub(earlier.sum);
+        let ages = self.told.wrapping_mul(requests as u16).wrapping_sub(times);
+        TIME_TICK * u32::from(ages) / requests.max(1)
+    }
+}
+
+fn clock_ticks(now: Timestamp) -> u16 {
+    (u128::from(now.as_micros()) / TIME_TICK.as_micros()) as u16
 }
 
 /// The usage of all customers, as one daemon knows it.
@@ -91,6 +123,8 @@
     customer: u64,
     bucket: UsageBucket,
     own: u32,
+    /// The sum of the times at which these were let in.
+    own_times: u16,
     /// Of these the others were told.
     told: u32,
     own_lately: RecentCount,
@@ -120,9 +154,36 @@
 struct PeerCount {
     customer: u64,
     admitted: u32,
+    times: Option<SpendingTimes>,
     lately: RecentCount,
 }
 
+/// What a word tells of a customer's requests.
+#[derive(Clone, Copy, Debug)]
+struct HeardSpending {
+    /// Those let in since the word before.
+    requests: u32,
+    /// When they were let in, on average; now, where that isn't known.
+    since: Timestamp,
+}
+
+impl PeerCount {
+    fn note(&mut self, count: &UsageCount, now: Timestamp) -> HeardSpending {
+        // Datagrams may overtake each other; an older one says nothing new.
+        let requests = count.admitted.saturating_sub(self.admitted);
+        let mut since = now;
+        if requests > 0 {
+            if let Some((later, earlier)) = count.times.zip(self.times) {
+                since = now - later.mean_age(earlier, requests);
+            }
+            self.admitted = count.admitted;
+            self.times = count.times;
+        }
+        self.lately.add(f64::from(requests), now);
+        HeardSpending { requests, since }
+    }
+}
+
 /// Requests of the last seconds, older ones fading.
 #[derive(Clone, Copy, Debug, Default)]
 struct RecentCount {
@@ -180,6 +241,7 @@
                         customer: limit.customer,
                         bucket: UsageBucket::new(limit.rate, limit.burst.max(1.0), level, now),
                         own: 0,
+                        own_times: 0,
                         told: 0,
                         own_lately: RecentCount::default(),
                         all_lately: RecentCount::default(),
@@ -209,6 +271,7 @@
         }
         let usage = &mut self.customers[place];
         usage.own = usage.own.wrapping_add(1);
+        usage.own_times = usage.own_times.wrapping_add(clock_ticks(now));
         usage.own_lately.add(1.0, now);
         usage.all_lately.add(1.0, now);
         usage.last_used = now;
@@ -272,8 +335,7 @@
     }
 
     fn is_doubted(&self, peer: &PeerUsage, now: Timestamp) -> bool {
-        let is_spoken_for = peer.is_silent || peer.is_leaving || !peer.was_heard;
-        !is_spoken_for && now.since(peer.heard_at) > self.doubted.0
+        !peer.is_spoken_for() && now.since(peer.heard_at) > self.doubted.0
     }
 
     /// When a refused caller may come back.
@@ -324,6 +386,7 @@
             self.peers[place].is_leaving = false;
             for count in &mut self.peers[place].counts {
                 count.admitted = 0;
+                count.times = None;
             }
         }
         self.peers[place].heard_at = now;
@@ -337,10 +400,10 @@
             };
             let reserved = self.reserved_part(count.customer, now);
             let usage = &mut self.customers[at];
-            usage.all_lately.add(f64::from(spent), now);
+            usage.all_lately.add(f64::from(spent.requests), now);
             let bucket = &mut usage.bucket;
             bucket.fill(reserved, now);
-            bucket.charge(f64::from(spent));
+            bucket.charge(f64::from(spent.requests), spent.since, now);
             // What was spent before this daemon started is in the others' levels.
             if is_young {
                 bucket.lower_to(f64::from(count.level));
@@ -378,6 +441,7 @@
 
     /// Sets aside what daemons that fell silent may spend.
     pub fn tick(&mut self, now: Timestamp) {
+        self.settle_charges();
         for place in 0..self.peers.len() {
             let peer = &self.peers[place];
             if peer.is_silent || peer.is_leaving || now.since(peer.heard_at) < self.silent_after {
@@ -399,6 +463,17 @@
         }
     }
 
+    /// Settles late charges of the time of which all daemons have spoken.
+    fn settle_charges(&mut self) {
+        let heard = self.peers.iter().filter(|it| !it.is_spoken_for());
+        let Some(heard) = heard.map(|it| it.heard_at).min() else {
+            return;
+        };
+        for usage in &mut self.customers {
+            usage.bucket.settle_charges(heard);
+        }
+    }
+
     /// What this daemon says of its customers: those used in the last seconds.
     pub fn own_counts(&mut self, now: Timestamp) -> Vec<UsageCount> {
         let mut counts = Vec::new();
@@ -415,6 +490,10 @@
                 customer: usage.customer,
                 admitted: usage.own,
                 level: usage.bucket.level() as f32,
+                times: Some(SpendingTimes {
+                    sum: usage.own_times,
+                    told: clock_ticks(now),
+                }),
             });
         }
         counts
@@ -486,33 +565,35 @@
 }
 
 impl PeerUsage {
+    /// Whether nothing is expected of it: it is gone, or its part was set aside.
+    fn is_spoken_for(&self) -> bool {
+        self.is_silent || self.is_leaving || !self.was_heard
+    }
+
     /// Takes in a count. Returns what was let in since the last one.
     ///
     /// Of a first count nobody knows how old it is: all of a daemon's life may be in
     /// it. Charged, a daemon that has just started would refuse customers for
     /// seconds for what they did minutes ago; so it counts from there on. What this
     /// misses is the time between two words.
-    fn note(&mut self, count: &UsageCount, now: Timestamp) -> u32 {
+    fn note(&mut self, count: &UsageCount, now: Timestamp) -> HeardSpending {
         let place = self
             .counts
             .binary_search_by_key(&count.customer, |it| it.customer);
         match place {
-            Ok(place) => {
-                let known = &mut self.counts[place];
-                // Datagrams may overtake each other; an older one says nothing new.
-                let spent = count.admitted.saturating_sub(known.admitted);
-                known.admitted = known.admitted.max(count.admitted);
-                known.lately.add(f64::from(spent), now);
-                spent
-            }
+            Ok(place) => self.counts[place].note(count, now),
             Err(place) => {
                 let known = PeerCount {
                     customer: count.customer,
                     admitted: count.admitted,
+                    times: count.times,
                     lately: RecentCount::default(),
                 };
                 self.counts.insert(place, known);
-                0
+                HeardSpending {
+                    requests: 0,
+                    since: now,
+                }
             }
         }
     }
--- a/crates/policy/src/usage/usage_bucket.rs
+++ b/crates/policy/src/usage/usage_bucket.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::late_charges::LateCharges;
 use crate::Timestamp;
 
 /// The longest time after which a refused caller is told to come back.
@@ -20,6 +21,7 @@
     /// What came in since daemons were last heard that may have spent it. It comes back
     /// once they say that they haven't.
     withheld: f64,
+    late: LateCharges,
     filled_at: Timestamp,
 }
 
@@ -31,6 +33,7 @@
             burst,
             level: level.min(burst),
             withheld: 0.0,
+            late: LateCharges::default(),
             filled_at: now,
         }
     }
@@ -39,8 +42,9 @@
     /// `reserved` is their part of the rate, from 0 to 1.
     pub fn fill(&mut self, reserved: f64, now: Timestamp) {
         let span = now.since(self.filled_at).as_secs_f64();
-        let gained = self.rate * span * (1.0 - reserved);
-        self.level = (self.level + gained).min(self.burst);
+        let level = self.level + self.rate * span * (1.0 - reserved);
+        self.level = level.min(self.burst);
+        self.late.note_lost(level - self.level, self.rate, now);
         self.filled_at = now;
     }
 
@@ -50,7 +54,10 @@
         let span = now.since(self.filled_at).as_secs_f64();
         let gained = self.rate * span * doubted.min(1.0 - reserved);
         self.fill((reserved + doubted).min(1.0), now);
-        self.withheld = (self.withheld + gained).min(self.burst - self.level);
+        let withheld = self.withheld + gained;
+        self.withheld = withheld.min(self.burst - self.level);
+        self.late
+            .note_lost(withheld - self.withheld, self.rate, now);
         if doubted == 0.0 {
             self.level += self.withheld;
             self.withheld = 0.0;
@@ -76,9 +83,16 @@
         Err(Duration::try_from_secs_f64(wait).map_or(LONGEST_RETRY, |it| it.min(LONGEST_RETRY)))
     }
 
-    /// Charges what other daemons let in.
-    pub fn charge(&mut self, requests: f64) {
+    /// Charges requests that another daemon let in at `since`.
+    pub fn charge(&mut self, requests: f64, since: Timestamp, now: Timestamp) {
         self.level -= requests;
+        self.late.note_charge(requests, since, now);
+    }
+
+    /// Gives back what was lost before late charges were known of. All daemons were heard at
+    /// `heard` or later.
+    pub fn settle_charges(&mut self, heard: Timestamp) {
+        self.level = (self.level + self.late.settle(heard)).min(self.burst);
     }
 
     /// Sets aside the part of the whole bucket that a silent daemon may spend.
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -329,6 +329,7 @@
                 customer,
                 admitted,
                 level: 5.0,
+                times: None,
             };
             let counts: Vec<_> = (0..CUSTOMERS).map(count).collect();
             for daemon in speakers {
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -27,7 +27,7 @@
 pub use membership::{HeldLease, MEMBERS, keep_membership};
 pub use peer_door::answer_peer;
 pub use peer_message::{
-    MESSAGE_PADDING, MemberRecord, PeerMessage, SuspectCount, ViewLags, ViewRevisions,
+    MESSAGE_PADDING, MemberRecord, PeerMessage, SuspectCount, UsageTimes, ViewLags, ViewRevisions,
 };
 pub use peer_views::follow_peers;
 pub use store_probe::probe_store;
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -2,7 +2,11 @@
 
 use std::net::SocketAddr;
 
-use comfreyramp_policy::{Timestamp, ViewLag, placement::LoadShare, usage::UsageCount};
+use comfreyramp_policy::{
+    Timestamp, ViewLag,
+    placement::LoadShare,
+    usage::{SpendingTimes, UsageCount},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::lots::{LotNotice, LotProgress, PlacedLot};
@@ -111,7 +115,43 @@
     pub placed: Vec<PlacedLot>,
     /// Whether it wants to hear from who reads this, at once.
     pub asks_word: bool,
+    /// When it let in the requests that `usage` counts, in the same order.
+    pub usage_times: UsageTimes,
+}
+
+/// When a daemon let customers' requests in, as in [`SpendingTimes`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageTimes {
+    /// The time at which it says so.
+    pub told: u16,
+    /// The sum of the times of each customer's requests; none from a former version.
+    pub sums: Vec<u16>,
+}
+
+impl PeerMessage {
+    /// What it let in of each customer's requests, and when.
+    pub fn timed_usage(&self) -> Vec<UsageCount> {
+        let told = self.usage_times.told;
+        let sums = self.usage_times.sums.iter().map(Some);
+        let sums = sums.chain(std::iter::repeat(None));
+        let counts = self.usage.iter().zip(sums).map(|(count, sum)| UsageCount {
+            times: sum.map(|&sum| SpendingTimes { sum, told }),
+            ..*count
+        });
+        counts.collect()
+    }
+}
+
+impl UsageTimes {
+    /// The times of these counts.
+    pub fn of(counts: &[UsageCount]) -> Self {
+        let times = counts.iter().map(|it| it.times.unwrap_or_default());
+        UsageTimes {
+            told: times.clone().next().unwrap_or_default().told,
+            sums: times.map(|it| it.sum).collect(),
+        }
+    }
 }
 
 /// Zeros behind a message of a former version stand for the fields that it lacks.
-pub const MESSAGE_PADDING: usize = 3;
+pub const MESSAGE_PADDING: usize = 5;
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -8,7 +8,7 @@
 use super::Node;
 use crate::{
     dialect::{Dialect, FleetRecords},
-    fleet::{MEMBERS, MemberRecord, PeerAddresses, PeerMessage, WholeList},
+    fleet::{MEMBERS, MemberRecord, PeerAddresses, PeerMessage, UsageTimes, WholeList},
 };
 
 impl<D: Dialect> Node<D> {
@@ -70,12 +70,14 @@
         let mut notices = self.lot_notices.borrow_mut();
         let (lots, progress) = notices.current(lease, now);
         let placed = notices.current_placed(now);
+        let usage = self.usage.borrow_mut().own_counts(now);
         PeerMessage {
             from: self.member_record(),
             number,
             revisions: views.revisions(),
             shares: self.servers.borrow().own_shares(),
-            usage: self.usage.borrow_mut().own_counts(now),
+            usage_times: UsageTimes::of(&usage),
+            usage,
             suspects: self.suspects.borrow().own_counts(now),
             lots,
             progress,
@@ -96,7 +98,7 @@
         self.servers.borrow_mut().hear(peer, &message.shares, now);
         if !message.from.runs_lots {
             let mut usage = self.usage.borrow_mut();
-            usage.hear(peer, message.from.incarnation, &message.usage, now);
+            usage.hear(peer, message.from.incarnation, &message.timed_usage(), now);
             if message.is_leaving {
                 usage.leave(peer);
             }
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -29,6 +29,7 @@
         items: 0,
         placed: Vec::new(),
         asks_word: false,
+        usage_times: Default::default(),
     }
 }
 
