Probe connections to servers only when no request may be sent over them

What callers could see: a live request that was sent into a cut over an idle connection runs seconds later, when the cut heals, though its caller was answered elsewhere or has left.

Cause: idle connections were probed each second, so that in a cut all end 3 s after its begin. Where probes end a connection, what was sent isn't discarded; unacknowledged bytes would have ended it 1.5 s after the request and discarded them.

--- a/crates/serving/src/path/connection_loop.rs
+++ b/crates/serving/src/path/connection_loop.rs
@@ -8,7 +8,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::{FrontBody, connection_pool::set_socket};
+use super::{
+    FrontBody,
+    connection_pool::{PROBE_INTERVAL, set_socket},
+};
 use crate::dialect::Dialect;
 
 /// The pause after a connection couldn't be accepted: out of descriptors, most
@@ -65,7 +68,7 @@
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Response<FrontBody<D>>> + 'static,
 {
-    if let Err(error) = set_socket(&stream) {
+    if let Err(error) = set_socket(&stream, PROBE_INTERVAL) {
         log::warn!(error:% = error; "callers: socket options can't be set");
     }
     let closing = limits.closing.clone();
--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -28,9 +28,13 @@
 const IDLE_PER_SERVER: usize = 8;
 /// Bytes that a server doesn't acknowledge within this span break the connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// A connection without a byte is probed at this interval: one that went silent
-/// for good shows in no other way while an answer is awaited.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// A request goes over a connection that has been idle for no longer than this.
+pub const LONGEST_IDLE: Duration = Duration::from_secs(10);
+/// A connection without a byte is probed at this interval: one that went silent for good
+/// shows in no other way. Connections to servers aren't probed while a request may still be
+/// sent over them. Where probes end a connection, what was sent into a cut isn't discarded,
+/// and reaches the server once the cut heals; its unacknowledged bytes have to end it.
+pub(super) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,7 +51,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     request: OpenRequest,
-    is_reused: bool,
+    /// For how long it had been idle; nothing for a new connection.
+    idle: Option<Duration>,
 }
 
 #[derive(Debug)]
@@ -84,7 +89,7 @@
         let Ok(Ok(stream)) = opening.await else {
             return Err(SendFailure::NotSent);
         };
-        if let Err(error) = set_socket(&stream) {
+        if let Err(error) = set_socket(&stream, LONGEST_IDLE) {
             log::warn!(error:% = error; "servers: socket options can't be set");
         }
         let request = OpenRequest::default();
@@ -101,7 +106,7 @@
             address,
             sender,
             request,
-            is_reused: false,
+            idle: None,
         })
     }
 
@@ -118,8 +123,9 @@
         let ready = connections.iter().rposition(|it| {
             now.since(it.idle_since) <= longest_idle && it.connection.sender.is_ready()
         })?;
-        let mut connection = connections.remove(ready).connection;
-        connection.is_reused = true;
+        let taken = connections.remove(ready);
+        let mut connection = taken.connection;
+        connection.idle = Some(now.since(taken.idle_since));
         Some(connection)
     }
 
@@ -188,17 +194,23 @@
 
     /// Whether it had carried a request before.
     pub fn is_reused(&self) -> bool {
-        self.is_reused
+        self.idle.is_some()
+    }
+
+    /// For how long it had been idle before its request; nothing for a new connection.
+    pub fn idle(&self) -> Option<Duration> {
+        self.idle
     }
 }
 
-/// Sets what tells a connection that went silent.
-pub(super) fn set_socket(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets what tells a connection that went silent. One without a byte is probed after
+/// `probe_after`.
+pub(super) fn set_socket(stream: &TcpStream, probe_after: Duration) -> std::io::Result<()> {
     // Events are small packets; waiting to fill them would delay each one.
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
+        .with_time(probe_after)
         .with_interval(PROBE_INTERVAL)
         .with_retries(2);
     socket.set_tcp_keepalive(&probes)?;
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -9,7 +9,7 @@
 mod stream_relay;
 
 pub use connection_loop::{LoopLimits, serve_connections};
-pub use connection_pool::{ConnectionPool, SendFailure, ServerConnection};
+pub use connection_pool::{ConnectionPool, LONGEST_IDLE, SendFailure, ServerConnection};
 pub use front_body::{FrontBody, FrontBodyError};
 pub use live_request::answer_caller;
 pub use server_attempt::{AttemptFailure, AttemptGuard, OpenAnswer, open_answer};
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -11,16 +11,14 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
-use super::{SendFailure, ServerConnection};
+use super::{LONGEST_IDLE, SendFailure, ServerConnection};
 use crate::{
     dialect::{Dialect, ServerDialect},
     model::{RunClaim, ServerAnswer},
     node::Node,
 };
 
-/// A request goes over a connection that has been idle for no longer than this.
-const LONGEST_IDLE: Duration = Duration::from_secs(60);
-/// The same for an item of a lot. A cut doesn't show on an idle connection: what is
+/// An item of a lot goes over a connection that has been idle for no longer than this. A cut doesn't show on an idle connection: what is
 /// sent into it waits there, and may reach the server once the cut heals, when the
 /// customer has ended the lot long since. A new connection proves its path within
 /// moments; one that was in use so lately fails by its unacknowledged bytes, before
@@ -192,7 +190,18 @@
     };
     let connecting = node.connections.connect(address, longest_idle, now).await;
     let mut connection = connecting.map_err(failure_of)?;
-    let response = connection.send(request).await.map_err(failure_of)?;
+    let sent = node.clock.now();
+    let sending = connection.send(request).await;
+    let response = sending.map_err(|failure| {
+        let after = node.clock.now().since(sent);
+        log::info!(
+            request = request_id,
+            idle_ms = connection.idle().map(|it| it.as_millis() as u64),
+            after_ms = after.as_millis() as u64;
+            "attempt: the connection broke before an answer"
+        );
+        failure_of(failure)
+    })?;
     let (head, mut body) = response.into_parts();
     let answer = <D::Servers as ServerDialect>::read_answer(&head);
     if let Some(report) = answer.report {
