--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -80,7 +80,7 @@
     pub times: Option<SpendingTimes>,
 }
 
-/// When a daemon let requests in, in [`TIME_TICK`]s of a clock of its own, modulo 2^16.
+/// When a daemon let requests in, in steps of 10 ms of a clock of its own, modulo 2^16.
 ///
 /// As totals they outlive lost messages: from two of them follows how long before the
 /// later one the requests in between were let in, on average.
