Logs and a metric say how a server's answer was delimited and how it ended

The logs could not tell the hypotheses on the broken answers apart: an answer that ends by an ordinary close, a chunked one that is ended properly though its run broke off, and a read error that is lost all read 'callers: streamed'. The line on a request's end, a new line on the answer to an item that broke off and comfreyramp_stream_ends_total now have the framing, the bytes and events received, and whether the body ended after an event, inside one, before the first, by a read error or by silence. No decision changes.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,17 +6,23 @@
 //! - [`HttpClient`] calls other servers and reports whether a failed request may
 //!   have been sent.
 //! - [`MessageBody`] is the body type that the client and the server share.
+//! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] whether a
+//!   stream of events ends inside one.
 //! - [`ErrorAnswer`] is the error format of the API for callers.
 
 mod body;
+mod body_framing;
 mod client;
 mod error_answer;
+mod event_scanner;
 mod event_splitter;
 mod serve;
 
 pub use body::{BodyError, BodySender, MessageBody, collect_limited, json_body};
+pub use body_framing::BodyFraming;
 pub use client::{CallError, HttpClient};
 pub use error_answer::{ErrorAnswer, ErrorDetail, RunState};
+pub use event_scanner::EventScanner;
 pub use event_splitter::{EventSplitter, EventTooLong, event_data, event_id, event_text};
 pub use serve::{ServeLimits, bind, serve};
 
--- a/crates/node/tests/explained.rs
+++ b/crates/node/tests/explained.rs
@@ -58,6 +58,8 @@
     let lines = fleet.log_lines_with_id("broken-1").await;
     let end = fields(&lines, "callers: stream broken");
     assert_eq!(end["server"], "engine-1");
+    assert_eq!(end["framing"], "chunked");
+    assert_eq!(end["answer_end"], "read_error");
     assert_eq!(end["tried"], 1);
 }
 
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -12,7 +12,7 @@
     dialect::{Dialect, ServerDialect},
     model::{LotItem, RequestMetadata},
     node::Node,
-    path::{AttemptGuard, OpenAnswer, open_answer},
+    path::{AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer, open_answer},
 };
 
 /// Longest wait for the first event. It is longer than for live requests, because the item
@@ -107,11 +107,13 @@
     run: &mut ItemRun,
 ) -> ItemOutcome {
     let mut splitter = EventSplitter::default();
+    let mut progress = AnswerProgress::new(open.framing);
     let mut next = open.first.take();
     loop {
         if let Some(data) = next.take() {
+            progress.push_events(&data);
             if splitter.push(&data).is_err() {
-                return broken(&open, run);
+                return broken(&open, run, &progress, AnswerEnd::InsideEvent);
             }
             while let Some(event) = splitter.next_event() {
                 run.progress.add_event(&event);
@@ -127,9 +129,12 @@
         match frame {
             Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
             Ok(None) if splitter.is_empty() => break,
-            Ok(None | Some(Err(_))) | Err(_) => return broken(&open, run),
+            Ok(None) => return broken(&open, run, &progress, progress.end_of_body()),
+            Ok(Some(Err(_))) => return broken(&open, run, &progress, AnswerEnd::ReadError),
+            Err(_) => return broken(&open, run, &progress, AnswerEnd::Silent),
         }
     }
+    record_stream_end(node, &progress, progress.end_of_body());
     open.guard.record_answered();
     let now = node.clock.now();
     node.connections
@@ -137,7 +142,28 @@
     ItemOutcome::Done(std::mem::take(&mut run.progress))
 }
 
-fn broken<D: Dialect>(open: &OpenAnswer<D>, run: &mut ItemRun) -> ItemOutcome {
+fn record_stream_end<D: Dialect>(node: &Node<D>, progress: &AnswerProgress, end: AnswerEnd) {
+    let framing = progress.framing.as_str();
+    node.metrics.stream_end(framing, end.as_str());
+}
+
+fn broken<D: Dialect>(
+    open: &OpenAnswer<D>,
+    run: &mut ItemRun,
+    progress: &AnswerProgress,
+    end: AnswerEnd,
+) -> ItemOutcome {
+    let node = open.guard.node();
+    record_stream_end(node, progress, end);
+    log::info!(
+        item = run.item.id,
+        server = node.servers.borrow().listing(open.guard.server).name,
+        framing = progress.framing.as_str(),
+        bytes = progress.bytes,
+        events = progress.events.events(),
+        answer_end = end.as_str();
+        "lots: the answer to an item broke off"
+    );
     open.guard.record_outcome(ServerOutcomeKind::Broken);
     ItemOutcome::Broken(std::mem::take(&mut run.progress))
 }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -23,6 +23,7 @@
     whole: HistogramVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
+    stream_ends: IntCounterVec,
     store_calls: IntCounterVec,
     lots: IntCounterVec,
     in_flight: IntGaugeVec,
@@ -66,6 +67,11 @@
                 "Requests sent to servers, by how it went.",
                 &["outcome"],
             )?,
+            stream_ends: counter(
+                "comfreyramp_stream_ends_total",
+                "Streams of events from servers, by framing and by how they ended.",
+                &["framing", "end"],
+            )?,
             store_calls: counter(
                 "comfreyramp_store_calls_total",
                 "Calls to the store, by how they ended.",
@@ -103,6 +109,7 @@
         registry.register(Box::new(metrics.whole.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.stream_ends.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.lots.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
@@ -136,6 +143,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts the end of a stream of events from a server.
+    pub fn stream_end(&self, framing: &str, end: &str) {
+        self.stream_ends.with_label_values(&[framing, end]).inc();
+    }
+
     /// Counts `count` occurrences of an event of lots or their items.
     pub fn lot(&self, event: &str, count: u64) {
         self.lots.with_label_values(&[event]).inc_by(count);
--- /dev/null
+++ b/crates/serving/src/path/answer_progress.rs
@@ -0,0 +1,73 @@
+//! What has been received of a server's answer.
+
+use comfreyramp_http::{BodyFraming, EventScanner};
+
+/// What has been received of the body of a server's answer, for logs and metrics.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerProgress {
+    /// How the end of the body is determined.
+    pub framing: BodyFraming,
+    /// The number of bytes so far.
+    pub bytes: u64,
+    /// The events so far, if the body is a stream of events.
+    pub events: EventScanner,
+    /// How the body ended, if it is a stream of events that has ended.
+    pub end: Option<AnswerEnd>,
+}
+
+/// How the body of a server's answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEnd {
+    /// The body ended after a complete event.
+    AfterEvent,
+    /// The body ended inside an event.
+    InsideEvent,
+    /// The body ended before its first event.
+    NoEvent,
+    /// The connection broke before the end of the body.
+    ReadError,
+    /// The server was silent for too long.
+    Silent,
+}
+
+impl AnswerProgress {
+    /// Starts with an empty body.
+    pub fn new(framing: BodyFraming) -> Self {
+        AnswerProgress {
+            framing,
+            bytes: 0,
+            events: EventScanner::default(),
+            end: None,
+        }
+    }
+
+    /// Adds bytes of a stream of events.
+    pub fn push_events(&mut self, bytes: &[u8]) {
+        self.bytes += bytes.len() as u64;
+        self.events.push(bytes);
+    }
+
+    /// Returns how a stream of events ended if its body ended here without a read error.
+    pub fn end_of_body(&self) -> AnswerEnd {
+        if self.events.is_inside_event() {
+            AnswerEnd::InsideEvent
+        } else if self.events.events() == 0 {
+            AnswerEnd::NoEvent
+        } else {
+            AnswerEnd::AfterEvent
+        }
+    }
+}
+
+impl AnswerEnd {
+    /// Returns the end as it is written to metrics and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AnswerEnd::AfterEvent => "after_event",
+            AnswerEnd::InsideEvent => "inside_event",
+            AnswerEnd::NoEvent => "no_event",
+            AnswerEnd::ReadError => "read_error",
+            AnswerEnd::Silent => "silent",
+        }
+    }
+}
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 
 use super::{
-    AnswerBody, AttemptGuard, OpenAnswer,
+    AnswerBody, AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer,
     server_attempt::{AttemptFailure, open_answer},
     stream_relay::StreamRelay,
 };
@@ -78,6 +78,8 @@
     load: LoadShare,
     /// When the first bytes of an answer were received.
     first_byte_at: Option<Timestamp>,
+    /// What has been received of the last answer.
+    pub(super) progress: Option<AnswerProgress>,
 }
 
 type Answer<D> = Result<Response<AnswerBody<D>>, Refusal>;
@@ -181,6 +183,7 @@
         is_retry,
         load: LoadShare::default(),
         first_byte_at: None,
+        progress: None,
     };
     request.run().await
 }
@@ -229,7 +232,12 @@
                 Ok(_)
                     if is_retryable_error
                         && self.check_failover(AttemptFailure::Broken).is_ok() => {}
-                Ok((head, body)) => return Ok(self.return_answer(head, body)),
+                Ok((head, body)) => {
+                    if let Some(progress) = &mut self.progress {
+                        progress.bytes = body.len() as u64;
+                    }
+                    return Ok(self.return_answer(head, body));
+                }
                 Err(failure) => self.check_failover(failure)?,
             }
         }
@@ -269,7 +277,8 @@
         if !matches!(&result, Err(failure) if !failure.may_have_run()) {
             self.runs += 1;
         }
-        if result.is_ok() {
+        if let Ok(open) = &result {
+            self.progress = Some(AnswerProgress::new(open.framing));
             self.first_byte_at.get_or_insert(self.node.clock.now());
         }
         Ok(result)
@@ -417,6 +426,15 @@
         self.customer.as_ref().map_or("", |it| &it.settings.name)
     }
 
+    /// Records how the stream from the server ended.
+    pub(super) fn record_stream_end(&mut self, end: AnswerEnd) {
+        if let Some(progress) = &mut self.progress {
+            progress.end = Some(end);
+            let framing = progress.framing.as_str();
+            self.node.metrics.stream_end(framing, end.as_str());
+        }
+    }
+
     /// Logs the end of the request and records its duration.
     pub(super) fn record_end(&self, outcome: &str, status: StatusCode) {
         let now = self.node.clock.now();
@@ -425,6 +443,7 @@
             .first_byte_at
             .map_or(span, |it| it.since(self.received_at));
         self.node.metrics.whole(self.customer_name(), "live", span);
+        let progress = self.progress;
         let servers = self.node.servers.borrow();
         let server = self
             .tried_servers
@@ -440,7 +459,11 @@
             live = self.load.live,
             bulk = self.load.bulk,
             first_ms = first.as_millis() as u64,
-            span_ms = span.as_millis() as u64;
+            span_ms = span.as_millis() as u64,
+            framing = progress.map_or("", |it| it.framing.as_str()),
+            bytes = progress.map_or(0, |it| it.bytes),
+            events = progress.map_or(0, |it| it.events.events()),
+            answer_end = progress.and_then(|it| it.end).map_or("", AnswerEnd::as_str);
             "callers: {outcome}"
         );
     }
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -1,5 +1,6 @@
 //! The request path: from a caller's connection to a backend server and back.
 
+mod answer_progress;
 mod connection_loop;
 mod connection_pool;
 mod front_body;
@@ -8,6 +9,7 @@
 mod server_socket;
 mod stream_relay;
 
+pub use answer_progress::{AnswerEnd, AnswerProgress};
 pub use connection_loop::{ConnectionLimits, serve_connections};
 pub use connection_pool::{ConnectionPool, MAX_IDLE, SendFailure, ServerConnection};
 pub use front_body::{AnswerBody, AnswerBodyError};
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use comfreyramp_http::BodyFraming;
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
@@ -53,6 +54,11 @@
         }
     }
 
+    /// Returns the node that sends the request.
+    pub fn node(&self) -> &Rc<Node<D>> {
+        &self.node
+    }
+
     /// Records the outcome of the attempt.
     pub fn record_outcome(&self, outcome: ServerOutcomeKind) {
         let now = self.node.clock.now();
@@ -142,6 +148,8 @@
     pub head: response::Parts,
     /// The parsed head.
     pub answer: ServerAnswer,
+    /// How the end of the body is determined.
+    pub framing: BodyFraming,
     /// The rest of the body.
     pub body: Incoming,
     /// The first bytes of the body; `None` if it is empty.
@@ -230,10 +238,12 @@
         );
         return Err(AttemptFailure::Broken);
     }
+    let framing = BodyFraming::of(&head);
     let first = read_first_bytes(&mut body).await?;
     Ok(OpenAnswer {
         guard,
         connection,
+        framing,
         head,
         answer,
         body,
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -14,7 +14,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
-    AttemptGuard, OpenAnswer, ServerConnection, front_body::AnswerBodyError,
+    AnswerEnd, AttemptGuard, OpenAnswer, ServerConnection, front_body::AnswerBodyError,
     live_request::LiveRequest, server_attempt::AttemptFailure,
 };
 use crate::{
@@ -87,7 +87,8 @@
     pub(super) fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Chunk> {
         let chunk = self.poll_stream(context);
         if chunk.is_pending() && self.deadline_timer.as_mut().poll(context).is_ready() {
-            if let RelayState::Reading(reading) = &self.state {
+            if let RelayState::Reading(reading) = &mut self.state {
+                reading.request.record_stream_end(AnswerEnd::Silent);
                 reading
                     .request
                     .record_end("stream timed out", StatusCode::GATEWAY_TIMEOUT);
@@ -215,14 +216,29 @@
                 Ok(data) => self.process_bytes(data),
                 Err(_) => ReadStep::Bytes(Bytes::new()),
             },
-            Some(Err(_)) => ReadStep::Broken,
-            // If the last event is incomplete, the server broke off.
-            None if self.events.as_ref().is_some_and(|it| it.has_partial_event) => ReadStep::Broken,
-            None => ReadStep::Ended,
+            Some(Err(_)) => {
+                self.request.record_stream_end(AnswerEnd::ReadError);
+                ReadStep::Broken
+            }
+            None => self.process_end(),
         })
     }
 
+    fn process_end(&mut self) -> ReadStep {
+        if let Some(progress) = self.request.progress {
+            self.request.record_stream_end(progress.end_of_body());
+        }
+        // If the last event is incomplete, the server broke off.
+        match &self.events {
+            Some(events) if events.has_partial_event => ReadStep::Broken,
+            _ => ReadStep::Ended,
+        }
+    }
+
     fn process_bytes(&mut self, data: Bytes) -> ReadStep {
+        if let Some(progress) = &mut self.request.progress {
+            progress.push_events(&data);
+        }
         match &mut self.events {
             None => ReadStep::Bytes(data),
             Some(events) => events.push(&data),
