A stream that ends inside an event is broken off, however its end is determined

What callers saw: a stream of a route that may not be resumed, framed as complete with status 200 and the server's signature, though its server had broken it off.

Cause: the end of a connection was taken for the end of an answer. An answer with neither a length nor chunks ends with its connection, so a server that breaks off and closes in the ordinary way looks as one that has finished. Only resumable streams and items were split into events, and noticed an incomplete last one; all other streams were passed on as bytes, and the daemon ended its own chunked body properly.

Change: the relay scans every stream for the ends of its events. One that ends inside an event fails like one whose connection breaks: the caller's connection is broken off (or the stream goes on at another server, where it may), and the server's outcome is 'broken' instead of 'answered', so that it can be ejected.

Whole answers of this kind still arrive whole.

Ruled out: an error that is lost on the way to the caller (the body ended without an error, callers: streamed; resets and cut chunks are seen as read errors).

--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -107,7 +107,7 @@
     run: &mut ItemRun,
 ) -> ItemOutcome {
     let mut splitter = EventSplitter::default();
-    let mut progress = AnswerProgress::new(open.framing);
+    let mut progress = open.progress;
     let mut next = open.first.take();
     loop {
         if let Some(data) = next.take() {
@@ -128,7 +128,7 @@
         };
         match frame {
             Ok(Some(Ok(frame))) => next = frame.into_data().ok(),
-            Ok(None) if splitter.is_empty() => break,
+            Ok(None) if splitter.is_empty() && !progress.is_broken_off() => break,
             Ok(None) => return broken(&open, run, &progress, progress.end_of_body()),
             Ok(Some(Err(_))) => return broken(&open, run, &progress, AnswerEnd::ReadError),
             Err(_) => return broken(&open, run, &progress, AnswerEnd::Silent),
--- a/crates/serving/src/path/answer_progress.rs
+++ b/crates/serving/src/path/answer_progress.rs
@@ -2,7 +2,7 @@
 
 use comfreyramp_http::{BodyFraming, EventScanner};
 
-/// What has been received of the body of a server's answer, for logs and metrics.
+/// What has been received of the body of a server's answer.
 #[derive(Clone, Copy, Debug)]
 pub struct AnswerProgress {
     /// How the end of the body is determined.
@@ -47,6 +47,12 @@
         self.events.push(bytes);
     }
 
+    /// Returns whether a stream of events whose body ended here without a read error has been
+    /// broken off. The end of a connection doesn't show that an answer is complete.
+    pub fn is_broken_off(&self) -> bool {
+        self.end_of_body() == AnswerEnd::InsideEvent
+    }
+
     /// Returns how a stream of events ended if its body ended here without a read error.
     pub fn end_of_body(&self) -> AnswerEnd {
         if self.events.is_inside_event() {
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -78,8 +78,8 @@
     load: LoadShare,
     /// When the first bytes of an answer were received.
     first_byte_at: Option<Timestamp>,
-    /// What has been received of the last answer.
-    pub(super) progress: Option<AnswerProgress>,
+    /// What was received of the last answer, for the log.
+    progress: Option<AnswerProgress>,
 }
 
 type Answer<D> = Result<Response<AnswerBody<D>>, Refusal>;
@@ -278,7 +278,7 @@
             self.runs += 1;
         }
         if let Ok(open) = &result {
-            self.progress = Some(AnswerProgress::new(open.framing));
+            self.progress = Some(open.progress);
             self.first_byte_at.get_or_insert(self.node.clock.now());
         }
         Ok(result)
@@ -426,13 +426,12 @@
         self.customer.as_ref().map_or("", |it| &it.settings.name)
     }
 
-    /// Records how the stream from the server ended.
-    pub(super) fn record_stream_end(&mut self, end: AnswerEnd) {
-        if let Some(progress) = &mut self.progress {
-            progress.end = Some(end);
-            let framing = progress.framing.as_str();
-            self.node.metrics.stream_end(framing, end.as_str());
-        }
+    /// Records how a stream from a server ended.
+    pub(super) fn record_stream_end(&mut self, mut progress: AnswerProgress, end: AnswerEnd) {
+        progress.end = Some(end);
+        self.progress = Some(progress);
+        let framing = progress.framing.as_str();
+        self.node.metrics.stream_end(framing, end.as_str());
     }
 
     /// Logs the end of the request and records its duration.
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
-use super::{MAX_IDLE, SendFailure, ServerConnection};
+use super::{AnswerProgress, MAX_IDLE, SendFailure, ServerConnection};
 use crate::{
     dialect::{Dialect, ServerDialect},
     model::{ExecutionStatus, ServerAnswer},
@@ -148,8 +148,8 @@
     pub head: response::Parts,
     /// The parsed head.
     pub answer: ServerAnswer,
-    /// How the end of the body is determined.
-    pub framing: BodyFraming,
+    /// What has been received of the body, without `first`.
+    pub progress: AnswerProgress,
     /// The rest of the body.
     pub body: Incoming,
     /// The first bytes of the body; `None` if it is empty.
@@ -238,12 +238,12 @@
         );
         return Err(AttemptFailure::Broken);
     }
-    let framing = BodyFraming::of(&head);
+    let progress = AnswerProgress::new(BodyFraming::of(&head));
     let first = read_first_bytes(&mut body).await?;
     Ok(OpenAnswer {
         guard,
         connection,
-        framing,
+        progress,
         head,
         answer,
         body,
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -14,8 +14,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
-    AnswerEnd, AttemptGuard, OpenAnswer, ServerConnection, front_body::AnswerBodyError,
-    live_request::LiveRequest, server_attempt::AttemptFailure,
+    AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer, ServerConnection,
+    front_body::AnswerBodyError, live_request::LiveRequest, server_attempt::AttemptFailure,
 };
 use crate::{
     dialect::Dialect,
@@ -26,7 +26,8 @@
 ///
 /// Of a resumable stream only complete events are passed on, so that another server can
 /// continue after the last one without gaps or duplicates. Other streams are passed on
-/// as the bytes arrive, and fail with their server.
+/// as the bytes arrive, and fail with their server. A stream that ends inside an event has
+/// been broken off, however its end is determined.
 ///
 /// Dropping the relay, as happens when the caller disconnects, also drops the connection to
 /// the server, which makes the server stop the run.
@@ -51,6 +52,7 @@
     answer: ServerAnswer,
     body: Incoming,
     first_bytes: Option<Bytes>,
+    progress: AnswerProgress,
     /// Set only for resumable streams.
     events: Option<EventTracker>,
 }
@@ -88,7 +90,10 @@
         let chunk = self.poll_stream(context);
         if chunk.is_pending() && self.deadline_timer.as_mut().poll(context).is_ready() {
             if let RelayState::Reading(reading) = &mut self.state {
-                reading.request.record_stream_end(AnswerEnd::Silent);
+                let progress = reading.progress;
+                reading
+                    .request
+                    .record_stream_end(progress, AnswerEnd::Silent);
                 reading
                     .request
                     .record_end("stream timed out", StatusCode::GATEWAY_TIMEOUT);
@@ -202,6 +207,7 @@
             answer: open.answer,
             body: open.body,
             first_bytes: open.first,
+            progress: open.progress,
             events,
         }
     }
@@ -217,7 +223,8 @@
                 Err(_) => ReadStep::Bytes(Bytes::new()),
             },
             Some(Err(_)) => {
-                self.request.record_stream_end(AnswerEnd::ReadError);
+                self.request
+                    .record_stream_end(self.progress, AnswerEnd::ReadError);
                 ReadStep::Broken
             }
             None => self.process_end(),
@@ -225,20 +232,17 @@
     }
 
     fn process_end(&mut self) -> ReadStep {
-        if let Some(progress) = self.request.progress {
-            self.request.record_stream_end(progress.end_of_body());
-        }
-        // If the last event is incomplete, the server broke off.
-        match &self.events {
-            Some(events) if events.has_partial_event => ReadStep::Broken,
-            _ => ReadStep::Ended,
+        let end = self.progress.end_of_body();
+        self.request.record_stream_end(self.progress, end);
+        let has_partial_event = self.events.as_ref().is_some_and(|it| it.has_partial_event);
+        match has_partial_event || self.progress.is_broken_off() {
+            true => ReadStep::Broken,
+            false => ReadStep::Ended,
         }
     }
 
     fn process_bytes(&mut self, data: Bytes) -> ReadStep {
-        if let Some(progress) = &mut self.request.progress {
-            progress.push_events(&data);
-        }
+        self.progress.push_events(&data);
         match &mut self.events {
             None => ReadStep::Bytes(data),
             Some(events) => events.push(&data),
