A stream that ends with its connection before any event is no answer

What callers saw: an empty answer of status 200, framed as complete, from a server that had closed its connection after the head; customers had an item listed as done with an empty output.

Where an answer has neither a length nor chunks, nothing but its events can show that it has begun to be complete, and a generation has at least one. An empty stream in chunks or with a length of 0 is ended properly and stays an answer; so do answers without a body (HEAD, 204, 304).

Change: such an attempt fails as 'no_event'. The caller gets 502 at once, or the answer of another server where the request may run again; it counts for the server's ejection and for requests that crash servers. An item runs again. A resumed run of an item may have nothing left to send, so that the second run that ends this way ends the item; without that it would run until it is given up.

New: an_item_ends_after_two_resumed_runs_without_any_event, an_item_goes_on_after_one_resumed_run_without_any_event.

--- a/crates/http/src/body_framing.rs
+++ b/crates/http/src/body_framing.rs
@@ -1,11 +1,11 @@
 //! How the end of an HTTP/1.1 message body is determined.
 
-use http::{StatusCode, header, response};
+use http::{Method, StatusCode, header, response};
 
 /// How the end of a response's body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
-    /// The head states the length, or the status doesn't allow a body.
+    /// The head states the length, or the method or the status doesn't allow a body.
     Length,
     /// The body is sent in chunks, the last of which is empty.
     Chunked,
@@ -15,15 +15,18 @@
 }
 
 impl BodyFraming {
-    /// Returns the framing of a response to a request whose method isn't `HEAD`.
-    pub fn of(head: &response::Parts) -> Self {
-        let has_no_body = matches!(
-            head.status,
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-        if head.headers.contains_key(header::TRANSFER_ENCODING) {
+    /// Returns the framing of a response to a request with this method.
+    pub fn of(method: &Method, head: &response::Parts) -> Self {
+        let has_no_body = method == Method::HEAD
+            || matches!(
+                head.status,
+                StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+            );
+        if has_no_body {
+            BodyFraming::Length
+        } else if head.headers.contains_key(header::TRANSFER_ENCODING) {
             BodyFraming::Chunked
-        } else if has_no_body || head.headers.contains_key(header::CONTENT_LENGTH) {
+        } else if head.headers.contains_key(header::CONTENT_LENGTH) {
             BodyFraming::Length
         } else {
             BodyFraming::ConnectionClose
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -150,6 +150,35 @@
     );
 }
 
+/// Where a run broke off after an item's last event, the next one has no event to send. It
+/// looks like a run that broke off, so only a second one may end the item.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_ends_after_two_resumed_runs_without_any_event() {
+    let fleet = ClosingFleet::start(ClosingAnswer::whole(b""), true).await;
+    let cut = [LF_STREAM, b"id: 3\nda"].concat();
+    fleet.server.queue(ClosingAnswer::whole(&cut));
+    let status = fleet.fleet.submit_lot(0, "lot-2", &["one"]).await;
+    assert_eq!(status.unwrap(), StatusCode::ACCEPTED);
+    let page = fleet.fleet.read_finished_lot(0, "lot-2").await;
+    assert_eq!(page["results"][0]["output"], "a\nb");
+    assert_eq!(fleet.server.requests(), 3);
+}
+
+/// A resumed run that broke off before its first event must not end the item.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_goes_on_after_one_resumed_run_without_any_event() {
+    let rest = ClosingAnswer::whole(b"id: 3\ndata: c\n\n");
+    let fleet = ClosingFleet::start(rest, true).await;
+    let cut = [LF_STREAM, b"id: 3\nda"].concat();
+    fleet.server.queue(ClosingAnswer::whole(&cut));
+    fleet.server.queue(ClosingAnswer::whole(b""));
+    let status = fleet.fleet.submit_lot(0, "lot-3", &["one"]).await;
+    assert_eq!(status.unwrap(), StatusCode::ACCEPTED);
+    let page = fleet.fleet.read_finished_lot(0, "lot-3").await;
+    assert_eq!(page["results"][0]["output"], "a\nb\nc");
+    assert_eq!(fleet.server.requests(), 3);
+}
+
 /// A server that breaks off answer after answer must count as failing, so that other
 /// servers get its requests.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -12,7 +12,10 @@
     dialect::{Dialect, ServerDialect},
     model::{LotItem, RequestMetadata},
     node::Node,
-    path::{AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer, open_answer},
+    path::{
+        AnswerEnd, AnswerKind, AnswerProgress, AttemptFailure, AttemptGuard, OpenAnswer,
+        open_answer,
+    },
 };
 
 /// Longest wait for the first event. It is longer than for live requests, because the item
@@ -30,6 +33,8 @@
     pub(super) output: Vec<u8>,
     /// Number of events so far.
     pub(super) events: u32,
+    /// Whether the last run, which resumed, ended with its connection before any event.
+    is_end_suspected: bool,
 }
 
 /// Parameters of one run of an item.
@@ -84,13 +89,15 @@
             return ItemOutcome::Impossible;
         }
     };
-    let opening = open_answer(guard, request, &run.item.id, FIRST_EVENT_TIMEOUT);
+    let id = &run.item.id;
+    let opening = open_answer(guard, request, id, AnswerKind::Events, FIRST_EVENT_TIMEOUT);
     let opened = tokio::select! {
         opened = opening => opened,
         () = run.stop.cancelled() => return ItemOutcome::Stopped(run.progress),
     };
     let open = match opened {
         Ok(open) => open,
+        Err(AttemptFailure::NoEvent) => return run.progress.end_without_event(),
         Err(failure) if failure.may_have_run() => return ItemOutcome::Broken(run.progress),
         Err(_) => return ItemOutcome::NotRun(run.progress),
     };
@@ -169,7 +176,19 @@
 }
 
 impl ItemProgress {
+    /// Ends a run whose answer ended with its connection before any event. A run that
+    /// resumes after the last event has none to send; only a second run that ends in the
+    /// same way shows that nothing is missing.
+    fn end_without_event(mut self) -> ItemOutcome {
+        if self.is_end_suspected {
+            return ItemOutcome::Done(self);
+        }
+        self.is_end_suspected = self.last_event.is_some();
+        ItemOutcome::Broken(self)
+    }
+
     fn add_event(&mut self, event: &[u8]) {
+        self.is_end_suspected = false;
         let id = event_id(event);
         // Skips events that a server repeats, which would appear in the output twice.
         if id.is_some() && id <= self.last_event {
--- a/crates/serving/src/path/answer_progress.rs
+++ b/crates/serving/src/path/answer_progress.rs
@@ -50,7 +50,11 @@
     /// Returns whether a stream of events whose body ended here without a read error has been
     /// broken off. The end of a connection doesn't show that an answer is complete.
     pub fn is_broken_off(&self) -> bool {
-        self.end_of_body() == AnswerEnd::InsideEvent
+        match self.end_of_body() {
+            AnswerEnd::InsideEvent => true,
+            AnswerEnd::NoEvent => self.framing == BodyFraming::ConnectionClose,
+            AnswerEnd::AfterEvent | AnswerEnd::ReadError | AnswerEnd::Silent => false,
+        }
     }
 
     /// Returns how a stream of events ended if its body ended here without a read error.
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -14,7 +14,7 @@
 
 use super::{
     AnswerBody, AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer,
-    server_attempt::{AttemptFailure, open_answer},
+    server_attempt::{AnswerKind, AttemptFailure, open_answer},
     stream_relay::StreamRelay,
 };
 use crate::{
@@ -267,8 +267,12 @@
         let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
         self.node.report_placement(server);
         let timeout = self.first_byte_timeout(now);
-        let result = open_answer(guard, request, &self.request_id, timeout).await;
-        if matches!(result, Err(AttemptFailure::Broken)) {
+        let kind = match self.route.kind {
+            RouteKind::Stream { .. } => AnswerKind::Events,
+            _ => AnswerKind::Plain,
+        };
+        let result = open_answer(guard, request, &self.request_id, kind, timeout).await;
+        if matches!(result, Err(failure) if failure.is_broken_off()) {
             self.node.record_crash(self.fingerprint);
         }
         if matches!(result, Err(AttemptFailure::Unreachable)) {
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -103,6 +103,8 @@
     Misdirected,
     /// The request was sent, and no complete answer was received.
     Broken,
+    /// The answer ended with its connection before the first event.
+    NoEvent,
     /// No answer was received in time.
     TimedOut,
 }
@@ -110,7 +112,12 @@
 impl AttemptFailure {
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, AttemptFailure::Broken | AttemptFailure::TimedOut)
+        self.is_broken_off() || self == AttemptFailure::TimedOut
+    }
+
+    /// Whether the server broke off while it may have run the request.
+    pub fn is_broken_off(self) -> bool {
+        matches!(self, AttemptFailure::Broken | AttemptFailure::NoEvent)
     }
 
     /// Returns the failure as it is written to metrics and logs.
@@ -121,6 +128,7 @@
             AttemptFailure::NotRun => "not_run",
             AttemptFailure::Misdirected => "misdirected",
             AttemptFailure::Broken => "broken",
+            AttemptFailure::NoEvent => "no_event",
             AttemptFailure::TimedOut => "timed_out",
         }
     }
@@ -128,7 +136,9 @@
     fn outcome(self) -> Option<ServerOutcomeKind> {
         match self {
             AttemptFailure::Unreachable => Some(ServerOutcomeKind::Unreachable),
-            AttemptFailure::NotSent | AttemptFailure::Broken => Some(ServerOutcomeKind::Broken),
+            AttemptFailure::NotSent | AttemptFailure::Broken | AttemptFailure::NoEvent => {
+                Some(ServerOutcomeKind::Broken)
+            }
             AttemptFailure::NotRun => Some(ServerOutcomeKind::Full),
             AttemptFailure::Misdirected => Some(ServerOutcomeKind::Replaced),
             // Says nothing about the server, as the request may just take long.
@@ -137,6 +147,15 @@
     }
 }
 
+/// The kind of body that a successful answer has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerKind {
+    /// A stream of at least one event.
+    Events,
+    /// Any bytes, or none.
+    Plain,
+}
+
 /// An answer whose first bytes have been received.
 #[derive(Debug)]
 pub struct OpenAnswer<D: Dialect> {
@@ -167,12 +186,13 @@
     guard: AttemptGuard<D>,
     request: Request<Full<Bytes>>,
     request_id: &str,
+    kind: AnswerKind,
     timeout: Duration,
 ) -> Result<OpenAnswer<D>, AttemptFailure> {
     let node = guard.node.clone();
     let server = guard.server;
-    let exchanging = tokio::time::timeout(timeout, send_and_receive(guard, request, request_id));
-    let result = match exchanging.await {
+    let exchanging = send_and_receive(guard, request, request_id, kind);
+    let result = match tokio::time::timeout(timeout, exchanging).await {
         Ok(result) => result,
         Err(_) => Err(AttemptFailure::TimedOut),
     };
@@ -196,6 +216,7 @@
     guard: AttemptGuard<D>,
     request: Request<Full<Bytes>>,
     request_id: &str,
+    kind: AnswerKind,
 ) -> Result<OpenAnswer<D>, AttemptFailure> {
     let node = guard.node.clone();
     let address = address_of(&node, guard.server)?;
@@ -207,6 +228,7 @@
     let connecting = node.connections.connect(address, max_idle, now).await;
     let mut connection = connecting.map_err(|_| AttemptFailure::Unreachable)?;
     let sent_at = node.clock.now();
+    let method = request.method().clone();
     let sending = connection.send(request).await;
     let response = sending.map_err(|failure| {
         let elapsed = node.clock.now().since(sent_at);
@@ -238,8 +260,15 @@
         );
         return Err(AttemptFailure::Broken);
     }
-    let progress = AnswerProgress::new(BodyFraming::of(&head));
+    let progress = AnswerProgress::new(BodyFraming::of(&method, &head));
     let first = read_first_bytes(&mut body).await?;
+    let has_events = kind == AnswerKind::Events && head.status.is_success();
+    if has_events && first.is_none() && progress.is_broken_off() {
+        let end = progress.end_of_body();
+        let framing = progress.framing.as_str();
+        node.metrics.stream_end(framing, end.as_str());
+        return Err(AttemptFailure::NoEvent);
+    }
     Ok(OpenAnswer {
         guard,
         connection,
