A broken answer to a caller without chunks ends with a reset

What callers saw: a caller of HTTP/1.0, who gets no chunks, saw the same ordinary close after a broken answer as after a whole one, from both daemons (streams, plain answers, downloads of results), and also when the daemon was killed in the middle.

Change: a socket with such an answer is set to close by a reset before its first byte, which the kernel also does for a killed process; an orderly shutdown, which the HTTP server does only after a complete answer, takes that back. Answers in chunks or with a length close as before, so that their callers get every byte that was sent. The socket wrapper of connections to servers and this one share one type.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -8,22 +8,28 @@
 //! - [`MessageBody`] is the body type that the client and the server share.
 //! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] whether a
 //!   stream of events ends inside one.
+//! - [`GuardedSocket`] closes a socket as its [`CloseGuard`] decides; [`AnswerGuard`]
+//!   resets callers' sockets under broken answers that have no other mark of their end.
 //! - [`ErrorAnswer`] is the error format of the API for callers.
 
+mod answer_guard;
 mod body;
 mod body_framing;
 mod client;
 mod error_answer;
 mod event_scanner;
 mod event_splitter;
+mod guarded_socket;
 mod serve;
 
+pub use answer_guard::{AnswerGuard, AnswerNotes};
 pub use body::{BodyError, BodySender, MessageBody, collect_limited, json_body};
 pub use body_framing::BodyFraming;
 pub use client::{CallError, HttpClient};
 pub use error_answer::{ErrorAnswer, ErrorDetail, RunState};
 pub use event_scanner::EventScanner;
 pub use event_splitter::{EventSplitter, EventTooLong, event_data, event_id, event_text};
+pub use guarded_socket::{CloseGuard, GuardedSocket, set_reset_on_close};
 pub use serve::{ServeLimits, bind, serve};
 
 pub use bytes::Bytes;
--- a/crates/http/src/serve.rs
+++ b/crates/http/src/serve.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
-use crate::MessageBody;
+use crate::{AnswerGuard, AnswerNotes, GuardedSocket, MessageBody};
 
 /// Limits on the resources that a connection may use.
 #[derive(Clone, Copy, Debug)]
@@ -77,15 +77,23 @@
         // them.
         let _ = stream.set_nodelay(true);
         let handler = handler.clone();
-        let service = service_fn(move |request| {
+        let notes = AnswerNotes::default();
+        let socket = GuardedSocket::new(stream, AnswerGuard::new(notes.clone()));
+        let service = service_fn(move |request: Request<Incoming>| {
+            let version = request.version();
             let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
+            let notes = notes.clone();
+            async move {
+                let answer = answer.await;
+                notes.note(version, &answer);
+                Ok::<_, Infallible>(answer)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.head_timeout)
             .max_buf_size(limits.buffer_bytes)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(socket), service);
         let connection = graceful.watch(connection);
         let cut = cut.clone();
         tokio::spawn(async move {
--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -214,6 +214,19 @@
     assert_eq!(end, Some(ErrorKind::ConnectionReset));
 }
 
+/// A caller of HTTP/1.0 must not take the end of a killed daemon's connection for the end of
+/// its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_without_chunks_sees_a_reset_of_a_killed_daemon() {
+    let mut fleet = Fleet::started().await;
+    let mut stream = send_request_without_chunks(&fleet, "killed-1", "takes 3000").await;
+    let mut answer = [0; 1024];
+    assert!(stream.read(&mut answer).await.unwrap() > 0);
+    fleet.kill(0);
+    let end = stream.read_to_end(&mut Vec::new()).await;
+    assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+}
+
 /// Answers that end with their connections and are whole must arrive whole, in pieces of
 /// any size.
 #[tokio::test(flavor = "multi_thread")]
@@ -237,15 +250,21 @@
 /// Sends a request in HTTP/1.0 to the first daemon. Returns the answer and the error at
 /// its end, if any.
 async fn send_without_chunks(fleet: &Fleet, id: &str) -> (String, Option<ErrorKind>) {
+    let mut stream = send_request_without_chunks(fleet, id, "verse").await;
+    let mut answer = Vec::new();
+    let end = stream.read_to_end(&mut answer).await;
+    let text = String::from_utf8_lossy(&answer).into_owned();
+    (text, end.err().map(|it| it.kind()))
+}
+
+async fn send_request_without_chunks(fleet: &Fleet, id: &str, body: &str) -> TcpStream {
     let address = fleet.caller_address(0);
     let mut stream = TcpStream::connect(address).await.unwrap();
+    let length = body.len();
     let request = format!(
         "POST /once/1 HTTP/1.0\r\nhost: {HOST}\r\nx-request-id: {id}\r\nx-deadline-ms: 5000\r\n\
-         api-key: {KEY}\r\ncontent-length: 5\r\n\r\nverse"
+         api-key: {KEY}\r\ncontent-length: {length}\r\n\r\n{body}"
     );
     stream.write_all(request.as_bytes()).await.unwrap();
-    let mut answer = Vec::new();
-    let end = stream.read_to_end(&mut answer).await;
-    let text = String::from_utf8_lossy(&answer).into_owned();
-    (text, end.err().map(|it| it.kind()))
+    stream
 }
--- a/crates/serving/src/path/connection_loop.rs
+++ b/crates/serving/src/path/connection_loop.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, convert::Infallible, future::Future, rc::Rc, time::Duration};
 
+use comfreyramp_http::{AnswerGuard, AnswerNotes, GuardedSocket};
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -74,11 +75,16 @@
         log::warn!(error:% = error; "callers: socket options can't be set");
     }
     let closing = limits.closing.clone();
-    let service = service_fn(move |request| {
+    let notes = AnswerNotes::default();
+    let socket = GuardedSocket::new(stream, AnswerGuard::new(notes.clone()));
+    let service = service_fn(move |request: Request<Incoming>| {
+        let version = request.version();
         let answer = handler(request);
         let closing = closing.clone();
+        let notes = notes.clone();
         async move {
             let mut answer = answer.await;
+            notes.note(version, &answer);
             if closing.is_cancelled() {
                 let close = HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
@@ -90,7 +96,7 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     let mut connection = std::pin::pin!(connection);
     // A connection that the caller breaks off is not an error of the daemon.
     tokio::select! {
--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -3,6 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
+use comfreyramp_http::GuardedSocket;
 use comfreyramp_policy::Timestamp;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -14,7 +15,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
-use super::server_socket::{OpenRequest, ServerSocket};
+use super::open_request::OpenRequest;
 
 /// How long opening a connection may take. The round trip between zones is a few
 /// milliseconds; behind a network partition there is no answer at all.
@@ -95,7 +96,7 @@
             log::warn!(error:% = error; "servers: socket options can't be set");
         }
         let request = OpenRequest::default();
-        let socket = ServerSocket::new(stream, request.clone());
+        let socket = GuardedSocket::new(stream, request.clone());
         let handshake = http1::handshake(TokioIo::new(socket)).await;
         let Ok((sender, connection)) = handshake else {
             return Err(SendFailure::NotSent);
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -5,8 +5,8 @@
 mod connection_pool;
 mod front_body;
 mod live_request;
+mod open_request;
 mod server_attempt;
-mod server_socket;
 mod stream_relay;
 
 pub use answer_progress::{AnswerEnd, AnswerProgress};
