--- a/crates/serving/src/path/answer_progress.rs
+++ b/crates/http/src/answer_progress.rs
@@ -1,6 +1,6 @@
 //! What has been received of a server's answer.
 
-use comfreyramp_http::{BodyFraming, EventScanner};
+use crate::{BodyFraming, EventScanner};
 
 /// What has been received of the body of a server's answer.
 #[derive(Clone, Copy, Debug)]
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,13 +6,14 @@
 //! - [`HttpClient`] calls other servers and reports whether a failed request may
 //!   have been sent.
 //! - [`MessageBody`] is the body type that the client and the server share.
-//! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] whether a
-//!   stream of events ends inside one.
+//! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] where its
+//!   events end, and [`AnswerProgress`] from both whether an answer has been broken off.
 //! - [`GuardedSocket`] closes a socket as its [`CloseGuard`] decides; [`AnswerGuard`]
 //!   resets callers' sockets under broken answers that have no other mark of their end.
 //! - [`ErrorAnswer`] is the error format of the API for callers.
 
 mod answer_guard;
+mod answer_progress;
 mod body;
 mod body_framing;
 mod client;
@@ -23,6 +24,7 @@
 mod serve;
 
 pub use answer_guard::{AnswerGuard, AnswerNotes};
+pub use answer_progress::{AnswerEnd, AnswerProgress};
 pub use body::{BodyError, BodySender, MessageBody, collect_limited, json_body};
 pub use body_framing::BodyFraming;
 pub use client::{CallError, HttpClient};
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyramp_http::{EventSplitter, event_id, event_text};
+use comfreyramp_http::{AnswerEnd, AnswerProgress, EventSplitter, event_id, event_text};
 use comfreyramp_policy::placement::ServerOutcomeKind;
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
@@ -12,10 +12,7 @@
     dialect::{Dialect, ServerDialect},
     model::{LotItem, RequestMetadata},
     node::Node,
-    path::{
-        AnswerEnd, AnswerKind, AnswerProgress, AttemptFailure, AttemptGuard, OpenAnswer,
-        open_answer,
-    },
+    path::{AnswerKind, AttemptFailure, AttemptGuard, OpenAnswer, open_answer},
 };
 
 /// Longest wait for the first event. It is longer than for live requests, because the item
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -3,7 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::{BodyError, collect_limited};
+use comfreyramp_http::{AnswerEnd, AnswerProgress, BodyError, collect_limited};
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 
 use super::{
-    AnswerBody, AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer,
+    AnswerBody, AttemptGuard, OpenAnswer,
     server_attempt::{AnswerKind, AttemptFailure, open_answer},
     stream_relay::StreamRelay,
 };
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -1,6 +1,5 @@
 //! The request path: from a caller's connection to a backend server and back.
 
-mod answer_progress;
 mod connection_loop;
 mod connection_pool;
 mod front_body;
@@ -9,7 +8,6 @@
 mod server_attempt;
 mod stream_relay;
 
-pub use answer_progress::{AnswerEnd, AnswerProgress};
 pub use connection_loop::{ConnectionLimits, serve_connections};
 pub use connection_pool::{ConnectionPool, MAX_IDLE, SendFailure, ServerConnection};
 pub use front_body::{AnswerBody, AnswerBodyError};
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::BodyFraming;
+use comfreyramp_http::{AnswerProgress, BodyFraming};
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
@@ -12,7 +12,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
-use super::{AnswerProgress, MAX_IDLE, SendFailure, ServerConnection};
+use super::{MAX_IDLE, SendFailure, ServerConnection};
 use crate::{
     dialect::{Dialect, ServerDialect},
     model::{ExecutionStatus, ServerAnswer},
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use comfreyramp_http::{EventSplitter, event_id};
+use comfreyramp_http::{AnswerEnd, AnswerProgress, EventSplitter, event_id};
 use comfreyramp_policy::placement::ServerOutcomeKind;
 use http::StatusCode;
 use hyper::body::{Body, Incoming};
@@ -14,8 +14,8 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use super::{
-    AnswerEnd, AnswerProgress, AttemptGuard, OpenAnswer, ServerConnection,
-    front_body::AnswerBodyError, live_request::LiveRequest, server_attempt::AttemptFailure,
+    AttemptGuard, OpenAnswer, ServerConnection, front_body::AnswerBodyError,
+    live_request::LiveRequest, server_attempt::AttemptFailure,
 };
 use crate::{
     dialect::Dialect,
