comfreyrampd: a completion that its engine cut off is no answer

What callers saw: an answer of a model that isn't streamed, cut off by an ordinary close of its engine's connection, as a complete answer of status 200; an idempotency key had it stored for resends.

Such an answer is JSON by the API, so that where only the end of the connection ends it, incomplete JSON is the one sign of a cut.

Change: it counts as a broken attempt of its engine, with the check whether the engine died, and another engine answers.

a_completion_cut_by_its_engine_is_answered_by_another failed before (cut after 0 bytes: 'EOF while parsing a value').

--- a/crates/daemon/src/callers/engine_call.rs
+++ b/crates/daemon/src/callers/engine_call.rs
@@ -3,11 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyramp_http::{
-    Bytes, CallError, ErrorAnswer, HeaderMap, HeaderValue, Incoming, MessageBody, Method, Request,
-    Response, RunState, StatusCode, collect_limited, header,
+    BodyFraming, Bytes, CallError, ErrorAnswer, HeaderMap, HeaderValue, Incoming, MessageBody,
+    Method, Request, Response, RunState, StatusCode, collect_limited, header,
 };
 use comfreyramp_policy::{Fingerprint, ServerOutcome, Timestamp, Urgency};
-use serde::Deserialize;
+use http::response;
+use serde::{Deserialize, de::IgnoredAny};
 use serde_json::value::RawValue;
 use sha2::{Digest, Sha256};
 
@@ -293,6 +294,10 @@
         }
         Err(_) => return Err(AttemptFailure::TimedOut),
     };
+    if is_cut_completion(&head, &body) {
+        server.note_broken().await;
+        return Err(AttemptFailure::Broken);
+    }
     server.note_outcome(ServerOutcome::Ok);
     state.note_success();
     let headers = returned_headers(&head.headers);
@@ -303,6 +308,14 @@
     Ok(response)
 }
 
+/// Returns whether an engine broke off its answer. Where only the end of the connection ends
+/// the body, incomplete JSON is the one sign of that.
+fn is_cut_completion(head: &response::Parts, body: &[u8]) -> bool {
+    head.status.is_success()
+        && BodyFraming::of(&Method::POST, head) == BodyFraming::ConnectionClose
+        && serde_json::from_slice::<IgnoredAny>(body).is_err()
+}
+
 /// Chooses a server, sends the request and waits for the head of the answer.
 pub(super) async fn send_attempt(
     state: &SharedState,
--- a/crates/daemon/tests/broken_answers.rs
+++ b/crates/daemon/tests/broken_answers.rs
@@ -2,23 +2,24 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicU32, Ordering},
+};
 
-use comfreyramp_http::{MessageBody, Method, Request, Response, collect_limited};
+use comfreyramp_http::{MessageBody, Method, Request, Response, StatusCode, collect_limited};
 use comfreyramp_standins::runner::{ClosingAnswer, ClosingServer};
-use support::{FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, vm};
+use serde_json::Value;
+use support::{FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, chat, vm};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+const COMPLETION: &[u8] = br#"{"id":"c-1","choices":[{"message":{"content":"a b"}}]}"#;
 
-/// Starts a fleet without an engine, and then a server of `group` whose answers end with
-/// their connections.
+/// Starts a fleet with an engine, and then a server of `group` whose answers end with their
+/// connections.
 async fn start(group: &str, answer: ClosingAnswer) -> (TestFleet, Arc<ClosingServer>, DropGuard) {
-    let plan = FleetPlan {
-        engines: Vec::new(),
-        ..FleetPlan::default()
-    };
-    let fleet = TestFleet::start(plan).await;
+    let fleet = TestFleet::start(FleetPlan::default()).await;
     fleet.platform.remove_vm("service-1");
     let stop = CancellationToken::new();
     let server = ClosingServer::start("closing-1", answer, stop.clone())
@@ -78,3 +79,27 @@
     let answer = answer_of(&fleet, &server, request).await;
     assert_eq!(answer.expect("a whole answer").body(), b"id: 1\nda");
 }
+
+/// An engine that breaks off inside an answer that isn't streamed must not look to the caller
+/// as if it had finished; another engine answers.
+#[tokio::test]
+async fn a_completion_cut_by_its_engine_is_answered_by_another() {
+    let (fleet, server, _stop) = start("engines", ClosingAnswer::whole(COMPLETION)).await;
+    let prompts = AtomicU32::new(0);
+    let request = || {
+        // Each prompt may prefer another engine.
+        let prompt = format!("prompt {}", prompts.fetch_add(1, Ordering::Relaxed));
+        let body = chat(&prompt, 4, false).to_string();
+        fleet.request(0, Method::POST, "/v1/chat/completions", KEY, body)
+    };
+    let answer = answer_of(&fleet, &server, request).await;
+    assert_eq!(answer.expect("a whole answer").body(), COMPLETION);
+    for place in [0, 1, 20, COMPLETION.len() - 1] {
+        server.queue(ClosingAnswer::whole(&COMPLETION[..place]));
+        let answer = answer_of(&fleet, &server, request).await;
+        let answer = answer.expect("a whole answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+        let body: Result<Value, _> = serde_json::from_slice(answer.body());
+        assert!(body.is_ok(), "cut after {place} bytes: {body:?}");
+    }
+}
--- a/crates/standins/src/runner/closing_server.rs
+++ b/crates/standins/src/runner/closing_server.rs
@@ -118,12 +118,6 @@
         answers.push_back(answer);
     }
 
-    /// Drops the answers that are still to be sent.
-    pub fn clear_queue(&self) {
-        let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
-        answers.clear();
-    }
-
     /// Returns the number of requests so far.
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::SeqCst)
