comfreyramp-load: an answer that was cut off by an ordinary close counts as cut

A completion without a length that its sender cut off isn't valid JSON, which the tool read as an empty answer: counted as done, or as a wrong one where answers are checked. It counts as cut, like a broken connection. Streams wait for their last event and were judged rightly.

--- a/crates/load/src/run/live.rs
+++ b/crates/load/src/run/live.rs
@@ -89,6 +89,9 @@
         let Ok(answer) = read_json(response).await else {
             return CallEnd::Cut;
         };
+        if answer.is_null() {
+            return CallEnd::Cut;
+        }
         let message = &answer["choices"][0]["message"];
         let text = message["content"].as_str().unwrap_or_default();
         self.text = text.to_owned();
--- a/crates/load/tests/play.rs
+++ b/crates/load/tests/play.rs
@@ -25,6 +25,7 @@
 };
 use comfreyramp_standins::{
     engine::{EngineOptions, EngineServer, EngineSettings, answer_token},
+    runner::{ClosingAnswer, ClosingServer},
     service::{ServiceOptions, ServiceServer},
 };
 use serde_json::{Map, Value, json};
@@ -164,6 +165,28 @@
     assert!(!victim.wait().unwrap().success());
 }
 
+/// Responses that are cut off by an ordinary close of their connection must not count as
+/// done, whether streamed or not.
+#[tokio::test]
+async fn a_response_cut_by_an_ordinary_close_is_not_done() {
+    let stop = CancellationToken::new();
+    let completion = br#"{"choices":[{"message":{"content":"a"}}]}"#;
+    let whole = ClosingAnswer::whole(completion);
+    let server = ClosingServer::start("closing-1", whole, stop.clone());
+    let server = server.await.unwrap();
+    server.queue(ClosingAnswer::whole(&completion[..20]));
+    server.queue(ClosingAnswer::whole(b"data: {}\n\n"));
+    let targets = RunTargets {
+        callers: vec![format!("http://{}", server.address)],
+        model: "m".to_owned(),
+        ..RunTargets::default()
+    };
+    let events = vec![event(0, live(1, false)), event(300, live(2, true))];
+    let result = play(events, targets).await;
+    let live_calls = &result.customers[0].live;
+    assert_eq!((live_calls.done, live_calls.cut), (0, 2));
+}
+
 #[tokio::test]
 async fn plain_calls_must_come_back_as_they_were_sent() {
     let service = ServiceServer::new(ServiceOptions::default());
