--- a/crates/store/tests/cut_answers.rs
+++ b/crates/store/tests/cut_answers.rs
@@ -1,6 +1,7 @@
 //! Answers of the platform that an ordinary close of their connection cuts.
 
 #![allow(
+    clippy::panic,
     clippy::unwrap_used,
     reason = "a test fails where something is missing"
 )]
