Soak: one engine's streams end with their connections; the links pass resets on as resets

The soak checked that no part of a stream looks complete, but no stand-in could send an answer that ends with its connection: all streams were chunked.

Resets are passed on as resets; the other faults of links are unchanged.

--- a/crates/node/tests/explained.rs
+++ b/crates/node/tests/explained.rs
@@ -60,6 +60,7 @@
     assert_eq!(end["server"], "engine-1");
     assert_eq!(end["framing"], "chunked");
     assert_eq!(end["answer_end"], "read_error");
+    assert_eq!(end["events"], 4);
     assert_eq!(end["tried"], 1);
 }
 
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -2,6 +2,8 @@
 //! must hold meanwhile, as callers and servers observe them:
 //!
 //! - a request that may run once runs at most once, and never if it was refused;
+//! - no part of a stream looks complete, also where the server's answers end with their
+//!   connections;
 //! - every daemon knows an accepted lot and the bodies of its items;
 //! - a result that any reader has received stays at its position, at every daemon;
 //! - nothing runs of a lot that was ended or refused;
@@ -99,6 +101,7 @@
     let mut fleet = Fleet::with_links().await;
     fleet.add_daemon("lots-2", "zone-2", false).await;
     assert_eq!(fleet.links.len(), fault_plan::LINKS);
+    fleet.servers[1].set_ends_with_connection(true);
     let context = Arc::new(SoakContext {
         seed,
         callers: fleet.callers(),
--- a/crates/standins/src/link/fault_link.rs
+++ b/crates/standins/src/link/fault_link.rs
@@ -5,11 +5,8 @@
 use comfreyramp_http::bind;
 use socket2::SockRef;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf},
+    net::TcpStream,
     sync::watch,
 };
 use tokio_util::sync::CancellationToken;
@@ -73,25 +70,29 @@
         return reset(&client);
     };
     let sockets = [duplicate_handle(&client), duplicate_handle(&server)];
-    let (from_client, to_client) = client.into_split();
-    let (from_server, to_server) = server.into_split();
+    // Unlike owned halves, these don't shut a connection down when they are dropped, which
+    // the receiver of a reset would see before it.
+    let (from_client, to_client) = tokio::io::split(client);
+    let (from_server, to_server) = tokio::io::split(server);
     let to_server_copy = copy_one_way(from_client, to_server, faults.modes(), Direction::ToServer);
     let to_client_copy = copy_one_way(from_server, to_client, faults.modes(), Direction::ToClient);
-    let both = async {
-        tokio::join!(to_server_copy, to_client_copy);
+    let both = async { tokio::try_join!(to_server_copy, to_client_copy).is_err() };
+    let is_reset = tokio::select! {
+        is_reset = both => is_reset,
+        _ = resets.changed() => true,
+        () = stop.cancelled() => false,
     };
-    tokio::select! {
-        () = both => {}
-        _ = resets.changed() => {
-            for socket in sockets.iter().flatten() {
-                // A socket that is closed already needs no reset.
-                let _ = socket.set_linger(Some(Duration::ZERO));
-            }
+    if is_reset {
+        for socket in sockets.iter().flatten() {
+            // A socket that is closed already needs no reset.
+            let _ = socket.set_linger(Some(Duration::ZERO));
         }
-        () = stop.cancelled() => {}
     }
 }
 
+/// A sender reset its connection.
+struct SenderReset;
+
 /// Returns a second handle to a socket, through which it can be set to reset while it is
 /// in use.
 fn duplicate_handle(stream: &TcpStream) -> Option<socket2::Socket> {
@@ -103,12 +104,14 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Copies until the sender closes its connection, and then closes the receiver's. A reset is
+/// passed on as one: after an ordinary close, the receiver could take a part for the whole.
 async fn copy_one_way(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<TcpStream>,
+    mut to: WriteHalf<TcpStream>,
     mut modes: watch::Receiver<LinkMode>,
     direction: Direction,
-) {
+) -> Result<(), SenderReset> {
     let mut chunk = vec![0; READ_CHUNK_BYTES];
     let mut buffer = Vec::new();
     let mut has_ended = false;
@@ -118,7 +121,7 @@
             // The end of a connection is not forwarded while the link blocks either.
             opened = opened(&mut modes, direction), if has_ended || !buffer.is_empty() => {
                 let Some(delay) = opened else {
-                    return;
+                    return Ok(());
                 };
                 tokio::time::sleep(delay).await;
                 if to.write_all(&buffer).await.is_err() {
@@ -138,13 +141,14 @@
             read = from.read(&mut chunk), if !has_ended && buffer.len() < MAX_BUFFER => match read {
                 Ok(0) => has_ended = true,
                 Ok(length) => buffer.extend_from_slice(&chunk[..length]),
-                // The sender reset its connection: its buffered data is dropped.
-                Err(_) => break,
+                // The data that it had sent is dropped.
+                Err(_) => return Err(SenderReset),
             },
         }
     }
     // Tells the receiver that the connection ended; it may have closed it already.
     let _ = to.shutdown().await;
+    Ok(())
 }
 
 /// Waits until a link forwards data in a direction and returns its delay, or `None` if
--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -13,6 +13,7 @@
     BodySender, HeaderMap, HeaderValue, Incoming, MessageBody, Request, Response, StatusCode, bind,
     collect_limited, serve,
 };
+use http::Version;
 use serde_json::{Value, json};
 use tokio_util::sync::CancellationToken;
 
@@ -20,6 +21,8 @@
 
 /// The longest request body that is read, in bytes; a longer one is taken as empty.
 const MAX_BODY_BYTES: usize = 16 << 20;
+/// How long the part of an event that precedes a cut has to be sent.
+const CUT_DELAY: Duration = Duration::from_millis(5);
 
 /// The kind of responses that a server sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,6 +78,7 @@
     published_address: Mutex<SocketAddr>,
     arrivals: Mutex<Vec<BackendArrival>>,
     is_full: AtomicBool,
+    ends_with_connection: AtomicBool,
     break_after: AtomicU32,
 }
 
@@ -97,6 +101,7 @@
             options,
             arrivals: Mutex::default(),
             is_full: AtomicBool::new(false),
+            ends_with_connection: AtomicBool::new(false),
             break_after: AtomicU32::new(u32::MAX),
         });
         server.register(store, "ready");
@@ -144,6 +149,13 @@
         self.is_full.store(is_full, Ordering::SeqCst);
     }
 
+    /// Sets whether streams of events have no chunks, so that they end with their
+    /// connections, as those of a server of HTTP/1.0 do.
+    pub fn set_ends_with_connection(&self, ends_with_connection: bool) {
+        self.ends_with_connection
+            .store(ends_with_connection, Ordering::SeqCst);
+    }
+
     /// Cuts the next stream of events after this many events.
     pub fn cut_next_stream(&self, events: u32) {
         self.break_after.store(events, Ordering::SeqCst);
@@ -202,6 +214,9 @@
                 } => {
                     let (sender, stream) = MessageBody::stream();
                     *answer.body_mut() = stream;
+                    if self.ends_with_connection.load(Ordering::SeqCst) {
+                        *answer.version_mut() = Version::HTTP_10;
+                    }
                     let pause = requested_duration(&body).map_or(pause, |it| it / events as u32);
                     let after = text("last-event-id").parse().unwrap_or(0);
                     let break_after = self.break_after.swap(u32::MAX, Ordering::SeqCst);
@@ -240,6 +255,7 @@
         if sent as u32 == break_after {
             // The stream is cut in the middle of an event, as a crash of the server would do.
             sender.send(format!("id: {id}\nda")).await;
+            tokio::time::sleep(CUT_DELAY).await;
             return sender.abort("the server cuts the stream").await;
         }
         tokio::time::sleep(pause).await;
