Logs state the clocks, settings and answers behind an item that is given up

The lines of an item that is given up named a cause, and nothing to judge it by: neither the clocks of the daemons that accepted and run the lot, nor the version of their settings, nor the answer that a failure was taken from. They do now, and a line says of which request an answer states that it wasn't run.

--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -270,7 +270,7 @@
 ) {
     log::info!(
         lot = submission.lot, customer = submission.customer.settings.name,
-        items = items, revision = revision;
+        items = items, revision = revision, settings = node.fleet().map(|it| it.settings.version);
         "lots: accepted"
     );
     node.metrics.lot("accepted", 1);
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -16,7 +16,10 @@
     notices::ReportBasis,
     records::{DamagedRecord, ItemFaults, LotHead, OpenMark, from_json, from_packed},
 };
-use crate::model::{ItemResult, ItemState, LotItem};
+use crate::{
+    clock::unix_millis,
+    model::{ItemResult, ItemState, LotItem},
+};
 
 /// Number of broken streams in a row without progress after which an item waits longer
 /// before it is retried: the item itself may be what breaks its servers.
@@ -364,7 +367,9 @@
         let item = &self.items[index];
         log::info!(
             lot:% = self.id, item = item.item.id, cause = cause,
-            faults = item.faults, breaks = item.breaks, events = item.progress.events;
+            faults = item.faults, breaks = item.breaks, events = item.progress.events,
+            submitted = self.head.submitted, given_up = self.head.given_up,
+            clock = unix_millis(), held_ms = now.since(self.held_since).as_millis() as u64;
             "lots: an item is given up"
         );
         self.end_item(index, ItemState::GivenUp, String::new(), now);
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -98,6 +98,13 @@
         Err(failure) if failure.may_have_run() => return ItemOutcome::Broken(run.progress),
         Err(_) => return ItemOutcome::NotRun(run.progress),
     };
+    if !open.head.status.is_success() {
+        log::info!(
+            item = id, server = node.servers.borrow().listing(open.guard.server).name,
+            status = open.head.status.as_u16(), framing = open.progress.framing.as_str();
+            "lots: a server answers an item with a failure"
+        );
+    }
     match open.head.status {
         StatusCode::UNPROCESSABLE_ENTITY => ItemOutcome::Impossible,
         status if status.is_success() => read_events(node, open, &mut run).await,
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -7,6 +7,7 @@
 
 use super::{ListedLots, LotWorker, WRITE_BACKOFF, WorkerEvent, results::update_basis};
 use crate::{
+    clock::unix_millis,
     dialect::Dialect,
     lots::{
         held_lot::HeldLot,
@@ -257,7 +258,8 @@
                     return;
                 }
                 log::info!(
-                    lot = lot, items = held.head.total, listed = held.stored_results, due = held.head.due;
+                    lot = lot, items = held.head.total, listed = held.stored_results, due = held.head.due,
+                    submitted = held.head.submitted, clock = unix_millis();
                     "lots: claimed"
                 );
                 self.node.metrics.lot("claimed", 1);
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -84,7 +84,11 @@
                 let held = &self.held[index];
                 let path = &held.items[item].item.path;
                 let Some(route) = fleet.route(&held.head.host, path) else {
-                    log::info!(lot:% = held.id; "lots: its route is gone");
+                    log::info!(
+                        lot:% = held.id, route = held.head.route, path = path,
+                        settings = fleet.settings.version;
+                        "lots: its route is gone"
+                    );
                     self.held[index].give_up_waiting("no route", now);
                     break;
                 };
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -246,6 +246,13 @@
         let now = node.clock.now();
         node.servers.borrow_mut().report(guard.server, report, now);
     }
+    if answer.run != ExecutionStatus::Ran {
+        log::info!(
+            request = request_id, answered:? = answer.request_id,
+            status = head.status.as_u16(), reused = connection.is_reused();
+            "attempt: an answer says that its request wasn't run"
+        );
+    }
     match answer.run {
         ExecutionStatus::NotRun => return Err(AttemptFailure::NotRun),
         ExecutionStatus::Misdirected => return Err(AttemptFailure::Misdirected),
