--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -66,6 +66,8 @@
     pub(crate) links: Vec<FaultLink>,
     has_links: bool,
     version: u64,
+    /// How long an item is kept before it may be given up, in seconds.
+    retention_s: u64,
     stop: CancellationToken,
     client: HttpClient,
 }
@@ -152,6 +154,7 @@
             links: Vec::new(),
             has_links: false,
             version: 0,
+            retention_s: 60,
             stop,
             client: HttpClient::default(),
         };
@@ -204,6 +207,12 @@
         self.put_settings_with(keys, rate, &json!(0), 0.0);
     }
 
+    /// Writes operators' settings by which an item is given up after `retention_s` seconds.
+    pub(crate) fn put_retention(&mut self, retention_s: u64) {
+        self.retention_s = retention_s;
+        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
+    }
+
     /// Writes operators' settings by which a cold engine tolerates `rate` requests a second.
     pub(crate) fn put_cold_rate(&mut self, rate: f64) {
         self.put_settings_with(&[KEY, SPARE_KEY], 1_000.0, &json!(0), rate);
@@ -223,7 +232,7 @@
                 "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
                 "timeout_ms": 5_000, "target_latency_ms": 500, "priority": 0, "attempts": 2,
                 "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 300,
-                "completion_target_ms": 15_000, "retention_s": 60, "cap": token_bound,
+                "completion_target_ms": 15_000, "retention_s": self.retention_s, "cap": token_bound,
             })
         };
         let settings = json!({
--- a/crates/standins/src/runner/closing_server.rs
+++ b/crates/standins/src/runner/closing_server.rs
@@ -12,16 +12,12 @@
 
 use comfreyramp_http::bind;
 use serde_json::json;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
-};
+use tokio::{io::AsyncWriteExt, net::TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::raw_request::RawRequest;
 use crate::kv::KvState;
 
-/// The maximum size of a request in bytes.
-const MAX_REQUEST_BYTES: usize = 64 << 10;
 /// The delay between two pieces of a body, so that they arrive one by one.
 const PIECE_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -124,9 +120,10 @@
     }
 
     async fn answer(self: Arc<Self>, mut stream: TcpStream) {
-        let Some(request_id) = read_request(&mut stream).await else {
+        let Some(request) = RawRequest::read(&mut stream).await else {
             return;
         };
+        let request_id = request.id();
         self.requests.fetch_add(1, Ordering::SeqCst);
         let next = {
             let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
@@ -154,31 +151,3 @@
         let _ = stream.shutdown().await;
     }
 }
-
-/// Reads a request with its body, and returns its id. A socket that is closed with unread
-/// bytes is reset, which would differ from an ordinary close.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
-    let mut request = Vec::new();
-    loop {
-        let mut buffer = [0; 4096];
-        let length = stream.read(&mut buffer).await.ok()?;
-        if length == 0 || request.len() > MAX_REQUEST_BYTES {
-            return None;
-        }
-        request.extend_from_slice(&buffer[..length]);
-        let Some(end) = request.windows(4).position(|it| it == b"\r\n\r\n") else {
-            continue;
-        };
-        let head = String::from_utf8_lossy(&request[..end]).to_lowercase();
-        let header = |name: &str| {
-            let mut lines = head.lines().filter_map(|it| it.split_once(':'));
-            lines
-                .find(|it| it.0 == name)
-                .map(|it| it.1.trim().to_owned())
-        };
-        let body_length = header("content-length").and_then(|it| it.parse().ok());
-        if request.len() >= end + 4 + body_length.unwrap_or(0) {
-            return Some(header("x-request-id").unwrap_or_default());
-        }
-    }
-}
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -1,8 +1,13 @@
 //! Stand-ins for a customer's backend server: an engine that streams events or a plain
-//! service, and a server whose answers end with their connections.
+//! service, a server whose answers end with their connections, and one whose answers a test
+//! writes itself.
 
 mod backend_server;
 mod closing_server;
+mod raw_request;
+mod scripted_server;
 
 pub use backend_server::{BackendArrival, BackendKind, BackendOptions, BackendServer};
 pub use closing_server::{ClosingAnswer, ClosingServer};
+pub use raw_request::RawRequest;
+pub use scripted_server::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
--- /dev/null
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -0,0 +1,166 @@
+//! A backend server whose answers a test writes itself, also those that no sound server
+//! would send.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use comfreyramp_http::bind;
+use serde_json::json;
+use tokio::{io::AsyncWriteExt, net::TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::raw_request::RawRequest;
+use crate::kv::KvState;
+
+/// A request that a scripted server received.
+#[derive(Clone, Debug)]
+pub struct ScriptedRequest {
+    /// The request.
+    pub request: RawRequest,
+    /// The id of the request before it on the same connection.
+    pub previous_id: Option<String>,
+}
+
+/// The bytes that answer one request.
+#[derive(Clone, Debug, Default)]
+pub struct ScriptedAnswer {
+    bytes: Vec<u8>,
+    closes: bool,
+}
+
+impl ScriptedAnswer {
+    /// Returns an answer with a body and its length. It bears `id` as the id of the request
+    /// that it answers, or none if that is empty.
+    pub fn whole(status: u16, id: &str, body: &[u8]) -> Self {
+        Self::with_length(status, id, body, body.len())
+    }
+
+    /// Returns an answer that is cut off: its head states one byte more than is sent, after
+    /// which the connection is closed in the ordinary way.
+    pub fn cut(status: u16, id: &str, body: &[u8]) -> Self {
+        let mut answer = Self::with_length(status, id, body, body.len() + 1);
+        answer.closes = true;
+        answer
+    }
+
+    /// Returns a statement that the request with this id wasn't run.
+    pub fn not_run(status: u16, id: &str) -> Self {
+        Self::whole(status, id, b"").header("x-not-run", "1")
+    }
+
+    fn with_length(status: u16, id: &str, body: &[u8], length: usize) -> Self {
+        let mut bytes = format!("HTTP/1.1 {status} Scripted\r\n").into_bytes();
+        if !id.is_empty() {
+            bytes.extend_from_slice(format!("x-request-id: {id}\r\n").as_bytes());
+        }
+        bytes.extend_from_slice(b"x-response-signature: scripted\r\n");
+        bytes.extend_from_slice(format!("content-length: {length}\r\n\r\n").as_bytes());
+        bytes.extend_from_slice(body);
+        ScriptedAnswer {
+            bytes,
+            closes: false,
+        }
+    }
+
+    /// Adds a header.
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        let line = self.bytes.windows(2).position(|it| it == b"\r\n");
+        let begin = line.map_or(0, |it| it + 2);
+        let header = format!("{name}: {value}\r\n").into_bytes();
+        self.bytes.splice(begin..begin, header);
+        self
+    }
+
+    /// Sends another answer directly after this one.
+    pub fn then(mut self, next: ScriptedAnswer) -> Self {
+        self.bytes.extend_from_slice(&next.bytes);
+        self.closes |= next.closes;
+        self
+    }
+}
+
+/// A running server that answers by a script.
+#[derive(Debug)]
+pub struct ScriptedServer {
+    id: String,
+    /// The address at which it listens.
+    pub address: SocketAddr,
+    requests: Mutex<Vec<ScriptedRequest>>,
+}
+
+impl ScriptedServer {
+    /// Starts a server that answers each request with what `script` returns for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no free port.
+    pub async fn start(
+        id: &str,
+        script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
+        stop: CancellationToken,
+    ) -> anyhow::Result<Arc<ScriptedServer>> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let server = Arc::new(ScriptedServer {
+            id: id.to_owned(),
+            address: listener.local_addr()?,
+            requests: Mutex::default(),
+        });
+        let shared = server.clone();
+        let script = Arc::new(script);
+        tokio::spawn(stop.run_until_cancelled_owned(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (server, script) = (shared.clone(), script.clone());
+                tokio::spawn(async move { server.answer_all(stream, script.as_ref()).await });
+            }
+        }));
+        Ok(server)
+    }
+
+    /// Registers the server in the store as ready.
+    pub fn register(&self, service: &str, zone: &str, store: &KvState) {
+        let entry = json!({
+            "service": service, "address": self.address.to_string(), "zone": zone,
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 0, "born": 1,
+        });
+        store.put(
+            &format!("servers/{}", self.id),
+            entry.to_string().as_bytes(),
+        );
+    }
+
+    /// Returns the requests received so far.
+    pub fn requests(&self) -> Vec<ScriptedRequest> {
+        let requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
+        requests.clone()
+    }
+
+    async fn answer_all(
+        &self,
+        mut stream: TcpStream,
+        script: &(impl Fn(&ScriptedRequest) -> ScriptedAnswer + Sync),
+    ) {
+        let mut previous_id = None;
+        while let Some(request) = RawRequest::read(&mut stream).await {
+            let id = request.id().to_owned();
+            let received = ScriptedRequest {
+                request,
+                previous_id: previous_id.replace(id),
+            };
+            let answer = script(&received);
+            self.requests
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(received);
+            if stream.write_all(&answer.bytes).await.is_err() {
+                return;
+            }
+            if answer.closes {
+                break;
+            }
+        }
+        // A failure means that the other side has already closed the connection.
+        let _ = stream.shutdown().await;
+    }
+}
