--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -74,7 +74,7 @@
     }
 
     /// Sends another answer directly after this one.
-    pub fn then(mut self, next: ScriptedAnswer) -> Self {
+    pub fn then(mut self, next: &ScriptedAnswer) -> Self {
         self.bytes.extend_from_slice(&next.bytes);
         self.closes |= next.closes;
         self
