Items are kept by the age that daemons observed, not by wall clocks

Callers read items as given up before their retention had passed. Cause: the accepting daemon wrote the end of the retention by its wall clock, and the one that runs the lot compared it with its own, less 300 ms so that no run starts that can't end. Clocks of VMs differ and are set, so a lot accepted by a clock that was behind, or held by one ahead, was given up early, all its waiting items at once; where the clocks agreed, still up to 300 ms early. The time left that servers are told came from the same clocks.

Each daemon now counts what it observed on its monotonic clock since it knew the lot, and goes on from the age that the daemon before it wrote along with results, counts of failures and releases (LotAge). This can't be more than the true age, so no clock makes an item given up early. An item with too little time left for a run isn't started, and waits for the end of its retention.

Ruled out: a margin on the wall clock, which is a guess about other VMs; a lease as a timer, which may end early while the store is down.

Before: an_item_without_a_slot_is_kept_until_its_retention_has_passed failed (3.7 s of 4), a_lot_is_kept_although_the_clock_of_its_acceptance_was_behind failed (0.7 s of 4).

--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -19,6 +19,8 @@
 use serde_json::{Value, json};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
+/// The index of the only daemon that runs lots.
+const LOT_DAEMON: usize = 2;
 /// How long items are kept.
 const RETENTION: Duration = Duration::from_secs(4);
 /// How often a server may fail at an item, according to the routes in the fleet's settings.
@@ -162,3 +164,20 @@
     put(format!("lots/data/{lot}/head"), &head);
     put(format!("lots/open/{lot}"), &mark);
 }
+
+/// A daemon that takes a lot over must go on from the age that the one before it wrote, so
+/// that a lot isn't kept anew by each of them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_that_changes_its_daemon_is_not_kept_anew() {
+    let script = |it: &ScriptedRequest| ScriptedAnswer::not_run(503, it.request.id());
+    let mut fleet = ScriptedFleet::start(script).await;
+    let submitted_at = Instant::now();
+    let status = fleet.fleet.submit_lot(0, "lot-moves", &["one"]).await;
+    assert_eq!(status, Ok(StatusCode::ACCEPTED));
+    tokio::time::sleep(RETENTION.mul_f64(0.75)).await;
+    fleet.fleet.terminate(LOT_DAEMON);
+    assert!(fleet.fleet.exits_cleanly(LOT_DAEMON).await);
+    fleet.fleet.restart(LOT_DAEMON);
+    let page = fleet.fleet.read_finished_lot(0, "lot-moves").await;
+    assert_kept(submitted_at.elapsed(), &page["results"][0]);
+}
--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -14,6 +14,7 @@
 //! - [`StartRank`] orders items that wait while all slots are taken.
 //! - [`TokenLedger`] bounds the tokens of a customer's lots that wait on a route.
 //! - [`choose_runner`] gives an accepted lot to a daemon that has less to do.
+//! - [`LotAge`] proves how long the items of a lot have been kept.
 //! - [`HeldSize`] bounds the lots that a daemon holds at once.
 //! - [`ResultGrouping`] decides when a group of results is written.
 //!
@@ -24,6 +25,7 @@
 mod hold_limit;
 mod home_daemon;
 mod item_tries;
+mod lot_age;
 mod lot_forecast;
 mod lot_ranking;
 mod result_grouping;
@@ -37,6 +39,7 @@
 pub use hold_limit::HeldSize;
 pub use home_daemon::home_daemon;
 pub use item_tries::{GiveUpReason, ItemAttempts, ItemRetryPolicy, ItemRetryVerdict};
+pub use lot_age::LotAge;
 pub use lot_forecast::{LotForecast, PaceMeter};
 pub use lot_ranking::{LotKey, LotRanking, RankedLot};
 pub use result_grouping::ResultGrouping;
--- a/crates/serving/src/lots/candidates.rs
+++ b/crates/serving/src/lots/candidates.rs
@@ -9,6 +9,8 @@
     pub lot: String,
     /// Daemon that is asked to run it, if the daemon that accepted the lot chose one.
     pub runner: Option<PeerId>,
+    /// Moment since which this daemon knows the lot.
+    pub known_since: Timestamp,
     /// Moment since which this daemon knows that no daemon runs it.
     pub unclaimed_since: Timestamp,
     /// Earliest moment at which it may be claimed.
@@ -38,6 +40,7 @@
         self.candidates.push(LotCandidate {
             lot: lot.to_owned(),
             runner: None,
+            known_since: now,
             unclaimed_since: now,
             not_before,
             is_claiming: false,
@@ -49,6 +52,12 @@
         self.candidates.iter().any(|it| it.lot == lot)
     }
 
+    /// Returns since when this daemon knows a lot that waits to be claimed.
+    pub fn known_since(&self, lot: &str) -> Option<Timestamp> {
+        let candidate = self.candidates.iter().find(|it| it.lot == lot);
+        candidate.map(|it| it.known_since)
+    }
+
     /// Records which daemon is asked to run a lot. The first call wins, since a lot that
     /// was submitted twice may be assigned to two daemons.
     pub fn assign(&mut self, lot: &str, runner: PeerId) {
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    lots::{ItemTimes, RunTimeEstimate, StartRank},
+    lots::{ItemTimes, LotAge, RunTimeEstimate, StartRank},
     usage::PeerId,
 };
 use comfreyramp_store::{KeyValue, LeaseId, Revision};
@@ -14,7 +14,7 @@
     item_run::{ItemOutcome, ItemProgress},
     keys,
     notices::ReportBasis,
-    records::{DamagedRecord, ItemFaults, LotHead, OpenMark, from_json, from_packed},
+    records::{AgeRecord, DamagedRecord, ItemFaults, LotHead, OpenMark, from_json, from_packed},
 };
 use crate::{
     clock::unix_millis,
@@ -63,6 +63,8 @@
     pub(super) id: Rc<str>,
     pub(super) head: LotHead,
     pub(super) items: Vec<HeldItem>,
+    /// How long the lot has been kept, as far as this daemon can prove it.
+    pub(super) age: LotAge,
     /// Moment at which this daemon took the lot over.
     pub(super) held_since: Timestamp,
     /// Revision of the claim, or `None` while the lease is lost.
@@ -100,9 +102,14 @@
     /// Builds the state of a lot from its records in the store. Returns `None` where there
     /// is nothing to run: the lot doesn't exist or its customer ended it. A lot that has
     /// all its results is returned with [`HeldLot::is_done`] true.
+    ///
+    /// The records were requested at `requested_at`, and this daemon knows the lot since
+    /// `known_since`.
     pub(super) fn load(
         id: &str,
         pairs: &[KeyValue],
+        known_since: Timestamp,
+        requested_at: Timestamp,
         now: Timestamp,
     ) -> Result<Option<HeldLot>, DamagedRecord> {
         let head_key = keys::head(id);
@@ -116,9 +123,12 @@
         let mut results = Vec::new();
         let mut groups = 0;
         let mut faults: Vec<ItemFaults> = Vec::new();
+        let mut stored = AgeRecord::default();
         for pair in pairs {
             if pair.key == keys::faults(id) {
                 faults = from_json(pair)?;
+            } else if pair.key == keys::age(id) {
+                stored = from_json(pair)?;
             } else if keys::is_pack(&pair.key) {
                 items.extend(from_packed::<Vec<LotItem>>(pair)?);
             } else if keys::is_group(&pair.key) {
@@ -135,6 +145,7 @@
             id: id.into(),
             head: from_json(head)?,
             items: items.collect(),
+            age: LotAge::new(stored.age_ms, requested_at, known_since),
             held_since: now,
             claim: None,
             lease: None,
@@ -221,6 +232,18 @@
         index.or_else(|| self.items.iter().position(may_run))
     }
 
+    /// Returns for how much longer no item may be given up for its age.
+    pub(super) fn time_left(&self, now: Timestamp) -> Duration {
+        self.age.time_left(self.head.retention(), now)
+    }
+
+    /// Returns the age of the lot as it is stored.
+    pub(super) fn age_record(&self, now: Timestamp) -> AgeRecord {
+        AgeRecord {
+            age_ms: self.age.at(now),
+        }
+    }
+
     /// Returns the rank of an item among those that wait to start. `millis` is the time of
     /// day in Unix milliseconds, since due times have to mean the same on all VMs.
     pub(super) fn start_rank(
@@ -228,11 +251,11 @@
         index: usize,
         run_times: &RunTimeEstimate,
         millis: u64,
+        now: Timestamp,
     ) -> StartRank {
-        let until = |moment: u64| Duration::from_millis(moment.saturating_sub(millis));
         StartRank::of(ItemTimes {
-            due_in: until(self.head.due),
-            given_up_in: until(self.head.given_up),
+            due_in: Duration::from_millis(self.head.due.saturating_sub(millis)),
+            given_up_in: self.time_left(now),
             needs: run_times.remaining(self.items[index].progress.events),
         })
     }
@@ -368,8 +391,10 @@
         log::info!(
             lot:% = self.id, item = item.item.id, cause = cause,
             faults = item.faults, breaks = item.breaks, events = item.progress.events,
-            submitted = self.head.submitted, given_up = self.head.given_up,
-            clock = unix_millis(), held_ms = now.since(self.held_since).as_millis() as u64;
+            age_ms = self.age.at(now).as_millis() as u64,
+            retention_ms = self.head.retention().as_millis() as u64,
+            held_ms = now.since(self.held_since).as_millis() as u64,
+            submitted = self.head.submitted, clock = unix_millis();
             "lots: an item is given up"
         );
         self.end_item(index, ItemState::GivenUp, String::new(), now);
--- a/crates/serving/src/lots/keys.rs
+++ b/crates/serving/src/lots/keys.rs
@@ -30,8 +30,8 @@
     format!("{CLAIM}{lot}")
 }
 
-/// Returns the prefix of all data of a lot. In key order the fault counts come first, then
-/// the head, the packs of items, the groups of results by number, and the end record.
+/// Returns the prefix of all data of a lot. In key order the age and the fault counts come
+/// first, then the head, the packs of items, the groups of results by number, and the end record.
 pub(super) fn data(lot: &str) -> String {
     format!("{DATA}{lot}/")
 }
@@ -57,6 +57,11 @@
     format!("{DATA}{lot}/faults")
 }
 
+/// Returns the key of the age that a daemon which ran the lot has proved.
+pub(super) fn age(lot: &str) -> String {
+    format!("{DATA}{lot}/age")
+}
+
 /// Returns the prefix of all packs of a lot's items.
 pub(super) fn items(lot: &str) -> String {
     format!("{DATA}{lot}/items/")
--- a/crates/serving/src/lots/records.rs
+++ b/crates/serving/src/lots/records.rs
@@ -1,8 +1,11 @@
 //! Records of lots in the store, and their encoding.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use comfreyramp_store::KeyValue;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_with::{DurationMilliSeconds, serde_as};
 
 use crate::model::LotItem;
 
@@ -28,13 +31,21 @@
     pub submitted: u64,
     /// When its items should be done, in Unix milliseconds.
     pub due: u64,
-    /// When items without a result are given up, in Unix milliseconds.
+    /// When items without a result are given up, in Unix milliseconds by the clock of the
+    /// daemon that accepted the lot.
     pub given_up: u64,
     /// Name of its route. It is empty for lots written by an earlier version.
     #[serde(default)]
     pub route: String,
 }
 
+impl LotHead {
+    /// Returns how long items without a result are kept.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.given_up.saturating_sub(self.submitted))
+    }
+}
+
 /// Claim on a lot by the daemon that runs it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct ClaimRecord {
@@ -48,6 +59,15 @@
     pub(super) lease: i64,
 }
 
+/// How long a lot has been kept at least, by the clocks of the daemons that ran it. It is
+/// written along with other records of the lot.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct AgeRecord {
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub(super) age_ms: Duration,
+}
+
 /// How often servers failed at an item. A daemon that takes the lot over continues this
 /// count.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -152,8 +152,9 @@
             let node = self.node.clone();
             let sender = self.sender.clone();
             let lot = candidate.lot.clone();
+            let known_since = candidate.known_since;
             tokio::task::spawn_local(async move {
-                let answer = writer::claim_lot(&node, &lot).await;
+                let answer = writer::claim_lot(&node, &lot, known_since).await;
                 let _ = sender.send(WorkerEvent::Claimed(lot, answer));
             });
         }
@@ -259,6 +260,7 @@
                 }
                 log::info!(
                     lot = lot, items = held.head.total, listed = held.stored_results, due = held.head.due,
+                    age_ms = held.age.at(now).as_millis() as u64,
                     submitted = held.head.submitted, clock = unix_millis();
                     "lots: claimed"
                 );
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -28,11 +28,10 @@
 const MIN_RUN_TIME: Duration = Duration::from_millis(300);
 
 impl<D: Dialect> LotWorker<D> {
-    /// Gives up the waiting items of lots whose time is over.
+    /// Gives up the waiting items of lots whose retention has passed.
     pub(super) fn give_up_expired(&mut self, now: Timestamp) {
-        let millis = unix_millis();
         for held in &mut self.held {
-            if millis + MIN_RUN_TIME.as_millis() as u64 >= held.head.given_up {
+            if held.time_left(now).is_zero() {
                 held.give_up_waiting("out of time", now);
             }
         }
@@ -110,11 +109,12 @@
         let regained_at = self.node.regained_at().max(self.resumed_at);
         let mut ranked: Vec<(StartRank, usize)> = Vec::new();
         for (index, held) in self.held.iter().enumerate() {
-            if !may_begin_items(held.claim_confirmed_at, regained_at) {
+            let is_confirmed = may_begin_items(held.claim_confirmed_at, regained_at);
+            if !is_confirmed || held.time_left(now) < MIN_RUN_TIME {
                 continue;
             }
             if let Some(item) = held.next_waiting(now) {
-                ranked.push((held.start_rank(item, &self.run_times, millis), index));
+                ranked.push((held.start_rank(item, &self.run_times, millis, now), index));
             }
         }
         ranked.sort_unstable();
@@ -139,13 +139,12 @@
     fn start(&mut self, index: usize, item: usize, server: ServerId, now: Timestamp) {
         let held = &mut self.held[index];
         let stop = CancellationToken::new();
-        let left = held.head.given_up.saturating_sub(unix_millis());
         let run = ItemRun {
             item: held.items[item].item.clone(),
             host: held.head.host.clone(),
             customer: held.head.customer.clone(),
             progress: held.items[item].progress.clone(),
-            time_left: Duration::from_millis(left),
+            time_left: held.time_left(now),
             stop: stop.clone(),
         };
         held.items[item].phase = ItemPhase::Running {
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -107,9 +107,9 @@
             };
             held.is_writing_faults = true;
             let (node, sender) = (self.node.clone(), self.sender.clone());
-            let lot = held.id.clone();
+            let (lot, age) = (held.id.clone(), held.age_record(now));
             tokio::task::spawn_local(async move {
-                let answer = writer::write_faults(&node, &lot, claim, &counts).await;
+                let answer = writer::write_faults(&node, &lot, claim, &counts, age).await;
                 let _ = sender.send(WorkerEvent::Faults(lot, counts, answer));
             });
         }
@@ -142,12 +142,12 @@
             held.is_writing = true;
             let results = held.unwritten[..held.results_in_write].to_vec();
             let is_last = held.stored_results + results.len() >= held.head.total;
-            let mark = (!is_last).then(|| held.open_mark());
+            let progress = (!is_last).then(|| (held.open_mark(), held.age_record(now)));
             let (node, sender) = (self.node.clone(), self.sender.clone());
             let (lot, number) = (held.id.clone(), held.groups);
             tokio::task::spawn_local(async move {
                 let writing =
-                    writer::write_results(&node, &lot, claim, number, &results, mark.as_ref());
+                    writer::write_results(&node, &lot, claim, number, &results, progress.as_ref());
                 let answer = writing.await;
                 let _ = sender.send(WorkerEvent::Written(lot, answer));
             });
@@ -169,11 +169,13 @@
                 continue;
             }
             let held = self.held.remove(index);
-            self.report_stage(&held, LotStage::Left, self.node.clock.now());
+            let now = self.node.clock.now();
+            self.report_stage(&held, LotStage::Left, now);
             if let Some(claim) = held.claim {
                 let node = self.node.clone();
+                let age = held.age_record(now);
                 tokio::task::spawn_local(async move {
-                    writer::release(&node, &held.id, claim).await;
+                    writer::release(&node, &held.id, claim, Some(age)).await;
                     if let Some(successor) = held.successor {
                         node.assign_lot(&held.id, successor);
                     }
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use comfreyramp_policy::Timestamp;
 use comfreyramp_store::{
     Comparison, KeyRange, LeaseId, PlatformStore, RetryPolicy, Revision, StoreError,
     TransactionAnswer, Write, WriteBatch, WriteOnceOutcome, write_once,
@@ -10,7 +11,7 @@
 use super::{
     held_lot::HeldLot,
     keys,
-    records::{ClaimRecord, ItemFaults, OpenMark, from_json, to_json, to_packed},
+    records::{AgeRecord, ClaimRecord, ItemFaults, OpenMark, from_json, to_json, to_packed},
 };
 use crate::{dialect::Dialect, model::ItemResult, node::Node};
 
@@ -41,8 +42,12 @@
     Unknown,
 }
 
-/// Claims a lot and reads its records.
-pub(super) async fn claim_lot<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> ClaimAnswer {
+/// Claims a lot, which this daemon knows since `known_since`, and reads its records.
+pub(super) async fn claim_lot<D: Dialect>(
+    node: &Rc<Node<D>>,
+    lot: &str,
+    known_since: Timestamp,
+) -> ClaimAnswer {
     let Some(lease) = node.lease() else {
         return ClaimAnswer::Unknown;
     };
@@ -57,7 +62,7 @@
     let listed = match node.store.range(range, 0).await {
         Ok(listed) => listed,
         Err(error) => {
-            release(node, lot, revision).await;
+            release(node, lot, revision, None).await;
             return claim_unknown(node, lot, &error);
         }
     };
@@ -69,7 +74,7 @@
     if let Err(error) = taken {
         log::error!(lot = lot, error:% = error; "lots: a record is damaged");
     }
-    match HeldLot::load(lot, &listed.pairs, node.clock.now()) {
+    match HeldLot::load(lot, &listed.pairs, known_since, requested_at, now) {
         Ok(Some(mut held)) if !held.is_done() => {
             held.claim = Some(revision);
             held.lease = Some(lease.id);
@@ -165,15 +170,15 @@
     }
 }
 
-/// Writes a group of results and updates the lot's open mark. Once the lot has all its
-/// results, the mark and the claim are deleted instead.
+/// Writes a group of results and updates the lot's open mark and age. Once the lot has all
+/// its results, the mark and the claim are deleted instead.
 pub(super) async fn write_results<D: Dialect>(
     node: &Node<D>,
     lot: &str,
     claim: Revision,
     number: usize,
     results: &[ItemResult],
-    mark: Option<&OpenMark>,
+    progress: Option<&(OpenMark, AgeRecord)>,
 ) -> WriteAnswer {
     let claim_key = keys::claim(lot);
     let group_key = keys::group(lot, number);
@@ -182,12 +187,15 @@
         value: to_packed(&results),
         lease: None,
     }];
-    match mark {
-        Some(mark) => then.push(Write::Put {
-            key: keys::open(lot),
-            value: to_json(mark),
-            lease: None,
-        }),
+    match progress {
+        Some((mark, age)) => {
+            then.push(Write::Put {
+                key: keys::open(lot),
+                value: to_json(mark),
+                lease: None,
+            });
+            then.push(put_age(lot, *age));
+        }
         None => {
             then.push(Write::Delete(claim_key.clone()));
             then.push(Write::Delete(keys::open(lot)));
@@ -225,23 +233,28 @@
     }
 }
 
-/// Writes how often servers failed at the items of a lot. Repeating the write is harmless.
+/// Writes how often servers failed at the items of a lot, and its age. Repeating the write
+/// is harmless.
 pub(super) async fn write_faults<D: Dialect>(
     node: &Node<D>,
     lot: &str,
     claim: Revision,
     counts: &[ItemFaults],
+    age: AgeRecord,
 ) -> WriteAnswer {
     let batch = WriteBatch {
         when: vec![
             Comparison::ModifiedAt(keys::claim(lot), claim),
             Comparison::Absent(keys::end(lot)),
         ],
-        then: vec![Write::Put {
-            key: keys::faults(lot),
-            value: to_json(&counts),
-            lease: None,
-        }],
+        then: vec![
+            Write::Put {
+                key: keys::faults(lot),
+                value: to_json(&counts),
+                lease: None,
+            },
+            put_age(lot, age),
+        ],
         read_back: Vec::new(),
     };
     match node.store.transact(batch).await {
@@ -255,9 +268,25 @@
     }
 }
 
-/// Releases a claim. If this fails, the claim expires with its lease.
-pub(super) async fn release<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision) {
-    remove_claim(node, lot, claim, vec![Write::Delete(keys::claim(lot))]).await;
+/// Releases a claim, and writes the lot's age if it is known. If this fails, the claim
+/// expires with its lease.
+pub(super) async fn release<D: Dialect>(
+    node: &Node<D>,
+    lot: &str,
+    claim: Revision,
+    age: Option<AgeRecord>,
+) {
+    let mut then = vec![Write::Delete(keys::claim(lot))];
+    then.extend(age.map(|it| put_age(lot, it)));
+    remove_claim(node, lot, claim, then).await;
+}
+
+fn put_age(lot: &str, age: AgeRecord) -> Write {
+    Write::Put {
+        key: keys::age(lot),
+        value: to_json(&age),
+        lease: None,
+    }
 }
 
 /// Releases the claim on a lot that has nothing left to run, and deletes its open mark.
