Only a whole 500 counts as a failure of an item, and only a whole 422 ends it

Callers read items as given up although no server had failed at them as often as their route permits. Cause: each answer that was neither a success nor 422 counted as a failure, whatever its status, and the status was acted on before the body had been received. A 504 at a deadline, a 502, and a 500 or 422 that was cut off all counted; a server that breaks off its answers ended items.

A failure is now read to its end, and counts by its status only if it is whole; anything else is a run that broke off, which is retried with a backoff and keeps the events received so far. The connection isn't used again, as before: a server that answers twice would answer the item's next run, which has the same id, with the same failure.

Before: an_item_is_kept_where_servers_answer_with_other_failures (given up after 0.5 s of 4) and an_item_is_kept_where_failures_are_cut_off failed; both pass now. an_item_is_given_up_after_whole_answers passed before and does.

--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -57,7 +57,8 @@
     Failed,
     /// The item wasn't run, so that nothing counts against it.
     NotRun(ItemProgress),
-    /// The connection broke, or the server was silent for too long.
+    /// No whole answer was received that says how the run ended: the connection broke, the
+    /// server was silent for too long, or its status says nothing about the item.
     Broken(ItemProgress),
     /// The run was stopped by this daemon.
     Stopped(ItemProgress),
@@ -98,17 +99,35 @@
         Err(failure) if failure.may_have_run() => return ItemOutcome::Broken(run.progress),
         Err(_) => return ItemOutcome::NotRun(run.progress),
     };
-    if !open.head.status.is_success() {
-        log::info!(
-            item = id, server = node.servers.borrow().listing(open.guard.server).name,
-            status = open.head.status.as_u16(), framing = open.progress.framing.as_str();
-            "lots: a server answers an item with a failure"
-        );
+    match open.head.status.is_success() {
+        true => read_events(node, open, &mut run).await,
+        false => read_failure(node, open, run).await,
     }
+}
+
+/// Reads an answer without success to its end. Only a whole one says anything about the
+/// item, and its connection isn't used again: a server that answers twice would answer the
+/// item's next run with the same failure.
+async fn read_failure<D: Dialect>(
+    node: &Node<D>,
+    mut open: OpenAnswer<D>,
+    run: ItemRun,
+) -> ItemOutcome {
+    let reading = tokio::time::timeout(EVENT_TIMEOUT, open.skip_body());
+    let is_whole = tokio::select! {
+        read = reading => matches!(read, Ok(Ok(()))),
+        () = run.stop.cancelled() => return ItemOutcome::Stopped(run.progress),
+    };
+    log::info!(
+        item = run.item.id, server = node.servers.borrow().listing(open.guard.server).name,
+        status = open.head.status.as_u16(), framing = open.progress.framing.as_str(),
+        is_whole = is_whole;
+        "lots: a server answers an item with a failure"
+    );
     match open.head.status {
-        StatusCode::UNPROCESSABLE_ENTITY => ItemOutcome::Impossible,
-        status if status.is_success() => read_events(node, open, &mut run).await,
-        _ => ItemOutcome::Failed,
+        StatusCode::UNPROCESSABLE_ENTITY if is_whole => ItemOutcome::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR if is_whole => ItemOutcome::Failed,
+        _ => ItemOutcome::Broken(run.progress),
     }
 }
 
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -318,6 +318,21 @@
 }
 
 impl<D: Dialect> OpenAnswer<D> {
+    /// Reads the rest of the body and drops it.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AttemptFailure::Broken`] if the answer breaks off.
+    pub async fn skip_body(&mut self) -> Result<(), AttemptFailure> {
+        while let Some(frame) = self.body.frame().await {
+            if frame.is_err() {
+                self.guard.record_outcome(ServerOutcomeKind::Broken);
+                return Err(AttemptFailure::Broken);
+            }
+        }
+        Ok(())
+    }
+
     /// Reads the complete body of at most `limit` bytes.
     ///
     /// # Errors
