--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -45,18 +45,30 @@
         answer
     }
 
+    /// Returns a stream of events in one chunk.
+    pub fn stream(id: &str, events: &[u8]) -> Self {
+        let mut body = format!("{:x}\r\n", events.len()).into_bytes();
+        body.extend_from_slice(events);
+        body.extend_from_slice(b"\r\n0\r\n\r\n");
+        Self::framed(200, id, "transfer-encoding: chunked", &body)
+    }
+
     /// Returns a statement that the request with this id wasn't run.
     pub fn not_run(status: u16, id: &str) -> Self {
         Self::whole(status, id, b"").header("x-not-run", "1")
     }
 
     fn with_length(status: u16, id: &str, body: &[u8], length: usize) -> Self {
+        Self::framed(status, id, &format!("content-length: {length}"), body)
+    }
+
+    fn framed(status: u16, id: &str, framing: &str, body: &[u8]) -> Self {
         let mut bytes = format!("HTTP/1.1 {status} Scripted\r\n").into_bytes();
         if !id.is_empty() {
             bytes.extend_from_slice(format!("x-request-id: {id}\r\n").as_bytes());
         }
         bytes.extend_from_slice(b"x-response-signature: scripted\r\n");
-        bytes.extend_from_slice(format!("content-length: {length}\r\n\r\n").as_bytes());
+        bytes.extend_from_slice(format!("{framing}\r\n\r\n").as_bytes());
         bytes.extend_from_slice(body);
         ScriptedAnswer {
             bytes,
