The id of a server's answer is compared before anything in it is used

On routes whose requests may run once, requests ran at two servers; others were refused with a promise that nothing ran. Cause: whether the server states that it didn't run the request, and the load that it reports, were taken from an answer before its id was compared. On a reused connection a late answer to an earlier request arrives in place of the expected one: its "not run" was believed of the present request, which its server ran all the same.

The id is now compared first. An answer without an id is taken only for a statement that the request wasn't run, and only on a connection that carried no other request, where it can belong to none but this one.

Before: a_late_refusal_is_not_taken_for_one_of_the_present_request (503, 421, 429: two runs), a_late_refusal_without_an_id_is_not_taken_for_one_of_the_present_request and the_load_in_a_late_answer_is_not_taken failed; all pass now. Successes were compared before, so that no body of another request was passed on.

--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -242,31 +242,26 @@
     })?;
     let (head, mut body) = response.into_parts();
     let answer = <D::Servers as ServerDialect>::read_answer(&head);
+    // A late answer to an earlier request on the same connection may arrive in place of the
+    // expected one. Nothing in it is about this request or this moment. The connection is
+    // dropped, and with it whatever follows.
+    if !is_answer_to(&answer, request_id, connection.is_reused()) {
+        log::warn!(
+            request = request_id, answered:? = answer.request_id, status = head.status.as_u16(),
+            run:? = answer.run, reused = connection.is_reused();
+            "attempt: an answer to another request"
+        );
+        return Err(AttemptFailure::Broken);
+    }
     if let Some(report) = answer.report {
         let now = node.clock.now();
         node.servers.borrow_mut().report(guard.server, report, now);
     }
-    if answer.run != ExecutionStatus::Ran {
-        log::info!(
-            request = request_id, answered:? = answer.request_id,
-            status = head.status.as_u16(), reused = connection.is_reused();
-            "attempt: an answer says that its request wasn't run"
-        );
-    }
     match answer.run {
         ExecutionStatus::NotRun => return Err(AttemptFailure::NotRun),
         ExecutionStatus::Misdirected => return Err(AttemptFailure::Misdirected),
         ExecutionStatus::Ran => {}
     }
-    // A late answer to an earlier request on the same connection may arrive in place of the
-    // expected one. The connection is dropped, and with it whatever follows.
-    if answer.request_id.as_deref() != Some(request_id) {
-        log::warn!(
-            request = request_id, answered:? = answer.request_id, reused = connection.is_reused();
-            "attempt: an answer to another request"
-        );
-        return Err(AttemptFailure::Broken);
-    }
     let progress = AnswerProgress::new(BodyFraming::of(&method, &head));
     let first = read_first_bytes(&mut body).await?;
     let has_events = kind == AnswerKind::Events && head.status.is_success();
@@ -287,6 +282,16 @@
     })
 }
 
+/// Returns whether an answer belongs to a request. An answer without an id may be taken only
+/// for a statement that the request wasn't run, and only on a connection that carried no
+/// other request.
+fn is_answer_to(answer: &ServerAnswer, request_id: &str, is_reused: bool) -> bool {
+    match &answer.request_id {
+        Some(id) => id == request_id,
+        None => answer.run != ExecutionStatus::Ran && !is_reused,
+    }
+}
+
 fn address_of<D: Dialect>(node: &Node<D>, server: ServerId) -> Result<SocketAddr, AttemptFailure> {
     let servers = node.servers.borrow();
     let address = servers.listing(server).address.parse();
