A late answer doesn't count as a crash of its server at the present request

Cause: an answer to another request was recorded like an answer that broke off, and three of those make a request suspect; but it says nothing about the request that it arrives for. It is now a failure of its own, after which the request may have run as before; the server is still charged.

--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -103,6 +103,8 @@
     Misdirected,
     /// The request was sent, and no complete answer was received.
     Broken,
+    /// An answer to another request was received in place of the expected one.
+    ForeignAnswer,
     /// The answer ended with its connection before the first event.
     NoEvent,
     /// No answer was received in time.
@@ -112,7 +114,11 @@
 impl AttemptFailure {
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        self.is_broken_off() || self == AttemptFailure::TimedOut
+        self.is_broken_off()
+            || matches!(
+                self,
+                AttemptFailure::ForeignAnswer | AttemptFailure::TimedOut
+            )
     }
 
     /// Whether the server broke off while it may have run the request.
@@ -128,6 +134,7 @@
             AttemptFailure::NotRun => "not_run",
             AttemptFailure::Misdirected => "misdirected",
             AttemptFailure::Broken => "broken",
+            AttemptFailure::ForeignAnswer => "foreign_answer",
             AttemptFailure::NoEvent => "no_event",
             AttemptFailure::TimedOut => "timed_out",
         }
@@ -136,9 +143,10 @@
     fn outcome(self) -> Option<ServerOutcomeKind> {
         match self {
             AttemptFailure::Unreachable => Some(ServerOutcomeKind::Unreachable),
-            AttemptFailure::NotSent | AttemptFailure::Broken | AttemptFailure::NoEvent => {
-                Some(ServerOutcomeKind::Broken)
-            }
+            AttemptFailure::NotSent
+            | AttemptFailure::Broken
+            | AttemptFailure::ForeignAnswer
+            | AttemptFailure::NoEvent => Some(ServerOutcomeKind::Broken),
             AttemptFailure::NotRun => Some(ServerOutcomeKind::Full),
             AttemptFailure::Misdirected => Some(ServerOutcomeKind::Replaced),
             // Says nothing about the server, as the request may just take long.
@@ -251,7 +259,7 @@
             run:? = answer.run, reused = connection.is_reused();
             "attempt: an answer to another request"
         );
-        return Err(AttemptFailure::Broken);
+        return Err(AttemptFailure::ForeignAnswer);
     }
     if let Some(report) = answer.report {
         let now = node.clock.now();
