A route has to be gone, not just missing, before items are given up for it

Callers read items as given up before their retention had passed although their route was there. Cause: a daemon gave up all waiting items of a lot the moment that the settings it had lacked the lot's route. Operators who move a route may take it away in one version and add it in the next, and a daemon that is behind has settings from before the route was added.

The head of a lot now names the version of the settings that it was accepted with. Older settings say nothing about its route, and others have to lack it for 5 s. Routes that are gone for good still end their items.

Before: an_item_is_kept_while_its_route_is_missing_for_a_moment and an_item_is_kept_where_settings_are_older_than_its_lot failed; both pass now.

--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -320,6 +320,7 @@
         due,
         given_up: submitted + submission.terms.give_up_after.as_millis() as u64,
         route: submission.route.name.clone(),
+        settings: node.fleet().map_or(0, |it| it.settings.version),
     };
     let put = |key, value| Write::Put {
         key,
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -31,6 +31,11 @@
 /// Delay before an item is retried that its server failed at or didn't run.
 const FAULT_BACKOFF: Duration = Duration::from_millis(250);
 
+/// How long settings have to lack the route of a lot before its items are given up.
+/// Operators may move a route by taking it away in one version of the settings and adding it
+/// in another.
+const ROUTE_GRACE: Duration = Duration::from_secs(5);
+
 /// Execution state of an item.
 #[derive(Debug)]
 pub(super) enum ItemPhase {
@@ -65,6 +70,8 @@
     pub(super) items: Vec<HeldItem>,
     /// How long the lot has been kept, as far as this daemon can prove it.
     pub(super) age: LotAge,
+    /// Since when this daemon's settings lack the lot's route; `None` while they have it.
+    route_missing_since: Option<Timestamp>,
     /// Moment at which this daemon took the lot over.
     pub(super) held_since: Timestamp,
     /// Revision of the claim, or `None` while the lease is lost.
@@ -146,6 +153,7 @@
             head: from_json(head)?,
             items: items.collect(),
             age: LotAge::new(stored.age_ms, requested_at, known_since),
+            route_missing_since: None,
             held_since: now,
             claim: None,
             lease: None,
@@ -216,6 +224,22 @@
         items.filter(|it| !matches!(it.phase, ItemPhase::Ended))
     }
 
+    /// Records that the settings have the lot's route.
+    pub(super) fn note_route(&mut self) {
+        self.route_missing_since = None;
+    }
+
+    /// Records that settings of this version lack the lot's route, and returns whether its
+    /// operators have taken it away: the settings aren't older than those with which the lot
+    /// was accepted, and the route isn't missing just for a moment.
+    pub(super) fn note_missing_route(&mut self, version: u64, now: Timestamp) -> bool {
+        if version < self.head.settings {
+            return false;
+        }
+        let since = *self.route_missing_since.get_or_insert(now);
+        now.since(since) >= ROUTE_GRACE
+    }
+
     /// Returns the index of the next item that may run.
     pub(super) fn next_waiting(&self, now: Timestamp) -> Option<usize> {
         if self.is_closing {
--- a/crates/serving/src/lots/records.rs
+++ b/crates/serving/src/lots/records.rs
@@ -37,6 +37,10 @@
     /// Name of its route. It is empty for lots written by an earlier version.
     #[serde(default)]
     pub route: String,
+    /// Version of the settings of the daemon that accepted it. It is zero for lots written
+    /// by an earlier version.
+    #[serde(default)]
+    pub settings: u64,
 }
 
 impl LotHead {
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -83,14 +83,10 @@
                 let held = &self.held[index];
                 let path = &held.items[item].item.path;
                 let Some(route) = fleet.route(&held.head.host, path) else {
-                    log::info!(
-                        lot:% = held.id, route = held.head.route, path = path,
-                        settings = fleet.settings.version;
-                        "lots: its route is gone"
-                    );
-                    self.held[index].give_up_waiting("no route", now);
+                    self.on_missing_route(index, fleet.settings.version, now);
                     break;
                 };
+                self.held[index].note_route();
                 if full.iter().any(|it| Arc::ptr_eq(it, &route)) {
                     break;
                 }
@@ -103,6 +99,19 @@
         }
     }
 
+    /// Gives up the waiting items of a lot if its route was taken away.
+    fn on_missing_route(&mut self, index: usize, version: u64, now: Timestamp) {
+        let held = &mut self.held[index];
+        if held.note_missing_route(version, now) {
+            log::info!(
+                lot:% = held.id, route = held.head.route, accepted_with = held.head.settings,
+                settings = version;
+                "lots: its route is gone"
+            );
+            held.give_up_waiting("no route", now);
+        }
+    }
+
     /// Returns the indices of the lots with items that may start, in starting order.
     fn start_order(&self, now: Timestamp) -> Vec<usize> {
         let millis = unix_millis();
