A lot with an item that can't be sent is rejected at its submission

A lot was accepted although no request could be built of one of its items (a header's name or value, or a path, that HTTP doesn't permit), and the item was given up without any server having said that it can't be done. Such a lot is answered 400 now, which promises that no part of it runs. An item of the kind in a lot that an earlier version accepted is kept like others.

a_lot_with_an_item_that_cannot_be_sent_is_rejected failed before (202) and passes now; the other nine tests of given_up pass as before.

--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -15,7 +15,7 @@
 
 use comfreyramp_http::StatusCode;
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
-use fleet::{Fleet, HOST, item};
+use fleet::{CallerRequest, Fleet, HOST, item};
 use serde_json::{Value, json};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -265,3 +265,27 @@
     assert_eq!(page["results"][0]["state"], "dead_letter");
     assert!(written_at.elapsed() < LIST_INTERVAL + ROUTE_GRACE + MAX_DELAY);
 }
+
+/// An item of which no request can be built will never run, so its lot must be rejected at
+/// its submission instead of being accepted and given up.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_lot_with_an_item_that_cannot_be_sent_is_rejected() {
+    let fleet = Fleet::started().await;
+    for (number, (field, value)) in [
+        ("headers", json!({"bad name": "x"})),
+        ("headers", json!({"x-note": "line\nbreak"})),
+        ("path", json!("/lots/a b")),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let lot = format!("lot-bad-{number}");
+        let mut bad_item = item(&lot, 0, "one");
+        bad_item[field] = value;
+        let body = json!({"items": [bad_item]}).to_string();
+        let path = format!("/lots/{lot}");
+        let request = CallerRequest::post(&path, &lot, body.as_bytes());
+        let response = fleet.send(0, request).await.unwrap();
+        assert_eq!(response.status(), StatusCode::BAD_REQUEST, "{lot}");
+    }
+}
--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -17,9 +17,9 @@
 };
 use crate::{
     clock::unix_millis,
-    dialect::{CallerDialect, Dialect},
+    dialect::{CallerDialect, Dialect, ServerDialect},
     fleet::KnownCustomer,
-    model::{LotTerms, NewLot, Refusal, RefusalCause, RouteSettings},
+    model::{LotItem, LotTerms, NewLot, Refusal, RefusalCause, RequestMetadata, RouteSettings},
     node::Node,
     path::AnswerBody,
 };
@@ -77,6 +77,7 @@
     if !is_fit || lot.items.is_empty() {
         return Err(RefusalCause::BadRequest.into());
     }
+    check_items::<D>(&submission, &lot)?;
     let id = submission.lot.clone();
     let accepted = || Ok(<D::Callers as CallerDialect>::lot_accepted().map(AnswerBody::whole));
     if node
@@ -104,6 +105,32 @@
     }
 }
 
+/// Checks that a request can be built of each item. One of which none can would never run.
+fn check_items<D: Dialect>(submission: &Submission, lot: &NewLot) -> Result<(), Refusal> {
+    let metadata = RequestMetadata {
+        server: "",
+        customer: Some(&submission.customer.settings.name),
+        time_left: submission.terms.give_up_after,
+        last_event: None,
+    };
+    for item in &lot.items {
+        let head = LotItem {
+            id: item.id.clone(),
+            path: item.path.clone(),
+            headers: item.headers.clone(),
+            body: Vec::new(),
+            tokens: item.tokens,
+        };
+        let host = &submission.route.host;
+        let request = <D::Servers as ServerDialect>::item_request(&head, host, &metadata);
+        request.map_err(|error| {
+            log::info!(lot = submission.lot, item = item.id, error:% = error; "lots: no valid request can be built from an item");
+            RefusalCause::BadRequest
+        })?;
+    }
+    Ok(())
+}
+
 /// How the attempt to accept a lot ended.
 #[derive(Debug)]
 enum AcceptOutcome {
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -84,7 +84,7 @@
         Ok(request) => request.map(Full::new),
         Err(error) => {
             log::warn!(item = run.item.id, error:% = error; "lots: no valid request can be built from an item");
-            return ItemOutcome::Impossible;
+            return ItemOutcome::Broken(run.progress);
         }
     };
     let id = &run.item.id;
