--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -289,3 +289,41 @@
         assert_eq!(response.status(), StatusCode::BAD_REQUEST, "{lot}");
     }
 }
+
+/// The end of a connection doesn't show that a failure without a length is whole, so such a
+/// failure must not count as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_is_kept_where_failures_end_with_their_connections() {
+    for status in [500, 422] {
+        let script = move |it: &ScriptedRequest| {
+            ScriptedAnswer::until_close(status, it.request.id(), body_of_failure())
+        };
+        let fleet = ScriptedFleet::start(script).await;
+        let (after, result) = fleet.run_item("lot-closes").await;
+        assert_kept(after, &result);
+    }
+}
+
+/// An item whose path no route matches must neither be given up while the route of its lot
+/// is there, nor keep the other items of the lot from running.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_outside_the_prefix_of_its_route_does_not_end_its_lot() {
+    let fleet = Fleet::started().await;
+    let mut outside = item("lot-outside", 0, "one");
+    outside["path"] = json!("/elsewhere/1");
+    let body = json!({"items": [outside, item("lot-outside", 1, "two")]}).to_string();
+    let request = CallerRequest::post("/lots/lot-outside", "lot-outside", body.as_bytes());
+    let status = fleet.send(0, request).await.unwrap().status();
+    if status == StatusCode::BAD_REQUEST {
+        return;
+    }
+    assert_eq!(status, StatusCode::ACCEPTED);
+    tokio::time::sleep(ROUTE_GRACE + LIST_INTERVAL + Duration::from_secs(1)).await;
+    let page = fleet.read_lot(0, "lot-outside", 0).await.unwrap();
+    let results = page["results"].as_array().unwrap();
+    assert!(
+        results.iter().all(|it| it["state"] == "done"),
+        "given up although the route is there: {results:?}"
+    );
+    assert!(!results.is_empty(), "no item was run");
+}
--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -45,6 +45,14 @@
         answer
     }
 
+    /// Returns an answer with neither a length nor chunks, whose body ends with its
+    /// connection.
+    pub fn until_close(status: u16, id: &str, body: &[u8]) -> Self {
+        let mut answer = Self::framed(status, id, "x-framing: none", body);
+        answer.closes = true;
+        answer
+    }
+
     /// Returns a stream of events in one chunk.
     pub fn stream(id: &str, events: &[u8]) -> Self {
         let mut body = format!("{:x}\r\n", events.len()).into_bytes();
