--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -327,3 +327,30 @@
     );
     assert!(!results.is_empty(), "no item was run");
 }
+
+/// Daemons that can't reach the store don't learn that a route is back, so the time that
+/// passes meanwhile must not count as time for which the route is missing.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_is_kept_while_its_route_may_be_back_unnoticed() {
+    let mut fleet = ScriptedFleet::start(stream).await;
+    fleet.fleet.put_without_route(Some("/lots/"));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    lot_without_route("lot-cut-off", 0).write(&fleet.fleet);
+    let claim = "lots/claim/lot-cut-off";
+    let store = fleet.fleet.store.clone();
+    fleet
+        .fleet
+        .eventually("the lot is claimed", async || !store.keys(claim).is_empty())
+        .await;
+    let reject = |fleet: &Fleet, is_on| {
+        for daemon in &fleet.daemons {
+            daemon.store_endpoint.faults.set_rejecting(is_on);
+        }
+    };
+    reject(&fleet.fleet, true);
+    fleet.fleet.put_without_route(None);
+    tokio::time::sleep(ROUTE_GRACE + Duration::from_secs(1)).await;
+    reject(&fleet.fleet, false);
+    let page = fleet.fleet.read_finished_lot(0, "lot-cut-off").await;
+    assert_eq!(page["results"][0]["state"], "done");
+}
--- a/crates/node/tests/late_answers.rs
+++ b/crates/node/tests/late_answers.rs
@@ -168,3 +168,19 @@
     }
     assert!(fleet.reused() > 0, "no connection was reused");
 }
+
+/// Callers choose the ids of their requests, so that two requests may have the same. A late
+/// answer to the first must not be passed on as that to the second.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_is_not_passed_on_to_a_request_with_the_same_id() {
+    let script = |it: &ScriptedRequest| match &it.previous_id {
+        Some(id) => ScriptedAnswer::stream(id, b"id: 1\ndata: late\n\n").then(&whole(it)),
+        None => whole(it),
+    };
+    let fleet = LateFleet::start(true, script).await;
+    for _ in 0..ROUNDS {
+        let request = CallerRequest::post("/once/1", "same", b"verse");
+        let response = fleet.fleet.send(0, request).await.unwrap();
+        assert!(!response.body().windows(4).any(|it| it == b"late"));
+    }
+}
