Each item loses its route by itself, and only by settings that are current

Found by review. The path of one item that no route matches ended all waiting items of its lot, and kept them from running for 5 s, although the lot's route was there. And the 5 s for which a route had to be missing also passed while the daemon couldn't reach the store, so that a route that was back stayed unseen; an absence that had ended unobserved was continued by the next one.

An item runs on the route that its path matches, else on the route of its lot, as the platform's pages have it. Where there is neither, that item alone waits and is looked at again every 0.5 s. RouteAbsence counts an absence only by settings at least as new as the lot, while the store answers, and without gaps. Ruled out: the age of the settings as evidence, since a watch that waits through a calm time confirms nothing for longer than 5 s (an_item_whose_route_is_gone_is_given_up failed with it).

Before: an_item_outside_the_prefix_of_its_route_does_not_end_its_lot and an_item_is_kept_while_its_route_may_be_back_unnoticed failed; both pass now, and so do the other route tests and the five of policy/route_absence.

--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -15,6 +15,8 @@
 //! - [`TokenLedger`] bounds the tokens of a customer's lots that wait on a route.
 //! - [`choose_runner`] gives an accepted lot to a daemon that has less to do.
 //! - [`LotAge`] proves how long the items of a lot have been kept.
+//! - [`RouteAbsence`] tells a route that was taken away from one that is missing for a
+//!   moment.
 //! - [`HeldSize`] bounds the lots that a daemon holds at once.
 //! - [`ResultGrouping`] decides when a group of results is written.
 //!
@@ -29,6 +31,7 @@
 mod lot_forecast;
 mod lot_ranking;
 mod result_grouping;
+mod route_absence;
 mod runner_choice;
 mod segment_choice;
 mod start_order;
@@ -43,6 +46,7 @@
 pub use lot_forecast::{LotForecast, PaceMeter};
 pub use lot_ranking::{LotKey, LotRanking, RankedLot};
 pub use result_grouping::ResultGrouping;
+pub use route_absence::{RouteAbsence, RouteObservation};
 pub use runner_choice::{RunnerLoad, choose_handover_target, choose_runner};
 pub use segment_choice::SegmentChoice;
 pub use start_order::{ItemTimes, RunTimeEstimate, StartRank};
--- a/crates/serving/src/fleet/fleet_view.rs
+++ b/crates/serving/src/fleet/fleet_view.rs
@@ -72,6 +72,13 @@
         matching.next().cloned()
     }
 
+    /// Returns the route of a host that has this name.
+    pub fn route_named(&self, host: &str, name: &str) -> Option<Arc<RouteSettings>> {
+        let mut routes = self.routes.iter();
+        let route = routes.find(|it| it.host == host && it.name == name);
+        route.cloned()
+    }
+
     /// Returns whether any route has this host.
     pub fn knows_host(&self, host: &str) -> bool {
         self.routes
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    lots::{ItemTimes, LotAge, RunTimeEstimate, StartRank},
+    lots::{ItemTimes, LotAge, RouteAbsence, RouteObservation, RunTimeEstimate, StartRank},
     usage::PeerId,
 };
 use comfreyramp_store::{KeyValue, LeaseId, Revision};
@@ -31,10 +31,8 @@
 /// Delay before an item is retried that its server failed at or didn't run.
 const FAULT_BACKOFF: Duration = Duration::from_millis(250);
 
-/// How long settings have to lack the route of a lot before its items are given up.
-/// Operators may move a route by taking it away in one version of the settings and adding it
-/// in another.
-const ROUTE_GRACE: Duration = Duration::from_secs(5);
+/// Delay before an item is looked at again whose route is missing.
+const ROUTE_BACKOFF: Duration = Duration::from_millis(500);
 
 /// Execution state of an item.
 #[derive(Debug)]
@@ -56,6 +54,7 @@
     pub(super) item: Rc<LotItem>,
     pub(super) phase: ItemPhase,
     pub(super) progress: ItemProgress,
+    route_absence: RouteAbsence,
     faults: u32,
     /// Number of faults of this item that the store has recorded.
     recorded_faults: u32,
@@ -70,8 +69,6 @@
     pub(super) items: Vec<HeldItem>,
     /// How long the lot has been kept, as far as this daemon can prove it.
     pub(super) age: LotAge,
-    /// Since when this daemon's settings lack the lot's route; `None` while they have it.
-    route_missing_since: Option<Timestamp>,
     /// Moment at which this daemon took the lot over.
     pub(super) held_since: Timestamp,
     /// Revision of the claim, or `None` while the lease is lost.
@@ -153,7 +150,6 @@
             head: from_json(head)?,
             items: items.collect(),
             age: LotAge::new(stored.age_ms, requested_at, known_since),
-            route_missing_since: None,
             held_since: now,
             claim: None,
             lease: None,
@@ -224,20 +220,26 @@
         items.filter(|it| !matches!(it.phase, ItemPhase::Ended))
     }
 
-    /// Records that the settings have the lot's route.
-    pub(super) fn note_route(&mut self) {
-        self.route_missing_since = None;
-    }
-
-    /// Records that settings of this version lack the lot's route, and returns whether its
-    /// operators have taken it away: the settings aren't older than those with which the lot
-    /// was accepted, and the route isn't missing just for a moment.
-    pub(super) fn note_missing_route(&mut self, version: u64, now: Timestamp) -> bool {
-        if version < self.head.settings {
-            return false;
+    /// Records whether the settings have the route of a waiting item. One without a route
+    /// waits, and is given up once the route was taken away.
+    pub(super) fn observe_route(
+        &mut self,
+        index: usize,
+        observation: RouteObservation,
+        now: Timestamp,
+    ) {
+        let item = &mut self.items[index];
+        if item.route_absence.observe(observation, now) {
+            log::info!(
+                lot:% = self.id, item = item.item.id, route = self.head.route,
+                path = item.item.path, accepted_with = observation.accepted_version,
+                settings = observation.version;
+                "lots: its route is gone"
+            );
+            self.give_up_item(index, "no route", now);
+        } else if !observation.is_known {
+            item.phase = ItemPhase::Waiting(now + ROUTE_BACKOFF);
         }
-        let since = *self.route_missing_since.get_or_insert(now);
-        now.since(since) >= ROUTE_GRACE
     }
 
     /// Returns the index of the next item that may run.
@@ -473,6 +475,7 @@
                 false => ItemPhase::Waiting(now),
             },
             progress: ItemProgress::default(),
+            route_absence: RouteAbsence::default(),
             faults,
             recorded_faults: faults,
             breaks: 0,
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    lots::{StartRank, may_begin_items},
+    lots::{RouteObservation, StartRank, may_begin_items},
     placement::{PlacementQuery, PreemptionOrder, WorkKind},
 };
 use tokio_util::sync::CancellationToken;
@@ -73,6 +73,7 @@
         let Some(fleet) = self.node.fleet() else {
             return;
         };
+        let silence = self.node.time_since_store_answer();
         // Hundreds of lots may wait, so a route without a free slot is queried only once.
         let mut full: Vec<Arc<RouteSettings>> = Vec::new();
         for index in self.start_order(now) {
@@ -80,13 +81,20 @@
                 let Some(item) = self.held[index].next_waiting(now) else {
                     break;
                 };
-                let held = &self.held[index];
-                let path = &held.items[item].item.path;
-                let Some(route) = fleet.route(&held.head.host, path) else {
-                    self.on_missing_route(index, fleet.settings.version, now);
-                    break;
+                let head = &self.held[index].head;
+                let path = &self.held[index].items[item].item.path;
+                let route = fleet.route(&head.host, path);
+                let route = route.or_else(|| fleet.route_named(&head.host, &head.route));
+                let observation = RouteObservation {
+                    is_known: route.is_some(),
+                    version: fleet.settings.version,
+                    accepted_version: head.settings,
+                    store_silence: silence.unwrap_or(Duration::MAX),
+                };
+                self.held[index].observe_route(item, observation, now);
+                let Some(route) = route else {
+                    continue;
                 };
-                self.held[index].note_route();
                 if full.iter().any(|it| Arc::ptr_eq(it, &route)) {
                     break;
                 }
@@ -99,19 +107,6 @@
         }
     }
 
-    /// Gives up the waiting items of a lot if its route was taken away.
-    fn on_missing_route(&mut self, index: usize, version: u64, now: Timestamp) {
-        let held = &mut self.held[index];
-        if held.note_missing_route(version, now) {
-            log::info!(
-                lot:% = held.id, route = held.head.route, accepted_with = held.head.settings,
-                settings = version;
-                "lots: its route is gone"
-            );
-            held.give_up_waiting("no route", now);
-        }
-    }
-
     /// Returns the indices of the lots with items that may start, in starting order.
     fn start_order(&self, now: Timestamp) -> Vec<usize> {
         let millis = unix_millis();
