A failure that ends with its connection isn't known to be whole

Found by review: a 500 or 422 with neither length nor chunks counted as whole at the ordinary close of its connection, which is also how a server ends that broke off; the item was given up after 0.4 s of 4.

A failure that isn't known to be whole counts for nothing now, however it is framed. Since the item may be one that really fails, it is run again after 1 s, 8 s and 64 s only, instead of four times within half a second: an item that can never be done may reach servers three times.

--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -23,6 +23,10 @@
 const LOT_DAEMON: usize = 2;
 /// How long items are kept.
 const RETENTION: Duration = Duration::from_secs(4);
+/// How long items are kept whose retries take long.
+const LONG_RETENTION: Duration = Duration::from_secs(10);
+/// How often an item that can never be done may be run.
+const MAX_IMPOSSIBLE_RUNS: usize = 3;
 /// How often a server may fail at an item, according to the routes in the fleet's settings.
 const ATTEMPTS: usize = 2;
 /// How often a daemon lists the open lots.
@@ -42,9 +46,17 @@
 impl ScriptedFleet {
     async fn start(
         script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
+    ) -> ScriptedFleet {
+        Self::start_with(RETENTION, script).await
+    }
+
+    /// Starts a fleet that keeps items for `retention`.
+    async fn start_with(
+        retention: Duration,
+        script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
     ) -> ScriptedFleet {
         let mut fleet = Fleet::started().await;
-        fleet.put_retention(RETENTION.as_secs());
+        fleet.put_retention(retention.as_secs());
         let stop = CancellationToken::new();
         let server = ScriptedServer::start("scripted-1", script, stop.clone());
         let server = server.await.unwrap();
@@ -78,9 +90,13 @@
 }
 
 fn assert_kept(after: Duration, result: &Value) {
+    assert_kept_for(RETENTION, after, result);
+}
+
+fn assert_kept_for(retention: Duration, after: Duration, result: &Value) {
     assert_eq!(result["state"], "dead_letter");
-    assert!(after >= RETENTION, "given up after {after:?}");
-    assert!(after < RETENTION + MAX_DELAY, "given up after {after:?}");
+    assert!(after >= retention, "given up after {after:?}");
+    assert!(after < retention + MAX_DELAY, "given up after {after:?}");
 }
 
 fn body_of_failure() -> &'static [u8] {
@@ -110,17 +126,20 @@
     }
 }
 
-/// A failure whose answer is cut off is no answer, and must not count as one.
+/// A failure whose answer is cut off is no answer, and must not count as one. The item may
+/// still be one that fails at each run, so it must not be run often.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_item_is_kept_where_failures_are_cut_off() {
     for status in [500, 422] {
         let script = move |it: &ScriptedRequest| {
             ScriptedAnswer::cut(status, it.request.id(), body_of_failure())
         };
-        let fleet = ScriptedFleet::start(script).await;
+        let fleet = ScriptedFleet::start_with(LONG_RETENTION, script).await;
         let (after, result) = fleet.run_item("lot-cut").await;
-        assert_kept(after, &result);
-        assert!(fleet.server.requests().len() > ATTEMPTS);
+        assert_kept_for(LONG_RETENTION, after, &result);
+        let runs = fleet.server.requests().len();
+        assert!(runs > ATTEMPTS, "{status}: {runs} runs");
+        assert!(runs <= MAX_IMPOSSIBLE_RUNS, "{status}: {runs} runs");
     }
 }
 
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -31,6 +31,10 @@
 /// Delay before an item is retried that its server failed at or didn't run.
 const FAULT_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Delay before an item is retried after its first failure that isn't known to be whole, and
+/// by how much it grows with each. The item may really fail, so it isn't run often.
+const UNPROVEN_BACKOFF: Duration = Duration::from_secs(1);
+const UNPROVEN_BACKOFF_FACTOR: u32 = 8;
 /// Delay before an item is looked at again whose route is missing.
 const ROUTE_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -59,6 +63,8 @@
     /// Number of faults of this item that the store has recorded.
     recorded_faults: u32,
     breaks: u32,
+    /// Number of failures whose answers weren't known to be whole.
+    unproven: u32,
 }
 
 /// A lot that this daemon runs, with the state of its items and of its writes.
@@ -340,6 +346,12 @@
                     self.give_up_item(index, "failed too often", now);
                 }
             }
+            ItemOutcome::FailedUnproven(progress) => {
+                let pause = UNPROVEN_BACKOFF * UNPROVEN_BACKOFF_FACTOR.pow(item.unproven.min(3));
+                item.unproven += 1;
+                item.progress = progress;
+                item.phase = ItemPhase::Waiting(now + pause);
+            }
             ItemOutcome::NotRun(progress) => {
                 item.progress = progress;
                 item.phase = ItemPhase::Waiting(now + FAULT_BACKOFF);
@@ -479,6 +491,7 @@
             faults,
             recorded_faults: faults,
             breaks: 0,
+            unproven: 0,
         }
     }
 }
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -2,7 +2,9 @@
 
 use std::{rc::Rc, time::Duration};
 
-use comfreyramp_http::{AnswerEnd, AnswerProgress, EventSplitter, event_id, event_text};
+use comfreyramp_http::{
+    AnswerEnd, AnswerProgress, BodyFraming, EventSplitter, event_id, event_text,
+};
 use comfreyramp_policy::placement::ServerOutcomeKind;
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
@@ -55,6 +57,8 @@
     Impossible,
     /// The server ran the item and failed.
     Failed,
+    /// The server reports one or the other, but its answer isn't known to be whole.
+    FailedUnproven(ItemProgress),
     /// The item wasn't run, so that nothing counts against it.
     NotRun(ItemProgress),
     /// No whole answer was received that says how the run ended: the connection broke, the
@@ -113,9 +117,12 @@
     mut open: OpenAnswer<D>,
     run: ItemRun,
 ) -> ItemOutcome {
+    // An ordinary close at the end of a body without a length may also be that of a server
+    // that broke off.
+    let is_delimited = open.progress.framing != BodyFraming::ConnectionClose;
     let reading = tokio::time::timeout(EVENT_TIMEOUT, open.skip_body());
     let is_whole = tokio::select! {
-        read = reading => matches!(read, Ok(Ok(()))),
+        read = reading => is_delimited && matches!(read, Ok(Ok(()))),
         () = run.stop.cancelled() => return ItemOutcome::Stopped(run.progress),
     };
     log::info!(
@@ -127,6 +134,9 @@
     match open.head.status {
         StatusCode::UNPROCESSABLE_ENTITY if is_whole => ItemOutcome::Impossible,
         StatusCode::INTERNAL_SERVER_ERROR if is_whole => ItemOutcome::Failed,
+        StatusCode::UNPROCESSABLE_ENTITY | StatusCode::INTERNAL_SERVER_ERROR => {
+            ItemOutcome::FailedUnproven(run.progress)
+        }
         _ => ItemOutcome::Broken(run.progress),
     }
 }
@@ -234,6 +244,7 @@
     pub(super) fn events(&self) -> u32 {
         match self {
             ItemOutcome::Done(progress)
+            | ItemOutcome::FailedUnproven(progress)
             | ItemOutcome::NotRun(progress)
             | ItemOutcome::Broken(progress)
             | ItemOutcome::Stopped(progress) => progress.events,
@@ -247,6 +258,7 @@
             ItemOutcome::Done(_) => "done",
             ItemOutcome::Impossible => "impossible",
             ItemOutcome::Failed => "failed",
+            ItemOutcome::FailedUnproven(_) => "failed_unproven",
             ItemOutcome::NotRun(_) => "not_run",
             ItemOutcome::Broken(_) => "broken",
             ItemOutcome::Stopped(_) => "stopped",
