--- a/crates/serving/tests/lot_cache.rs
+++ b/crates/serving/tests/lot_cache.rs
@@ -5,6 +5,8 @@
     reason = "a test fails where its records are invalid"
 )]
 
+use std::net::SocketAddr;
+
 use comfreyramp_policy::Timestamp;
 use comfreyramp_serving::{
     lots::LotCache,
@@ -137,3 +139,25 @@
     assert!(cache.add_stored(LOT, &whole, now, now).unwrap());
     assert_eq!(ids(&cache), ["a", "b", "c", "d"]);
 }
+
+/// A daemon's answer to an earlier request, for another lot, must not be added to a copy: a
+/// caller would read items of another lot, which may be another customer's.
+#[test]
+fn what_another_daemon_sends_of_another_lot_is_not_added() {
+    let now = Timestamp::ZERO;
+    let daemon = SocketAddr::from(([127, 0, 0, 1], 1));
+    let sender = with_one_group();
+    let sent = || sender.for_peer(LOT, 0).unwrap();
+    let mut cache = LotCache::default();
+    assert!(!cache.add_sent("lot-2", sent(), daemon, now, now));
+    assert!(cache.get("lot-2").is_none());
+    assert!(
+        cache
+            .add_stored("lot-2", &[head("lot-2")], now, now)
+            .unwrap()
+    );
+    assert!(!cache.add_sent("lot-2", sent(), daemon, now, now));
+    assert!(cache.get("lot-2").unwrap().results.is_empty());
+    assert!(cache.add_sent(LOT, sent(), daemon, now, now));
+    assert_eq!(ids(&cache), ["a", "b"]);
+}
