A daemon's answer about a lot names the lot

What one daemon sent another of a lot bore no id, so that an answer about another lot would have been added to the copy: a caller would have read items of another lot, perhaps of another customer. The answer now names its lot and is left out if it isn't the one requested; the store is read instead. An answer of an older version names none and is left out too, so that while a fleet is upgraded some reads go to the store.

Found by reading; how a daemon's answer could get there wasn't shown. Before: what_another_daemon_sends_of_another_lot_is_not_added failed; it passes now.

--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -158,6 +158,10 @@
 /// A lot as one daemon sends it to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct SentLot {
+    /// Id of the lot; empty in an answer of an older version, which can't be told from one
+    /// about another lot.
+    #[serde(default)]
+    lot: String,
     head: LotHead,
     /// Position of the first result that is sent.
     after: usize,
@@ -250,6 +254,7 @@
     pub fn for_peer(&self, lot: &str, after: usize) -> Option<SentLot> {
         let known = self.get(lot)?;
         Some(SentLot {
+            lot: lot.to_owned(),
             head: known.head.clone(),
             after,
             results: known.results.get(after..)?.to_vec(),
@@ -259,7 +264,7 @@
     }
 
     /// Adds what a daemon sent that knows all results of the lot, requested at
-    /// `requested_at`. Returns whether it fits the copy here.
+    /// `requested_at`. Returns whether it is of this lot and fits the copy here.
     pub fn add_sent(
         &mut self,
         lot: &str,
@@ -268,6 +273,10 @@
         requested_at: Timestamp,
         now: Timestamp,
     ) -> bool {
+        if sent.lot != lot {
+            log::warn!(lot = lot, sent = sent.lot, daemon:% = daemon; "lots: a daemon sends another lot");
+            return false;
+        }
         let index = match self.index_of(lot) {
             Ok(index) => index,
             Err(index) if sent.after == 0 => {
