--- a/crates/node/tests/lot_faults.rs
+++ b/crates/node/tests/lot_faults.rs
@@ -8,15 +8,28 @@
 
 mod fleet;
 
-use std::time::Duration;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use comfreyramp_http::StatusCode;
+use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use fleet::Fleet;
+use serde_json::Value;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// The index of the only daemon that runs lots.
 const LOT_DAEMON: usize = 2;
 /// How often a server may fail at an item, according to the routes in the fleet's settings.
 const ATTEMPTS: usize = 2;
+/// How long the scripted engine takes for its answer.
+const RUN_TIME: Duration = Duration::from_millis(400);
+/// How long the claim of a daemon that is silent holds, and a bit more.
+const CLAIM_TERM: Duration = Duration::from_millis(4_500);
 
 /// An item fails on every server, and the daemon that runs its lot is lost after each
 /// failure. If its successor didn't know of the failures and started counting anew, the
@@ -48,3 +61,201 @@
     let arrivals: usize = fleet.servers.iter().map(|it| it.arrivals().len()).sum();
     assert_eq!(arrivals, ATTEMPTS);
 }
+
+/// A fleet whose only engine fails at the first run of an item and does each later one.
+struct FailingFleet {
+    fleet: Fleet,
+    server: Arc<ScriptedServer>,
+    _stop: DropGuard,
+}
+
+impl FailingFleet {
+    /// Starts the fleet with `lot_daemons` daemons that run lots.
+    async fn start(lot_daemons: usize) -> FailingFleet {
+        let mut fleet = Fleet::started().await;
+        for number in 2..=lot_daemons {
+            let name = format!("lots-{number}");
+            fleet.add_daemon(&name, "zone-2", false).await;
+        }
+        let stop = CancellationToken::new();
+        let runs = AtomicUsize::new(0);
+        let script = move |it: &ScriptedRequest| {
+            let id = it.request.id();
+            let answer = match runs.fetch_add(1, Ordering::SeqCst) {
+                0 => ScriptedAnswer::whole(500, id, b"the server failed"),
+                _ => ScriptedAnswer::stream(id, b"id: 1\ndata: a\n\n"),
+            };
+            answer.delayed(RUN_TIME)
+        };
+        let server = ScriptedServer::start("scripted-1", script, stop.clone());
+        let server = server.await.unwrap();
+        server.register("drafts", "zone-1", &fleet.store);
+        for engine in &fleet.servers[..2] {
+            engine.register(&fleet.store, "draining");
+        }
+        // All daemons follow the list of servers.
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        FailingFleet {
+            fleet,
+            server,
+            _stop: stop.drop_guard(),
+        }
+    }
+
+    /// Submits a lot of one item and waits until its first run has begun. Returns the index
+    /// of the daemon that runs the lot.
+    async fn begin_lot(&self, lot: &str) -> usize {
+        let status = self.fleet.submit_lot(0, lot, &["one"]).await;
+        assert_eq!(status, Ok(StatusCode::ACCEPTED));
+        self.until_runs(1).await;
+        let claims = self.fleet.store.keys(&format!("lots/claim/{lot}"));
+        let claim: Value = serde_json::from_slice(&claims[0].value).unwrap();
+        match claim["daemon"].as_str().unwrap() {
+            "lots-1" => LOT_DAEMON,
+            _ => LOT_DAEMON + 1,
+        }
+    }
+
+    async fn until_runs(&self, runs: usize) {
+        self.fleet
+            .eventually("a run of the item begins", async || {
+                self.server.requests().len() >= runs
+            })
+            .await;
+    }
+
+    /// Asserts that the item is done in its second run: its failure was counted once at most.
+    async fn assert_done(&self, lot: &str) {
+        let page = self.fleet.read_finished_lot(0, lot).await;
+        assert_eq!(page["results"][0]["state"], "done");
+    }
+
+    /// Returns how often the item failed, according to the store; `None` before any count.
+    fn stored_faults(&self, lot: &str) -> Option<u64> {
+        let counts = self.fleet.store.keys(&format!("lots/data/{lot}/faults"));
+        let counts: Value = serde_json::from_slice(&counts.first()?.value).unwrap();
+        counts[0]["faults"].as_u64()
+    }
+}
+
+/// A failure that reaches a daemon while its process is paused must not be counted by it and
+/// by the daemon that took its lot over, whether it resumes before that or after.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_at_a_paused_daemon_is_counted_once() {
+    for pause in [RUN_TIME * 2, CLAIM_TERM] {
+        let fleet = FailingFleet::start(2).await;
+        let daemon = fleet.begin_lot("lot-p").await;
+        fleet.fleet.pause(daemon);
+        tokio::time::sleep(pause).await;
+        fleet.fleet.resume(daemon);
+        fleet.assert_done("lot-p").await;
+    }
+}
+
+/// The same where the daemon resumes while the other runs the item, and where that is paused
+/// in turn, so that the lot comes back.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_between_daemons_that_pause_in_turn_is_counted_once() {
+    for comes_back in [false, true] {
+        let fleet = FailingFleet::start(2).await;
+        let daemon = fleet.begin_lot("lot-t").await;
+        let other = match daemon {
+            LOT_DAEMON => LOT_DAEMON + 1,
+            _ => LOT_DAEMON,
+        };
+        fleet.fleet.pause(daemon);
+        fleet.until_runs(2).await;
+        if comes_back {
+            fleet.fleet.pause(other);
+        }
+        fleet.fleet.resume(daemon);
+        if comes_back {
+            fleet.until_runs(3).await;
+            fleet.fleet.resume(other);
+        }
+        fleet.assert_done("lot-t").await;
+    }
+}
+
+/// A write of counts whose answer is lost is repeated, which must not add to the counts.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_whose_count_gets_no_answer_is_counted_once() {
+    let fleet = FailingFleet::start(1).await;
+    let daemon = fleet.begin_lot("lot-a").await;
+    fleet.fleet.daemons[daemon]
+        .store_endpoint
+        .faults
+        .lose_answers(3);
+    fleet.until_runs(2).await;
+    assert_eq!(fleet.stored_faults("lot-a"), Some(1));
+    fleet.assert_done("lot-a").await;
+}
+
+/// The same where the store makes the writes only later, while the daemon goes on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_whose_count_is_written_late_is_counted_once() {
+    let fleet = FailingFleet::start(1).await;
+    let daemon = fleet.begin_lot("lot-d").await;
+    let faults = &fleet.fleet.daemons[daemon].store_endpoint.faults;
+    faults.delay_writes(1, Duration::from_millis(1_200));
+    fleet.until_runs(2).await;
+    assert_eq!(fleet.stored_faults("lot-d"), Some(1));
+    fleet.assert_done("lot-d").await;
+}
+
+/// A count that the store writes while its daemon is lost must not be added to by the daemon
+/// that takes the lot over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_whose_daemon_is_lost_after_its_count_is_counted_once() {
+    for is_late in [false, true] {
+        let mut fleet = FailingFleet::start(2).await;
+        let daemon = fleet.begin_lot("lot-k").await;
+        let faults = &fleet.fleet.daemons[daemon].store_endpoint.faults;
+        match is_late {
+            true => faults.delay_writes(10, CLAIM_TERM / 2),
+            false => faults.hold_answers(true),
+        }
+        // The failure is known by then, and the write of its count is sent.
+        tokio::time::sleep(RUN_TIME * 2).await;
+        fleet.fleet.kill(daemon);
+        fleet.assert_done("lot-k").await;
+        assert!(fleet.stored_faults("lot-k").unwrap_or_default() <= 1);
+    }
+}
+
+/// A daemon that is lost after a failure reached it and before it counted it must leave no
+/// more than one count.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_whose_daemon_is_lost_before_its_count_is_counted_once() {
+    let mut fleet = FailingFleet::start(2).await;
+    let daemon = fleet.begin_lot("lot-b").await;
+    fleet.fleet.pause(daemon);
+    tokio::time::sleep(RUN_TIME * 2).await;
+    fleet.fleet.kill(daemon);
+    fleet.fleet.restart(daemon);
+    fleet.assert_done("lot-b").await;
+}
+
+/// A daemon whose lease expires while a failure reaches it claims its lot again with the
+/// counts that it has, and must not count the failure again; nor may another daemon.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_at_a_daemon_that_loses_its_lease_is_counted_once() {
+    for (lot_daemons, is_silent) in [(1, true), (1, false), (2, true), (2, false)] {
+        let fleet = FailingFleet::start(lot_daemons).await;
+        fleet.begin_lot("lot-l").await;
+        let set_lost = |is_lost: bool| {
+            for daemon in &fleet.fleet.daemons {
+                let faults = &daemon.store_endpoint.faults;
+                match is_silent {
+                    true => faults.set_silent(is_lost),
+                    false => faults.set_rejecting(is_lost),
+                }
+            }
+        };
+        set_lost(true);
+        tokio::time::sleep(CLAIM_TERM).await;
+        set_lost(false);
+        fleet.assert_done("lot-l").await;
+        assert!(fleet.stored_faults("lot-l").unwrap_or_default() <= 1);
+    }
+}
--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -4,6 +4,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use comfreyramp_http::bind;
@@ -27,6 +28,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ScriptedAnswer {
     bytes: Vec<u8>,
+    delay: Duration,
     closes: bool,
 }
 
@@ -72,6 +74,7 @@
         bytes.extend_from_slice(body);
         ScriptedAnswer {
             bytes,
+            delay: Duration::ZERO,
             closes: false,
         }
     }
@@ -85,6 +88,12 @@
         self
     }
 
+    /// Sends the answer only after a delay.
+    pub fn delayed(mut self, delay: Duration) -> Self {
+        self.delay = delay;
+        self
+    }
+
     /// Sends another answer directly after this one.
     pub fn then(mut self, next: &ScriptedAnswer) -> Self {
         self.bytes.extend_from_slice(&next.bytes);
@@ -165,6 +174,7 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
                 .push(received);
+            tokio::time::sleep(answer.delay).await;
             if stream.write_all(&answer.bytes).await.is_err() {
                 return;
             }
