Scripted servers read bodies and send streams event by event

A request's body may ask an engine for a stream whose events name the request, so that a test tells the answer to one request from that to another. Both kinds of engines read it in the same way.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -21,7 +21,7 @@
 use comfreyramp_standins::{
     kv::{KvEndpoint, KvState},
     link::FaultLink,
-    runner::{BackendKind, BackendOptions, BackendServer},
+    runner::{BackendKind, BackendOptions, BackendServer, RequestedStream},
 };
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -33,6 +33,8 @@
 pub(crate) const KEY: &str = "key-of-press";
 /// Another key of the first customer.
 pub(crate) const SPARE_KEY: &str = "spare-key-of-press";
+/// The number of events in a complete stream.
+pub(crate) const EVENTS: u64 = 12;
 /// The longest time for which a test waits for a state to be reached.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 /// The longest duration of one HTTP request.
@@ -128,7 +130,7 @@
         let stop = CancellationToken::new();
         let store = Arc::new(KvState::default());
         let engine = BackendKind::Engine {
-            events: 12,
+            events: EVENTS,
             event_interval: Duration::from_millis(15),
         };
         let mut servers = Vec::new();
@@ -581,14 +583,22 @@
 
 /// Returns the complete stream of an engine.
 pub(crate) fn expected_stream() -> String {
-    (1..=12)
-        .map(|id| format!("id: {id}\ndata: word {id}\n\n"))
-        .collect()
+    stream_of(&RequestedStream::default())
+}
+
+/// Returns the complete stream of an engine to a request that asks for this one.
+pub(crate) fn stream_of(requested: &RequestedStream) -> String {
+    (1..=EVENTS).map(|id| requested.event(id)).collect()
 }
 
 /// Returns the output of an item that was run to its end.
 pub(crate) fn expected_output() -> String {
-    let words: Vec<String> = (1..=12).map(|id| format!("word {id}")).collect();
+    output_of(&RequestedStream::default())
+}
+
+/// Returns the output of an item that was run to its end and asks for this stream.
+pub(crate) fn output_of(requested: &RequestedStream) -> String {
+    let words: Vec<String> = (1..=EVENTS).map(|id| requested.data(id)).collect();
     words.join("\n")
 }
 
--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::{
         Arc, Mutex, PoisonError,
         atomic::{AtomicBool, AtomicU32, Ordering},
@@ -17,6 +18,7 @@
 use serde_json::{Value, json};
 use tokio_util::sync::CancellationToken;
 
+use super::requested_stream::RequestedStream;
 use crate::{kv::KvState, process::stand_in_limits};
 
 /// The longest request body that is read, in bytes; a longer one is taken as empty.
@@ -27,8 +29,8 @@
 /// The kind of responses that a server sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BackendKind {
-    /// A stream of events. If the request's body is `takes 40`, the whole stream takes
-    /// 40 ms.
+    /// A stream of events. The request's body may set its duration and the text of the
+    /// events; see [`RequestedStream`].
     Engine {
         /// The number of events in a complete response.
         events: u64,
@@ -205,7 +207,8 @@
         } else {
             match self.options.kind {
                 BackendKind::Plain => {
-                    tokio::time::sleep(requested_duration(&body).unwrap_or_default()).await;
+                    let duration = RequestedStream::parse(&body).duration;
+                    tokio::time::sleep(duration.unwrap_or_default()).await;
                     *answer.body_mut() = MessageBody::from(body);
                 }
                 BackendKind::Engine {
@@ -217,10 +220,12 @@
                     if self.ends_with_connection.load(Ordering::SeqCst) {
                         *answer.version_mut() = Version::HTTP_10;
                     }
-                    let pause = requested_duration(&body).map_or(pause, |it| it / events as u32);
+                    let requested = RequestedStream::parse(&body);
+                    let pause = requested.duration.map_or(pause, |it| it / events as u32);
                     let after = text("last-event-id").parse().unwrap_or(0);
                     let break_after = self.break_after.swap(u32::MAX, Ordering::SeqCst);
-                    tokio::spawn(send_events(sender, after, events, pause, break_after));
+                    let ids = after + 1..=events;
+                    tokio::spawn(send_events(sender, requested, ids, pause, break_after));
                 }
             }
             set_header(&mut answer, "x-response-signature", &self.options.id);
@@ -231,13 +236,6 @@
     }
 }
 
-/// Returns the duration that a body requests, such as 40 ms for `takes 40`.
-fn requested_duration(body: &[u8]) -> Option<Duration> {
-    let text = std::str::from_utf8(body).ok()?;
-    let millis = text.strip_prefix("takes ")?.parse().ok()?;
-    Some(Duration::from_millis(millis))
-}
-
 fn set_header(answer: &mut Response<MessageBody>, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
         answer.headers_mut().insert(name, value);
@@ -246,12 +244,12 @@
 
 async fn send_events(
     sender: BodySender,
-    after: u64,
-    events: u64,
+    requested: RequestedStream,
+    ids: RangeInclusive<u64>,
     pause: Duration,
     break_after: u32,
 ) {
-    for (sent, id) in (after + 1..=events).enumerate() {
+    for (sent, id) in ids.enumerate() {
         if sent as u32 == break_after {
             // The stream is cut in the middle of an event, as a crash of the server would do.
             sender.send(format!("id: {id}\nda")).await;
@@ -259,7 +257,7 @@
             return sender.abort("the server cuts the stream").await;
         }
         tokio::time::sleep(pause).await;
-        if !sender.send(format!("id: {id}\ndata: word {id}\n\n")).await {
+        if !sender.send(requested.event(id)).await {
             return;
         }
     }
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -5,9 +5,11 @@
 mod backend_server;
 mod closing_server;
 mod raw_request;
+mod requested_stream;
 mod scripted_server;
 
 pub use backend_server::{BackendArrival, BackendKind, BackendOptions, BackendServer};
 pub use closing_server::{ClosingAnswer, ClosingServer};
 pub use raw_request::RawRequest;
+pub use requested_stream::RequestedStream;
 pub use scripted_server::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
--- a/crates/standins/src/runner/raw_request.rs
+++ b/crates/standins/src/runner/raw_request.rs
@@ -5,13 +5,15 @@
 /// The maximum size of a request in bytes.
 const MAX_REQUEST_BYTES: usize = 64 << 10;
 
-/// A request with its body, which isn't kept.
+/// A request with its body.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawRequest {
     /// The path and query.
     pub path: String,
     /// The headers, with names in lower case.
     headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
 }
 
 impl RawRequest {
@@ -40,9 +42,11 @@
             let Some(end) = bytes.windows(4).position(|it| it == b"\r\n\r\n") else {
                 continue;
             };
-            let request = RawRequest::parse(&String::from_utf8_lossy(&bytes[..end]))?;
+            let mut request = RawRequest::parse(&String::from_utf8_lossy(&bytes[..end]))?;
             let body_length: usize = request.header("content-length").parse().unwrap_or(0);
-            if bytes.len() >= end + 4 + body_length {
+            let body = end + 4..end + 4 + body_length;
+            if let Some(body) = bytes.get(body) {
+                request.body = body.to_vec();
                 return Some(request);
             }
         }
@@ -57,6 +61,7 @@
         Some(RawRequest {
             path,
             headers: headers.collect(),
+            body: Vec::new(),
         })
     }
 }
--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -4,6 +4,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
 use comfreyramp_http::bind;
@@ -26,7 +27,10 @@
 /// The bytes that answer one request.
 #[derive(Clone, Debug, Default)]
 pub struct ScriptedAnswer {
+    /// What is sent at once.
     bytes: Vec<u8>,
+    /// What is sent then, each piece after a delay.
+    pieces: Vec<(Duration, Vec<u8>)>,
     closes: bool,
 }
 
@@ -53,6 +57,21 @@
         Self::framed(200, id, "transfer-encoding: chunked", &body)
     }
 
+    /// Returns a stream of events in chunks, each sent after a delay of `interval`.
+    pub fn paced_stream(
+        id: &str,
+        events: impl IntoIterator<Item = String>,
+        interval: Duration,
+    ) -> Self {
+        let mut answer = Self::framed(200, id, "transfer-encoding: chunked", b"");
+        let chunks = events
+            .into_iter()
+            .map(|it| format!("{:x}\r\n{it}\r\n", it.len()).into_bytes());
+        answer.pieces = chunks.map(|it| (interval, it)).collect();
+        answer.pieces.push((Duration::ZERO, b"0\r\n\r\n".to_vec()));
+        answer
+    }
+
     /// Returns a statement that the request with this id wasn't run.
     pub fn not_run(status: u16, id: &str) -> Self {
         Self::whole(status, id, b"").header("x-not-run", "1")
@@ -72,6 +91,7 @@
         bytes.extend_from_slice(body);
         ScriptedAnswer {
             bytes,
+            pieces: Vec::new(),
             closes: false,
         }
     }
@@ -87,7 +107,11 @@
 
     /// Sends another answer directly after this one.
     pub fn then(mut self, next: &ScriptedAnswer) -> Self {
-        self.bytes.extend_from_slice(&next.bytes);
+        match self.pieces.last_mut() {
+            Some(last) => last.1.extend_from_slice(&next.bytes),
+            None => self.bytes.extend_from_slice(&next.bytes),
+        }
+        self.pieces.extend_from_slice(&next.pieces);
         self.closes |= next.closes;
         self
     }
@@ -168,6 +192,12 @@
             if stream.write_all(&answer.bytes).await.is_err() {
                 return;
             }
+            for (delay, piece) in &answer.pieces {
+                tokio::time::sleep(*delay).await;
+                if stream.write_all(piece).await.is_err() {
+                    return;
+                }
+            }
             if answer.closes {
                 break;
             }
