Soak: engines that answer twice, cut failures off or name another request

By the seed, two of four engines send a late second answer to the request before on a reused connection (a success, a refusal, 421 or a failure, with or without its id), cut off a 500 or 422 in its body, answer 500, 422, 502 or 504 whole, or answer under another id or none. Most seeds also have a period in which all engines are full for longer than items are kept.

New checks, in all kinds of soak: a caller's answer bears its own id and its own text, whole; a request that was refused with any status that promises it, not only 503, never ran; an item is listed as given up only after a whole 422, as many whole 500s as its route's attempts, its retention since the first submission or the end of its lot; a result's text is that of its item. The check that a stream which looks complete is whole is now part of the first of these.

Half of the live requests have bodies of their own now; the other half keep the body that they share, since requests that make servers crash are known by it.

--- a/crates/node/tests/soak/checks.rs
+++ b/crates/node/tests/soak/checks.rs
@@ -3,7 +3,6 @@
 use std::time::{Duration, Instant};
 
 use comfreyramp_http::StatusCode;
-use comfreyramp_standins::runner::BackendArrival;
 use serde_json::Value;
 
 use crate::{
@@ -20,10 +19,42 @@
 /// No item of an ended lot may start later than this after the acknowledgement of the end.
 const MAX_END_DELAY: Duration = Duration::from_millis(3_000);
 
+/// A request that reached a server.
+struct ServerArrival {
+    at: Instant,
+    request_id: String,
+    ran: bool,
+    /// The index of the link to the server; none to a faulty engine.
+    link: Option<usize>,
+}
+
+/// Returns the requests that reached any server.
+fn all_arrivals(fleet: &Fleet, context: &SoakContext) -> Vec<ServerArrival> {
+    let mut arrivals = Vec::new();
+    for (index, server) in fleet.servers.iter().enumerate() {
+        let of_server = server.arrivals().into_iter().map(|it| ServerArrival {
+            at: it.at,
+            request_id: it.request_id,
+            ran: it.ran,
+            link: Some(index),
+        });
+        arrivals.extend(of_server);
+    }
+    let engines = context.engines.arrivals();
+    arrivals.extend(engines.iter().map(|it| ServerArrival {
+        at: it.at,
+        request_id: it.request_id.clone(),
+        ran: it.ran(),
+        link: None,
+    }));
+    arrivals
+}
+
 /// Checks that each request which may run once ran at most once, and not at all if its
 /// caller was told that it hadn't run.
-pub(crate) fn check_runs(fleet: &Fleet, requests: &[OnceRequest], seed: u64) {
-    let arrivals: Vec<_> = fleet.servers.iter().flat_map(|it| it.arrivals()).collect();
+pub(crate) fn check_runs(fleet: &Fleet, requests: &[OnceRequest], context: &SoakContext) {
+    let seed = context.seed;
+    let arrivals = all_arrivals(fleet, context);
     for request in requests {
         let runs = arrivals
             .iter()
@@ -79,26 +110,26 @@
 
 /// Checks that no item of a lot reaches a server long after the lot's end was acknowledged.
 pub(crate) fn check_ends(fleet: &Fleet, context: &SoakContext) {
+    let arrivals = all_arrivals(fleet, context);
     let fault_log = context.fault_log();
-    for (index, server) in fleet.servers.iter().enumerate() {
-        for arrival in server.arrivals() {
-            let late = late_arrival(context, &arrival);
-            if let Some(late) = late.filter(|_| !is_excused(&fault_log, index, arrival.at)) {
-                let text = format!(
-                    "{} arrives {late:?} after the end of its lot",
-                    arrival.request_id
-                );
-                context.ledger().violations.push(text);
-            }
+    for arrival in arrivals {
+        let late = late_arrival(context, &arrival);
+        if let Some(late) = late.filter(|_| !is_excused(&fault_log, arrival.link, arrival.at)) {
+            let text = format!(
+                "{} arrives {late:?} after the end of its lot",
+                arrival.request_id
+            );
+            context.ledger().violations.push(text);
         }
     }
 }
 
 /// Checks that nothing runs of a lot that was refused at each submission.
 pub(crate) fn check_refused(fleet: &Fleet, context: &SoakContext) {
+    let arrivals = all_arrivals(fleet, context);
     let mut ledger = context.ledger();
     let refused = std::mem::take(&mut ledger.refused);
-    for arrival in fleet.servers.iter().flat_map(|it| it.arrivals()) {
+    for arrival in arrivals {
         let lot = arrival.request_id.rsplit_once('-').map(|it| it.0);
         if arrival.ran && refused.iter().any(|it| Some(it.as_str()) == lot) {
             let text = format!("{} ran although its lot was refused", arrival.request_id);
@@ -109,7 +140,7 @@
 
 /// Returns how long after the acknowledged end of its lot an item started, if that is too
 /// late.
-fn late_arrival(context: &SoakContext, arrival: &BackendArrival) -> Option<Duration> {
+fn late_arrival(context: &SoakContext, arrival: &ServerArrival) -> Option<Duration> {
     let (lot, _) = arrival.request_id.rsplit_once('-')?;
     let ledger = context.ledger();
     let record = ledger.lots.iter().find(|it| it.id == lot)?;
@@ -123,7 +154,7 @@
 /// because it was paused or couldn't reach the store, or whether the item was delayed on
 /// its way. Which daemon sent it isn't known, so a fault of any daemon that runs lots
 /// counts.
-fn is_excused(fault_log: &FaultLog, server: usize, at: Instant) -> bool {
+fn is_excused(fault_log: &FaultLog, link: Option<usize>, at: Instant) -> bool {
     let of_daemon = |it: usize| {
         [
             ActiveFault::Paused(it),
@@ -133,5 +164,5 @@
     };
     let mut faults = (ENTRY_DAEMONS..DAEMONS).flat_map(of_daemon);
     let was_active = |it: ActiveFault| fault_log.was_active(it, at - MAX_END_DELAY, at);
-    faults.any(was_active) || was_active(ActiveFault::LinkCut(server))
+    faults.any(was_active) || link.is_some_and(|it| was_active(ActiveFault::LinkCut(it)))
 }
--- a/crates/node/tests/soak/fault_driver.rs
+++ b/crates/node/tests/soak/fault_driver.rs
@@ -93,6 +93,8 @@
             Fault::BreakServer(server) => self.fleet.servers[server].cut_next_stream(3),
             Fault::SetServerFull(server) => self.fleet.servers[server].set_full(true),
             Fault::SetServerFree(server) => self.fleet.servers[server].set_full(false),
+            Fault::FillEngines => self.set_engines_full(true),
+            Fault::FreeEngines => self.set_engines_full(false),
             Fault::ForgetHistory => self.fleet.store.drop_history(),
             Fault::ChangeSettings => self.change_settings(),
             Fault::SilenceStore => self.set_store_silent(true),
@@ -111,6 +113,13 @@
         self.record(ActiveFault::StoreRejects(daemon), is_on);
     }
 
+    fn set_engines_full(&self, is_full: bool) {
+        for engine in &self.fleet.servers[..2] {
+            engine.set_full(is_full);
+        }
+        self.context.engines.set_full(is_full);
+    }
+
     /// Withdraws the key of the previous change, and adds another one.
     fn change_settings(&mut self) {
         let change = self.context.change_times().len();
--- a/crates/node/tests/soak/fault_plan.rs
+++ b/crates/node/tests/soak/fault_plan.rs
@@ -30,6 +30,9 @@
     BreakServer(usize),
     SetServerFull(usize),
     SetServerFree(usize),
+    /// No engine has a free slot.
+    FillEngines,
+    FreeEngines,
     ForgetHistory,
     ChangeSettings,
     SilenceStore,
--- /dev/null
+++ b/crates/node/tests/soak/faulty_engine.rs
@@ -0,0 +1,272 @@
+//! Engines that answer some requests as no sound server would: with a late second answer to
+//! the request before, with a failure that is cut off, or under another request's id.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    ops::Range,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use comfreyramp_standins::runner::{
+    RequestedStream, ScriptedAnswer, ScriptedRequest, ScriptedServer,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    ATTEMPTS, FAULT_DURATION,
+    fault_plan::{Fault, PlannedFault},
+    fleet::{EVENTS, Fleet},
+};
+
+/// How long an item is kept in a soak with these engines.
+pub(crate) const SHORT_RETENTION: Duration = Duration::from_secs(4);
+/// For how long faults are started in a soak with these engines.
+pub(crate) const ENGINES_DURATION: Duration = Duration::from_secs(12);
+/// How often all engines are full for longer than items are kept.
+const FULL_RATE: f64 = 0.6;
+/// The delay before each event, unless the request's body sets the duration of the stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+/// How often an engine sends a late answer first, where its connection was used before.
+const LATE_RATE: f64 = 0.25;
+/// How often an engine answers in another wrong way, or with a failure.
+const FAULT_RATE: f64 = 0.15;
+/// The id of a request that nobody sent.
+const UNKNOWN_ID: &str = "unknown-request";
+
+/// An answer to a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EngineAnswer {
+    /// The request isn't for this server.
+    Misdirected,
+    /// The server has no free slot.
+    Full,
+    /// The whole stream.
+    Whole,
+    /// The whole stream, after a second answer to the request before, which may lack its id.
+    AfterLate { status: u16, has_id: bool },
+    /// A whole answer with this status.
+    Failure(u16),
+    /// An answer with this status that is cut off in its body.
+    CutFailure(u16),
+    /// The whole stream of another request, which may lack its id.
+    OfAnother { has_id: bool },
+}
+
+/// A request that an engine received.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineArrival {
+    pub(crate) at: Instant,
+    pub(crate) request_id: String,
+    pub(crate) answer: EngineAnswer,
+}
+
+/// The state that all faulty engines of a soak share.
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    seed: u64,
+    arrivals: Mutex<Vec<EngineArrival>>,
+    is_full: AtomicBool,
+    /// Cancelled once the engines answer all requests rightly.
+    stop_faults: CancellationToken,
+}
+
+impl EngineState {
+    pub(crate) fn new(seed: u64, stop_faults: CancellationToken) -> Self {
+        EngineState {
+            seed,
+            arrivals: Mutex::default(),
+            is_full: AtomicBool::new(false),
+            stop_faults,
+        }
+    }
+
+    /// Starts an engine in a zone and registers it in the fleet's store.
+    pub(crate) async fn start(
+        self: &Arc<Self>,
+        fleet: &Fleet,
+        id: &'static str,
+        zone: &str,
+        stop: CancellationToken,
+    ) {
+        let state = self.clone();
+        let script = move |it: &ScriptedRequest| state.answer(id, it);
+        let server = ScriptedServer::start(id, script, stop).await.unwrap();
+        server.register("drafts", zone, &fleet.store);
+    }
+
+    /// Sets whether no engine has a free slot.
+    pub(crate) fn set_full(&self, is_full: bool) {
+        self.is_full.store(is_full, Ordering::SeqCst);
+    }
+
+    /// Returns the requests received so far.
+    pub(crate) fn arrivals(&self) -> MutexGuard<'_, Vec<EngineArrival>> {
+        self.arrivals.lock().unwrap()
+    }
+
+    /// Returns the statuses of the failures that were sent whole as answers to a request.
+    pub(crate) fn whole_failures(&self, request_id: &str) -> Vec<u16> {
+        let arrivals = self.arrivals();
+        let of_request = arrivals.iter().filter(|it| it.request_id == request_id);
+        let statuses = of_request.filter_map(|it| match it.answer {
+            EngineAnswer::Failure(status) => Some(status),
+            _ => None,
+        });
+        statuses.collect()
+    }
+
+    /// Returns whether the answers to an item permit to give it up: one that it can never be
+    /// done, or as many failures as its route permits attempts.
+    pub(crate) fn failed_for_good(&self, item: &str) -> bool {
+        let failures = self.whole_failures(item);
+        let failed_runs = failures.iter().filter(|it| **it == 500).count();
+        failures.contains(&422) || failed_runs >= ATTEMPTS
+    }
+
+    /// Returns how many answers there were of each kind, for the test's output.
+    pub(crate) fn counts(&self) -> Vec<(EngineAnswer, usize)> {
+        let mut counts: Vec<(EngineAnswer, usize)> = Vec::new();
+        for arrival in self.arrivals().iter() {
+            match counts.iter_mut().find(|it| it.0 == arrival.answer) {
+                Some(count) => count.1 += 1,
+                None => counts.push((arrival.answer, 1)),
+            }
+        }
+        counts
+    }
+
+    fn answer(&self, engine: &str, received: &ScriptedRequest) -> ScriptedAnswer {
+        let request = &received.request;
+        let answer = if request.header("x-expect-instance") != engine {
+            EngineAnswer::Misdirected
+        } else if self.is_full.load(Ordering::SeqCst) {
+            EngineAnswer::Full
+        } else if self.stop_faults.is_cancelled() {
+            EngineAnswer::Whole
+        } else {
+            self.draw_answer(received)
+        };
+        // Recorded before it is sent, so that nothing can follow from it earlier.
+        self.arrivals().push(EngineArrival {
+            at: Instant::now(),
+            request_id: request.id().to_owned(),
+            answer,
+        });
+        answer.to_scripted(received)
+    }
+
+    /// Draws an answer by the seed, the request and how often it has arrived, so that the
+    /// draw doesn't depend on other requests.
+    fn draw_answer(&self, received: &ScriptedRequest) -> EngineAnswer {
+        let id = received.request.id();
+        let times = self
+            .arrivals()
+            .iter()
+            .filter(|it| it.request_id == id)
+            .count();
+        let mut hasher = DefaultHasher::new();
+        (self.seed, id, times).hash(&mut hasher);
+        let mut random = StdRng::seed_from_u64(hasher.finish());
+        if received.previous_id.is_some() && random.random_bool(LATE_RATE) {
+            let statuses = [200, 200, 421, 429, 500, 503];
+            return EngineAnswer::AfterLate {
+                status: statuses[random.random_range(0..statuses.len())],
+                has_id: random.random_bool(0.8),
+            };
+        }
+        if !random.random_bool(FAULT_RATE) {
+            return EngineAnswer::Whole;
+        }
+        match random.random_range(0..10) {
+            0 | 1 => EngineAnswer::CutFailure(500),
+            2 => EngineAnswer::CutFailure(422),
+            3 => EngineAnswer::Failure(502),
+            4 => EngineAnswer::Failure(504),
+            5 | 6 => EngineAnswer::Failure(500),
+            7 => EngineAnswer::Failure(422),
+            8 => EngineAnswer::OfAnother { has_id: true },
+            _ => EngineAnswer::OfAnother { has_id: false },
+        }
+    }
+}
+
+impl EngineArrival {
+    /// Returns whether the engine ran the request.
+    pub(crate) fn ran(&self) -> bool {
+        !matches!(self.answer, EngineAnswer::Misdirected | EngineAnswer::Full)
+    }
+}
+
+impl EngineAnswer {
+    fn to_scripted(self, received: &ScriptedRequest) -> ScriptedAnswer {
+        let request = &received.request;
+        let id = request.id();
+        let another = received.previous_id.as_deref().unwrap_or(UNKNOWN_ID);
+        match self {
+            EngineAnswer::Misdirected => ScriptedAnswer::not_run(421, id),
+            EngineAnswer::Full => ScriptedAnswer::not_run(503, id),
+            EngineAnswer::Whole => whole_stream(received),
+            EngineAnswer::AfterLate { status, has_id } => {
+                let late_id = if has_id { another } else { "" };
+                let late = match status {
+                    200 => stream_of_another(late_id, another),
+                    500 => failure(status, late_id, another),
+                    _ => ScriptedAnswer::not_run(status, late_id),
+                };
+                late.then(&whole_stream(received))
+            }
+            EngineAnswer::Failure(status) => failure(status, id, id),
+            EngineAnswer::CutFailure(status) => {
+                let text = failure_text(id);
+                ScriptedAnswer::cut(status, id, &text.as_bytes()[..text.len() / 2])
+            }
+            EngineAnswer::OfAnother { has_id } => {
+                stream_of_another(if has_id { another } else { "" }, another)
+            }
+        }
+    }
+}
+
+/// Returns the body of a failed request's answer.
+pub(crate) fn failure_text(id: &str) -> String {
+    format!("failure of {id}")
+}
+
+fn failure(status: u16, id: &str, name: &str) -> ScriptedAnswer {
+    ScriptedAnswer::whole(status, id, failure_text(name).as_bytes())
+}
+
+fn whole_stream(received: &ScriptedRequest) -> ScriptedAnswer {
+    let request = &received.request;
+    let requested = RequestedStream::parse(&request.body);
+    let interval = requested.duration.map(|it| it / EVENTS as u32);
+    let after: u64 = request.header("last-event-id").parse().unwrap_or(0);
+    let events = (after + 1..=EVENTS).map(|it| requested.event(it));
+    ScriptedAnswer::paced_stream(request.id(), events, interval.unwrap_or(EVENT_INTERVAL))
+}
+
+/// Returns the stream of the request `name`, which bears the id `id`.
+fn stream_of_another(id: &str, name: &str) -> ScriptedAnswer {
+    let requested = RequestedStream::named(name);
+    let events: String = (1..=EVENTS).map(|it| requested.event(it)).collect();
+    ScriptedAnswer::stream(id, events.as_bytes())
+}
+
+/// Draws a period in which all engines are full for longer than items are kept, or none.
+pub(crate) fn draw_full_period(random: &mut StdRng) -> Vec<PlannedFault> {
+    if !random.random_bool(FULL_RATE) {
+        return Vec::new();
+    }
+    let start = draw_duration(random, 500..FAULT_DURATION.as_millis() as u64 / 2);
+    let end = start + SHORT_RETENTION + draw_duration(random, 500..1_500);
+    vec![(start, Fault::FillEngines), (end, Fault::FreeEngines)]
+}
+
+fn draw_duration(random: &mut StdRng, millis: Range<u64>) -> Duration {
+    Duration::from_millis(random.random_range(millis))
+}
--- a/crates/node/tests/soak/lot_ledger.rs
+++ b/crates/node/tests/soak/lot_ledger.rs
@@ -4,11 +4,13 @@
 use std::time::{Duration, Instant};
 
 use comfreyramp_http::{Bytes, Response, StatusCode};
+use comfreyramp_standins::runner::RequestedStream;
 use serde_json::Value;
 
 use crate::{
     ENTRY_DAEMONS,
-    fleet::expected_output,
+    faulty_engine::EngineState,
+    fleet::output_of,
     harm_log::{ActiveFault, FaultLog},
 };
 
@@ -32,6 +34,8 @@
     pub(crate) id: String,
     /// The bodies of its items.
     pub(crate) bodies: Vec<String>,
+    /// When its customer first submitted it.
+    submitted_at: Instant,
     accepted_at: Instant,
     /// When its customer first requested its end.
     pub(crate) end_requested_at: Option<Instant>,
@@ -51,6 +55,15 @@
     pub(crate) answered_at: Instant,
 }
 
+/// What happened besides that decides which responses are right.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadEvidence<'a> {
+    pub(crate) fault_log: &'a FaultLog,
+    pub(crate) engines: &'a EngineState,
+    /// How long an item is kept before it may be given up.
+    pub(crate) retention: Duration,
+}
+
 /// What readers received of each lot, and which responses violated a guarantee.
 #[derive(Debug, Default)]
 pub(crate) struct LotLedger {
@@ -68,14 +81,22 @@
     pages: usize,
     empty_pages: usize,
     retry_later: usize,
+    given_up: usize,
     pub(crate) bodies: usize,
 }
 
 impl LotLedger {
-    pub(crate) fn accept(&mut self, id: &str, bodies: &[String], now: Instant) {
+    pub(crate) fn accept(
+        &mut self,
+        id: &str,
+        bodies: &[String],
+        submitted_at: Instant,
+        now: Instant,
+    ) {
         self.lots.push(LotRecord {
             id: id.to_owned(),
             bodies: bodies.to_vec(),
+            submitted_at,
             accepted_at: now,
             end_requested_at: None,
             end_acknowledged_at: None,
@@ -92,16 +113,19 @@
         &mut self,
         read: LotRead<'_>,
         response: &Response<Bytes>,
-        fault_log: &FaultLog,
+        evidence: ReadEvidence<'_>,
     ) {
         let record = self.lot(read.lot);
+        let listed_before = record.given_up_count();
         let outcome = match response.status() {
-            StatusCode::OK => record.check_page(read, response.body(), fault_log),
+            StatusCode::OK => record.check_page(read, response.body(), evidence),
             StatusCode::NOT_FOUND => record.check_not_found(read.sent_at),
             // The daemon tells its caller to retry.
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => Ok(0),
             status => Err(format!("unexpected status {status}")),
         };
+        let given_up = record.given_up_count() - listed_before;
+        self.counts.given_up += given_up;
         self.counts.count(response.status(), &outcome);
         if let Err(text) = outcome {
             self.report_violation(read, &text);
@@ -131,6 +155,22 @@
         self.observed.iter().filter(|it| it.is_some()).count()
     }
 
+    /// Returns how many items readers have received as given up.
+    fn given_up_count(&self) -> usize {
+        let observed = self.observed.iter().flatten();
+        observed
+            .filter(|it| it.result["state"] == "dead_letter")
+            .count()
+    }
+
+    /// Returns whether an item may be listed as given up: its lot was ended, its retention
+    /// has passed, or servers have answered it, whole, with failures that permit it.
+    fn may_be_given_up(&self, item: &str, read: LotRead<'_>, evidence: ReadEvidence<'_>) -> bool {
+        self.end_requested_at.is_some()
+            || read.answered_at >= self.submitted_at + evidence.retention
+            || evidence.engines.failed_for_good(item)
+    }
+
     /// Returns whether any reader has received the result of an item.
     pub(crate) fn is_listed(&self, item: &str) -> bool {
         let observed = self.observed.iter().flatten();
@@ -164,7 +204,7 @@
         &mut self,
         read: LotRead<'_>,
         body: &[u8],
-        fault_log: &FaultLog,
+        evidence: ReadEvidence<'_>,
     ) -> Result<usize, String> {
         let page: Value = serde_json::from_slice(body).map_err(|it| it.to_string())?;
         let results = page["results"]
@@ -177,10 +217,10 @@
             return Err(format!("an inconsistent page: {page}"));
         }
         if results.is_empty() {
-            self.check_empty_page(read, fault_log)?;
+            self.check_empty_page(read, evidence.fault_log)?;
         }
         for (position, result) in results.iter().enumerate() {
-            self.check_result(read, read.after + position, result)?;
+            self.check_result(read, read.after + position, result, evidence)?;
         }
         Ok(results.len())
     }
@@ -214,12 +254,21 @@
         read: LotRead<'_>,
         position: usize,
         result: &Value,
+        evidence: ReadEvidence<'_>,
     ) -> Result<(), String> {
         let id = result["id"].as_str().unwrap_or_default();
-        let is_whole = result["state"] == "done" && result["output"] == expected_output();
-        let is_given_up = result["state"] == "dead_letter" && self.end_requested_at.is_some();
-        if !self.has_item(id) || !(is_whole || is_given_up) {
-            return Err(format!("a wrong result at {position}: {result}"));
+        let is_right = match result["state"].as_str() {
+            Some("done") => result["output"] == output_of(&RequestedStream::named(id)),
+            Some("dead_letter") => self.may_be_given_up(id, read, evidence),
+            _ => false,
+        };
+        if !self.has_item(id) || !is_right {
+            let age = read.answered_at - self.submitted_at;
+            let failures = evidence.engines.whole_failures(id);
+            return Err(format!(
+                "a wrong result at {position}, {age:?} after the lot was submitted, \
+                 failures {failures:?}: {result}"
+            ));
         }
         let others = self.observed.iter().enumerate();
         let mut others = others
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -2,6 +2,10 @@
 //! must hold meanwhile, as callers and servers observe them:
 //!
 //! - a request that may run once runs at most once, and never if it was refused;
+//! - each caller gets the answer to its own request, also from engines that answer twice, cut
+//!   failures off or name another request;
+//! - an item is given up only if its servers' answers, its retention or the end of its lot
+//!   permit it;
 //! - no part of a stream looks complete, also where the server's answers end with their
 //!   connections;
 //! - every daemon knows an accepted lot and the bodies of its items;
@@ -25,6 +29,7 @@
 mod checks;
 mod fault_driver;
 mod fault_plan;
+mod faulty_engine;
 #[path = "../fleet/mod.rs"]
 mod fleet;
 mod harm_log;
@@ -39,10 +44,12 @@
 };
 
 use fault_driver::FaultDriver;
+use faulty_engine::{ENGINES_DURATION, EngineState, SHORT_RETENTION};
 use fleet::{Callers, Fleet};
 use harm_log::FaultLog;
 use lot_ledger::LotLedger;
 use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
 /// The seeds of the check script.
@@ -55,12 +62,56 @@
 ];
 /// The seeds of the check script for the test in which settings change.
 const SETTINGS_SEEDS: [u64; 2] = [500, 501];
+/// The seeds of the check script for the test in which engines answer wrongly.
+const ENGINES_SEEDS: [u64; 2] = [700, 701];
 /// For how long faults are started.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
 /// The number of entry daemons, which serve callers. They come first in the fleet.
 const ENTRY_DAEMONS: usize = 2;
 /// The number of all daemons. Those that don't serve callers run lots.
 const DAEMONS: usize = 4;
+/// How often servers may fail at an item, according to the routes in the fleet's settings.
+const ATTEMPTS: usize = 2;
+/// How long an item is kept, according to the same routes.
+const RETENTION: Duration = Duration::from_secs(60);
+/// The time within which all daemons follow changed settings and servers in a calm fleet.
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// What happens besides random faults.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum SoakKind {
+    /// Nothing else.
+    Faults,
+    /// Settings change all the time.
+    Changes,
+    /// Some engines answer wrongly, and items are kept for a short time.
+    FaultyEngines,
+}
+
+impl SoakKind {
+    fn duration(self) -> Duration {
+        match self {
+            SoakKind::Faults => FAULT_DURATION,
+            SoakKind::Changes => settings_changes::CHANGES_DURATION,
+            SoakKind::FaultyEngines => ENGINES_DURATION,
+        }
+    }
+
+    fn retention(self) -> Duration {
+        match self {
+            SoakKind::Faults | SoakKind::Changes => RETENTION,
+            SoakKind::FaultyEngines => SHORT_RETENTION,
+        }
+    }
+
+    /// Returns how many callers send live requests at the same time.
+    fn senders(self) -> usize {
+        match self {
+            SoakKind::Faults | SoakKind::Changes => 1,
+            SoakKind::FaultyEngines => 6,
+        }
+    }
+}
 
 /// The state that all tasks of a soak share.
 struct SoakContext {
@@ -68,6 +119,9 @@
     callers: Callers,
     ledger: Mutex<LotLedger>,
     fault_log: Mutex<FaultLog>,
+    engines: Arc<EngineState>,
+    /// How long an item is kept before it may be given up.
+    retention: Duration,
     /// The time of each change of the settings.
     change_times: Mutex<Vec<Instant>>,
     stop: CancellationToken,
@@ -87,43 +141,68 @@
     }
 }
 
-async fn run_soak(seed: u64, has_changes: bool) {
+async fn run_soak(seed: u64, kind: SoakKind) {
     let mut random = StdRng::seed_from_u64(seed);
     let mut faults = fault_plan::draw_faults(&mut random);
     let (live, lots) = (fork_random(&mut random), fork_random(&mut random));
-    let mut duration = FAULT_DURATION;
-    if has_changes {
-        faults.extend(settings_changes::draw_changes(&mut random));
-        faults.sort_by_key(|it| it.0);
-        duration = settings_changes::CHANGES_DURATION;
+    match kind {
+        SoakKind::Faults => {}
+        SoakKind::Changes => faults.extend(settings_changes::draw_changes(&mut random)),
+        SoakKind::FaultyEngines => faults.extend(faulty_engine::draw_full_period(&mut random)),
     }
+    faults.sort_by_key(|it| it.0);
     eprintln!("soak: seed {seed}: {faults:?}");
     let mut fleet = Fleet::with_links().await;
     fleet.add_daemon("lots-2", "zone-2", false).await;
     assert_eq!(fleet.links.len(), fault_plan::LINKS);
     fleet.servers[1].set_ends_with_connection(true);
+    let stop = CancellationToken::new();
+    let engines = Arc::new(EngineState::new(seed, stop.clone()));
+    let stop_engines = CancellationToken::new();
+    let _engines_guard = stop_engines.clone().drop_guard();
+    if kind == SoakKind::FaultyEngines {
+        fleet.put_retention(kind.retention().as_secs());
+        for (id, zone) in [("faulty-1", "zone-1"), ("faulty-2", "zone-2")] {
+            engines.start(&fleet, id, zone, stop_engines.clone()).await;
+        }
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
     let context = Arc::new(SoakContext {
         seed,
         callers: fleet.callers(),
         ledger: Mutex::default(),
         fault_log: Mutex::default(),
+        engines,
+        retention: kind.retention(),
         change_times: Mutex::default(),
-        stop: CancellationToken::new(),
+        stop,
     });
-    let live = tokio::spawn(traffic::send_requests(context.clone(), live));
+    let mut senders = JoinSet::new();
+    for sender in 0..kind.senders() {
+        // The first one's draws are the same in all kinds of soak.
+        let random = match sender {
+            0 => live.clone(),
+            _ => StdRng::seed_from_u64(seed + sender as u64),
+        };
+        let name = format!("soak-{seed}-{sender}");
+        senders.spawn(traffic::send_requests(context.clone(), name, random));
+    }
     let lots = tokio::spawn(traffic::submit_lots(context.clone(), lots));
     let settings = tokio::spawn(settings_changes::check_withdrawn_keys(context.clone()));
     let driver = FaultDriver::new(fleet, &context, faults);
-    let fleet = driver.run(duration).await;
+    let fleet = driver.run(kind.duration()).await;
     context.stop.cancel();
     settings.await.unwrap();
-    let once_requests = live.await.unwrap();
+    let once_requests = senders.join_all().await.concat();
     lots.await.unwrap();
-    checks::check_runs(&fleet, &once_requests, seed);
+    checks::check_runs(&fleet, &once_requests, &context);
     checks::check_lots(&context).await;
     checks::check_ends(&fleet, &context);
     checks::check_refused(&fleet, &context);
     eprintln!("soak: seed {seed}: {:?}", context.ledger().counts);
+    if kind == SoakKind::FaultyEngines {
+        eprintln!("soak: seed {seed}: {:?}", context.engines.counts());
+    }
     let violations = context.ledger().violations.clone();
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
@@ -150,7 +229,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn promises_hold_under_random_faults() {
     for seed in selected_seeds(&SEEDS) {
-        run_soak(seed, false).await;
+        run_soak(seed, SoakKind::Faults).await;
     }
 }
 
@@ -160,6 +239,17 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn settings_are_in_force_under_random_faults() {
     for seed in selected_seeds(&SETTINGS_SEEDS) {
-        run_soak(seed, true).await;
+        run_soak(seed, SoakKind::Changes).await;
+    }
+}
+
+/// As above, while some engines send late second answers to the requests before, cut failures
+/// off or answer under other ids, and items are kept for a short time. Late refusals used to
+/// be believed of the request that they arrived for, which ran twice, and items were given up
+/// after answers that said nothing about them.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_are_believed_only_of_their_requests_under_random_faults() {
+    for seed in selected_seeds(&ENGINES_SEEDS) {
+        run_soak(seed, SoakKind::FaultyEngines).await;
     }
 }
--- a/crates/node/tests/soak/readers.rs
+++ b/crates/node/tests/soak/readers.rs
@@ -10,7 +10,11 @@
 use rand::{Rng, rngs::StdRng};
 use serde_json::Value;
 
-use crate::{SoakContext, fleet::CallerRequest, lot_ledger::LotRead};
+use crate::{
+    SoakContext,
+    fleet::CallerRequest,
+    lot_ledger::{LotRead, ReadEvidence},
+};
 
 /// The time after which a caller abandons a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(3_000);
@@ -76,7 +80,12 @@
         answered_at: Instant::now(),
     };
     let fault_log = context.fault_log();
-    context.ledger().check_response(read, &response, &fault_log);
+    let evidence = ReadEvidence {
+        fault_log: &fault_log,
+        engines: &context.engines,
+        retention: context.retention,
+    };
+    context.ledger().check_response(read, &response, evidence);
     Some(response)
 }
 
--- a/crates/node/tests/soak/traffic.rs
+++ b/crates/node/tests/soak/traffic.rs
@@ -6,19 +6,25 @@
     time::{Duration, Instant},
 };
 
-use comfreyramp_http::{Method, StatusCode};
+use comfreyramp_http::{Bytes, Method, Response, StatusCode};
+use comfreyramp_standins::runner::RequestedStream;
 use rand::{Rng, rngs::StdRng};
 use tokio::{task::JoinSet, time::error::Elapsed};
 
 use crate::{
     ENTRY_DAEMONS, SoakContext,
-    fleet::{CallerRequest, expected_stream},
+    faulty_engine::failure_text,
+    fleet::{CallerRequest, stream_of},
     fork_random,
     readers::follow_lot,
 };
 
 /// The time after which a caller abandons a call.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long the stream of a named request takes, in milliseconds.
+const LIVE_MS: u64 = 180;
+/// How the body of a server's failure begins.
+const FAILURE_START: &str = "fail";
 /// The time between lots. Several are open at any time, so whichever daemon is lost was
 /// running one.
 const LOT_INTERVAL: Duration = Duration::from_millis(450);
@@ -33,15 +39,17 @@
 const END_ATTEMPTS: usize = 6;
 
 /// A request that may run once, and whether its caller was told that it hadn't run.
+#[derive(Clone, Debug)]
 pub(crate) struct OnceRequest {
     pub(crate) id: String,
     pub(crate) was_refused: bool,
 }
 
 /// Sends live requests one after the other until the soak ends, and returns those that may
-/// run once.
+/// run once. Their ids begin with `name`.
 pub(crate) async fn send_requests(
     context: Arc<SoakContext>,
+    name: String,
     mut random: StdRng,
 ) -> Vec<OnceRequest> {
     let seed = context.seed;
@@ -50,27 +58,58 @@
     while !context.stop.is_cancelled() {
         number += 1;
         let is_once = random.random_bool(0.5);
-        let id = format!("soak-{seed}-{number}");
+        let id = format!("{name}-{number}");
+        // Requests with the same body are refused once several have made servers crash.
+        let body = match number % 4 < 2 {
+            true => "verse".to_owned(),
+            false => format!("takes {LIVE_MS} as {id}"),
+        };
         let path = if is_once { "/once/1" } else { "/drafts/1" };
         let call = context.callers.send(
             number % ENTRY_DAEMONS,
-            CallerRequest::post(path, &id, b"verse"),
+            CallerRequest::post(path, &id, body.as_bytes()),
         );
         let mut was_refused = false;
         if let Ok(Ok(response)) = with_timeout(call).await {
-            was_refused = response.status() == StatusCode::SERVICE_UNAVAILABLE;
-            let is_complete =
-                response.status() != StatusCode::OK || response.body() == &expected_stream();
-            assert!(
-                is_complete,
-                "seed {seed}: {id}: a partial stream looks complete"
-            );
+            was_refused = is_refusal(response.status());
+            if let Err(text) = check_answer(&id, body.as_bytes(), &response) {
+                let text = format!("seed {seed}: {id}: {text}");
+                eprintln!("soak: violation: {text}");
+                context.ledger().violations.push(text);
+            }
         }
         requests.extend(is_once.then_some(OnceRequest { id, was_refused }));
     }
     requests
 }
 
+/// Returns whether a status promises that the request hasn't run and never will.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+/// Checks that an answer belongs to its request and is whole.
+fn check_answer(id: &str, body: &[u8], response: &Response<Bytes>) -> Result<(), String> {
+    if let Some(answered) = response.headers().get("x-request-id")
+        && answered.as_bytes() != id.as_bytes()
+    {
+        return Err(format!("an answer with another id: {response:?}"));
+    }
+    let text = String::from_utf8_lossy(response.body());
+    let expected = match response.status() {
+        StatusCode::OK => stream_of(&RequestedStream::parse(body)),
+        // An answer of the daemon itself.
+        _ if !text.starts_with(FAILURE_START) => return Ok(()),
+        _ => failure_text(id),
+    };
+    match text == expected {
+        true => Ok(()),
+        false => Err(format!(
+            "not the whole answer to this request: {response:?}"
+        )),
+    }
+}
+
 async fn with_timeout<T>(call: impl Future<Output = T>) -> Result<T, Elapsed> {
     tokio::time::timeout(CALL_TIMEOUT, call).await
 }
@@ -85,11 +124,14 @@
         let lot = format!("lot-{}-{number}", context.seed);
         let is_ended = random.random_bool(0.15);
         let bodies = match is_ended {
-            true => draw_bodies(&mut random, LONG_LOT_ITEMS, 300..900),
-            false => draw_bodies(&mut random, 1..8, 200..2_600),
+            true => draw_bodies(&mut random, &lot, LONG_LOT_ITEMS, 300..900),
+            false => draw_bodies(&mut random, &lot, 1..8, 200..2_600),
         };
+        let submitted_at = Instant::now();
         if submit_lot(&context, &lot, &bodies, &mut random).await {
-            context.ledger().accept(&lot, &bodies, Instant::now());
+            context
+                .ledger()
+                .accept(&lot, &bodies, submitted_at, Instant::now());
             for daemon in (0..ENTRY_DAEMONS).cycle().take(READERS_PER_LOT) {
                 let reader = follow_lot(
                     context.clone(),
@@ -136,10 +178,18 @@
 }
 
 /// Draws bodies of items that take different times, so that the results arrive in several
-/// groups.
-fn draw_bodies(random: &mut StdRng, count: Range<usize>, millis: Range<u64>) -> Vec<String> {
+/// groups. Each asks for a stream that names its item.
+fn draw_bodies(
+    random: &mut StdRng,
+    lot: &str,
+    count: Range<usize>,
+    millis: Range<u64>,
+) -> Vec<String> {
     let numbers = 0..random.random_range(count);
-    let bodies = numbers.map(|_| format!("takes {}", random.random_range(millis.clone())));
+    let bodies = numbers.map(|number| {
+        let millis = random.random_range(millis.clone());
+        format!("takes {millis} as {lot}-{number}")
+    });
     bodies.collect()
 }
 
