--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -17,9 +17,17 @@
 //! A daemon that can't be sure may tell readers to retry, but must not contradict these
 //! guarantees.
 //!
-//! `SOAK_SEEDS=100,101` runs other seeds than those of the check script. A seed that ever
-//! failed stays in `SEEDS`, with a line on its cause. A seed determines the faults and the
-//! work; how they coincide differs from run to run.
+//! The long run is started by hand, one test at a time: `SOAK_SEEDS=100,101` runs other seeds
+//! than those of the check script, and `FLEET_LOGS` names a folder for the logs of all daemons
+//! of a seed that fails:
+//!
+//! ```text
+//! FLEET_LOGS=/tmp/logs SOAK_SEEDS=702,703 cargo test -p comfreyramp-node --test soak \
+//!     answers_are_believed -- --nocapture
+//! ```
+//!
+//! A seed that ever failed stays in the list of its test, with a line on its cause. A seed
+//! determines the faults and the work; how they coincide differs from run to run.
 #![allow(
     clippy::unwrap_used,
     clippy::panic,
