--- a/crates/node/tests/soak/faulty_engine.rs
+++ b/crates/node/tests/soak/faulty_engine.rs
@@ -34,7 +34,7 @@
 /// How often an engine sends a late answer first, where its connection was used before.
 const LATE_RATE: f64 = 0.25;
 /// How often a request gets the same wrong answer or failure each time.
-const SAME_FAULT_RATE: f64 = 0.08;
+const SAME_FAULT_RATE: f64 = 0.2;
 /// How often an engine answers in another wrong way, or with a failure.
 const FAULT_RATE: f64 = 0.15;
 /// The id of a request that nobody sent.
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -78,6 +78,13 @@
 const ENTRY_DAEMONS: usize = 2;
 /// The number of all daemons. Those that don't serve callers run lots.
 const DAEMONS: usize = 4;
+/// The ids and zones of the engines that answer wrongly.
+const FAULTY_ENGINES: [(&str, &str); 4] = [
+    ("faulty-1", "zone-1"),
+    ("faulty-2", "zone-2"),
+    ("faulty-3", "zone-1"),
+    ("faulty-4", "zone-2"),
+];
 /// How often servers may fail at an item, according to the routes in the fleet's settings.
 const ATTEMPTS: usize = 2;
 /// How long an item is kept, according to the same routes.
@@ -170,8 +177,9 @@
     let _engines_guard = stop_engines.clone().drop_guard();
     if kind == SoakKind::FaultyEngines {
         fleet.put_retention(kind.retention().as_secs());
-        for (id, zone) in [("faulty-1", "zone-1"), ("faulty-2", "zone-2")] {
-            engines.start(&fleet, id, zone, stop_engines.clone()).await;
+        for (id, zone) in FAULTY_ENGINES {
+            let stop = stop_engines.clone();
+            engines.start(&fleet, id, zone, stop).await;
         }
         tokio::time::sleep(SETTLE_TIME).await;
     }
