A connection isn't reused for a request with the id of its last one

Found by review: callers choose the ids of their requests, and the daemon that runs a lot sends an item again under its id. A late second answer to the first of two requests with one id on one connection was passed on as that to the second. Such a request gets another connection.

The pool's own test names a request for each connection it asks for.

--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -54,6 +54,8 @@
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     request: OpenRequest,
+    /// The id of its last request, whose answer may be repeated later.
+    last_id: String,
     /// How long it had been idle before its current request; `None` for a new connection.
     idle: Option<Duration>,
 }
@@ -73,8 +75,10 @@
 }
 
 impl ConnectionPool {
-    /// Returns a connection to a server: one that has been idle for at most `max_idle`
-    /// if there is any, else a new one.
+    /// Returns a connection to a server for the request `request_id`: one that has been idle
+    /// for at most `max_idle` if there is any, else a new one. A connection whose last
+    /// request had the same id isn't used: a late second answer to that one couldn't be told
+    /// from the answer to this one.
     ///
     /// # Errors
     ///
@@ -82,10 +86,12 @@
     pub async fn connect(
         &self,
         address: SocketAddr,
+        request_id: &str,
         max_idle: Duration,
         now: Timestamp,
     ) -> Result<ServerConnection, SendFailure> {
-        if let Some(connection) = self.take_idle(address, max_idle, now) {
+        if let Some(mut connection) = self.take_idle(address, request_id, max_idle, now) {
+            request_id.clone_into(&mut connection.last_id);
             return Ok(connection);
         }
         let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
@@ -110,6 +116,7 @@
             address,
             sender,
             request,
+            last_id: request_id.to_owned(),
             idle: None,
         })
     }
@@ -117,6 +124,7 @@
     fn take_idle(
         &self,
         address: SocketAddr,
+        request_id: &str,
         max_idle: Duration,
         now: Timestamp,
     ) -> Option<ServerConnection> {
@@ -125,7 +133,9 @@
         let connections = &mut idle[index].1;
         connections.retain(|it| it.use_until > now && !it.connection.sender.is_closed());
         let ready = connections.iter().rposition(|it| {
-            now.since(it.idle_since) <= max_idle && it.connection.sender.is_ready()
+            now.since(it.idle_since) <= max_idle
+                && it.connection.sender.is_ready()
+                && it.connection.last_id != request_id
         })?;
         let taken = connections.remove(ready);
         let mut connection = taken.connection;
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -233,7 +233,10 @@
         WorkKind::Live => MAX_IDLE,
         WorkKind::Bulk => ITEM_MAX_IDLE,
     };
-    let connecting = node.connections.connect(address, max_idle, now).await;
+    let connecting = node
+        .connections
+        .connect(address, request_id, max_idle, now)
+        .await;
     let mut connection = connecting.map_err(|_| AttemptFailure::Unreachable)?;
     let sent_at = node.clock.now();
     let method = request.method().clone();
--- a/crates/serving/tests/connection_pool.rs
+++ b/crates/serving/tests/connection_pool.rs
@@ -48,7 +48,10 @@
     max_idle: Duration,
     now: Timestamp,
 ) -> bool {
-    let mut connection = pool.connect(address, max_idle, now).await.unwrap();
+    let mut connection = pool
+        .connect(address, "request-1", max_idle, now)
+        .await
+        .unwrap();
     let request = Request::get("/").header("host", "fleet.example");
     let request = request.body(Full::new(Bytes::new())).unwrap();
     let response = connection.send(request).await.unwrap();
