A server's 503 that doesn't say "not run" is no refusal to the caller

Found by the soak: a server may run a request and answer 503, 429 or 408 itself, without the statement that it didn't run it. The answer was passed on with its status, which promises the caller that the request hasn't run and never will; a caller whose request may run once sends it again then. Where a request may run once the caller gets 502 now, which promises nothing. Answers to requests that may run again are passed on as before: repeating them does no harm.

Before: a_request_that_ran_is_not_refused_with_its_servers_status failed (408, 429, 503); it passes now.

--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use comfreyramp_policy::placement::ServerListing;
 use comfreyramp_store::PlatformStore;
-use http::{HeaderMap, Request, Response, request, response};
+use http::{HeaderMap, Request, Response, StatusCode, request, response};
 
 use crate::model::{
     CallerHead, FleetSettings, InvalidRequest, LotItem, LotPage, NewLot, Refusal, RequestMetadata,
@@ -49,6 +49,10 @@
     /// Builds the answer to a request that the daemon refuses.
     fn refuse(refusal: &Refusal) -> Response<Bytes>;
 
+    /// Returns whether an answer with this status promises that the request hasn't run and
+    /// never will.
+    fn promises_not_run(status: StatusCode) -> bool;
+
     /// Builds the answer to a submission whose lot was accepted.
     fn lot_accepted() -> Response<Bytes>;
 
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -232,6 +232,13 @@
                 Ok(_)
                     if is_retryable_error
                         && self.check_failover(AttemptFailure::Broken).is_ok() => {}
+                Ok((head, _)) if self.is_false_promise(head.status) => {
+                    log::info!(
+                        request = self.request_id, status = head.status.as_u16();
+                        "callers: the server's status would promise that the request hasn't run"
+                    );
+                    return Err(RefusalCause::AnswerLost.into());
+                }
                 Ok((head, body)) => {
                     if let Some(progress) = &mut self.progress {
                         progress.bytes = body.len() as u64;
@@ -243,6 +250,13 @@
         }
     }
 
+    /// Returns whether a server's status would promise a caller that its request hasn't run,
+    /// although it may have and mustn't run again.
+    fn is_false_promise(&self, status: StatusCode) -> bool {
+        let may_run_again = self.route.kind.is_idempotent();
+        !may_run_again && <D::Callers as CallerDialect>::promises_not_run(status)
+    }
+
     /// Chooses a server and sends the request to it.
     ///
     /// The outer error is the final refusal. After an inner error, another server may be
