--- a/crates/serving/tests/connection_pool.rs
+++ b/crates/serving/tests/connection_pool.rs
@@ -48,10 +48,9 @@
     max_idle: Duration,
     now: Timestamp,
 ) -> bool {
-    let mut connection = pool
-        .connect(address, "request-1", max_idle, now)
-        .await
-        .unwrap();
+    let request_id = format!("request-{}", now.as_micros());
+    let connecting = pool.connect(address, &request_id, max_idle, now);
+    let mut connection = connecting.await.unwrap();
     let request = Request::get("/").header("host", "fleet.example");
     let request = request.body(Full::new(Bytes::new())).unwrap();
     let response = connection.send(request).await.unwrap();
