Ages of lots allow for clocks that a time service runs faster

Found by review: the age of a lot allowed for clocks that differ by 0.1%, and the monotonic clock of a VM is slewed too while its time service corrects the wall clock, by up to a twelfth. An age could then run ahead of the true one by as much as the clock was wrong. A tenth is allowed for now, which keeps items of a retention of 60 s for up to 67 s. Ruled out: the clock that isn't slewed, which stands still while a VM is suspended.

--- a/crates/policy/src/lots/lot_age.rs
+++ b/crates/policy/src/lots/lot_age.rs
@@ -4,8 +4,9 @@
 
 use crate::Timestamp;
 
-/// The fraction by which the monotonic clock of one VM may run faster than that of another.
-const MAX_CLOCK_DRIFT: f64 = 0.001;
+/// The fraction by which the monotonic clock of a VM may run too fast. A time service that
+/// corrects a wall clock by seconds may run all clocks of its VM faster for a while.
+const MAX_CLOCK_DRIFT: f64 = 0.1;
 
 /// The age of a lot, as far as one daemon can prove it.
 ///
@@ -13,7 +14,7 @@
 /// wrote proves nothing to the one that runs the lot. A daemon counts only the time that it
 /// observes on its own monotonic clock, on top of the age that an earlier one has stored.
 /// The result is never more than the true age: an item may be kept for longer than
-/// promised, and never for less. See `docs/LOTS.md`.
+/// promised, and never for less. See `docs/PLATFORM.md`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LotAge {
     /// The age that was proved at `proved_at`.
