Counts of failures by an earlier version end no item

Found by review: counts that were stored before hold 502, 504 and answers that were cut off, and a daemon that claims a lot gave its items up by them. Counts are stored under another key now, and begin anew once while a fleet is upgraded.

an_item_is_kept_whose_failures_an_earlier_version_counted failed before and passes now. lot_faults looks for the counts under the new key.

--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -228,8 +228,8 @@
     assert_kept(submitted_at.elapsed(), &page["results"][0]);
 }
 
-/// Returns a lot that is kept for longer than its route may be missing.
-fn lot_without_route(id: &'static str, settings: u64) -> StoredLot {
+/// Returns a lot whose items are kept for longer than its route may be missing.
+fn long_kept_lot(id: &'static str, settings: u64) -> StoredLot {
     StoredLot {
         id,
         behind: Duration::ZERO,
@@ -245,7 +245,7 @@
     let mut fleet = ScriptedFleet::start(stream).await;
     fleet.fleet.put_without_route(Some("/lots/"));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    lot_without_route("lot-route", 0).write(&fleet.fleet);
+    long_kept_lot("lot-route", 0).write(&fleet.fleet);
     // The daemon lists open lots every two seconds.
     tokio::time::sleep(Duration::from_millis(3_000)).await;
     fleet.fleet.put_without_route(None);
@@ -260,7 +260,7 @@
     let mut fleet = ScriptedFleet::start(stream).await;
     fleet.fleet.put_without_route(Some("/lots/"));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    lot_without_route("lot-newer", u64::MAX).write(&fleet.fleet);
+    long_kept_lot("lot-newer", u64::MAX).write(&fleet.fleet);
     let written_at = Instant::now();
     tokio::time::sleep(LIST_INTERVAL + ROUTE_GRACE + Duration::from_secs(1)).await;
     let results = fleet.fleet.store.keys("lots/data/lot-newer/results/");
@@ -278,7 +278,7 @@
     let mut fleet = ScriptedFleet::start(stream).await;
     fleet.fleet.put_without_route(Some("/lots/"));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    lot_without_route("lot-gone", 0).write(&fleet.fleet);
+    long_kept_lot("lot-gone", 0).write(&fleet.fleet);
     let written_at = Instant::now();
     let page = fleet.fleet.read_finished_lot(0, "lot-gone").await;
     assert_eq!(page["results"][0]["state"], "dead_letter");
@@ -354,7 +354,7 @@
     let mut fleet = ScriptedFleet::start(stream).await;
     fleet.fleet.put_without_route(Some("/lots/"));
     tokio::time::sleep(Duration::from_millis(1_500)).await;
-    lot_without_route("lot-cut-off", 0).write(&fleet.fleet);
+    long_kept_lot("lot-cut-off", 0).write(&fleet.fleet);
     let claim = "lots/claim/lot-cut-off";
     let store = fleet.fleet.store.clone();
     fleet
@@ -373,3 +373,16 @@
     let page = fleet.fleet.read_finished_lot(0, "lot-cut-off").await;
     assert_eq!(page["results"][0]["state"], "done");
 }
+
+/// Counts of failures that an earlier version wrote hold other statuses and answers that were
+/// cut off, so they must not end an item.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_item_is_kept_whose_failures_an_earlier_version_counted() {
+    let fleet = ScriptedFleet::start(stream).await;
+    let counts = json!([{"item": "lot-counted-0", "faults": ATTEMPTS}]).to_string();
+    let key = "lots/data/lot-counted/faults";
+    fleet.fleet.store.put(key, counts.as_bytes());
+    long_kept_lot("lot-counted", 0).write(&fleet.fleet);
+    let page = fleet.fleet.read_finished_lot(0, "lot-counted").await;
+    assert_eq!(page["results"][0]["state"], "done");
+}
--- a/crates/node/tests/lot_faults.rs
+++ b/crates/node/tests/lot_faults.rs
@@ -132,7 +132,7 @@
 
     /// Returns how often the item failed, according to the store; `None` before any count.
     fn stored_faults(&self, lot: &str) -> Option<u64> {
-        let counts = self.fleet.store.keys(&format!("lots/data/{lot}/faults"));
+        let counts = self.fleet.store.keys(&format!("lots/data/{lot}/failures"));
         let counts: Value = serde_json::from_slice(&counts.first()?.value).unwrap();
         counts[0]["faults"].as_u64()
     }
--- a/crates/serving/src/lots/keys.rs
+++ b/crates/serving/src/lots/keys.rs
@@ -52,9 +52,10 @@
     format!("{DATA}{lot}/zend")
 }
 
-/// Returns the key of the fault counts: how often servers failed at each item.
+/// Returns the key of the fault counts: how often servers failed at each item. Earlier
+/// versions wrote `faults`, where other statuses and cut answers count too.
 pub(super) fn faults(lot: &str) -> String {
-    format!("{DATA}{lot}/faults")
+    format!("{DATA}{lot}/failures")
 }
 
 /// Returns the key of the age that a daemon which ran the lot has proved.
