--- a/crates/node/tests/soak/faulty_engine.rs
+++ b/crates/node/tests/soak/faulty_engine.rs
@@ -142,6 +142,17 @@
         counts
     }
 
+    /// Returns whether there was a late answer and one that was cut off.
+    pub(crate) fn sent_wrong_answers(&self) -> bool {
+        let arrivals = self.arrivals();
+        let has = |is_kind: fn(&EngineAnswer) -> bool| {
+            let mut answers = arrivals.iter().map(|it| it.answer);
+            answers.any(|it| is_kind(&it))
+        };
+        has(|it| matches!(it, EngineAnswer::AfterLate { .. }))
+            && has(|it| matches!(it, EngineAnswer::CutFailure(_)))
+    }
+
     fn answer(&self, engine: &str, received: &ScriptedRequest) -> ScriptedAnswer {
         let request = &received.request;
         let answer = if request.header("x-expect-instance") != engine {
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -58,7 +58,7 @@
 use lot_ledger::LotLedger;
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::task::JoinSet;
-use tokio_util::sync::CancellationToken;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// The seeds of the check script.
 const SEEDS: [u64; 4] = [
@@ -71,7 +71,7 @@
 /// The seeds of the check script for the test in which settings change.
 const SETTINGS_SEEDS: [u64; 2] = [500, 501];
 /// The seeds of the check script for the test in which engines answer wrongly.
-const ENGINES_SEEDS: [u64; 2] = [700, 701];
+const ENGINES_SEEDS: [u64; 3] = [700, 701, 702];
 /// For how long faults are started.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
 /// The number of entry daemons, which serve callers. They come first in the fleet.
@@ -173,16 +173,10 @@
     fleet.servers[1].set_ends_with_connection(true);
     let stop = CancellationToken::new();
     let engines = Arc::new(EngineState::new(seed, stop.clone()));
-    let stop_engines = CancellationToken::new();
-    let _engines_guard = stop_engines.clone().drop_guard();
-    if kind == SoakKind::FaultyEngines {
-        fleet.put_retention(kind.retention().as_secs());
-        for (id, zone) in FAULTY_ENGINES {
-            let stop = stop_engines.clone();
-            engines.start(&fleet, id, zone, stop).await;
-        }
-        tokio::time::sleep(SETTLE_TIME).await;
-    }
+    let _engines_guard = match kind {
+        SoakKind::FaultyEngines => Some(start_faulty_engines(&mut fleet, &engines).await),
+        SoakKind::Faults | SoakKind::Changes => None,
+    };
     let context = Arc::new(SoakContext {
         seed,
         callers: fleet.callers(),
@@ -218,11 +212,28 @@
     eprintln!("soak: seed {seed}: {:?}", context.ledger().counts);
     if kind == SoakKind::FaultyEngines {
         eprintln!("soak: seed {seed}: {:?}", context.engines.counts());
+        let is_tried = context.engines.sent_wrong_answers();
+        assert!(
+            is_tried,
+            "seed {seed}: no late answer or none that is cut off"
+        );
     }
     let violations = context.ledger().violations.clone();
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
+/// Starts the engines that answer wrongly, and has items kept for a short time. The engines
+/// stop when the guard is dropped.
+async fn start_faulty_engines(fleet: &mut Fleet, engines: &Arc<EngineState>) -> DropGuard {
+    fleet.put_retention(SHORT_RETENTION.as_secs());
+    let stop = CancellationToken::new();
+    for (id, zone) in FAULTY_ENGINES {
+        engines.start(fleet, id, zone, stop.clone()).await;
+    }
+    tokio::time::sleep(SETTLE_TIME).await;
+    stop.drop_guard()
+}
+
 /// Returns a random source of its own for a task, so that its draws don't depend on those
 /// of other tasks.
 fn fork_random(random: &mut StdRng) -> StdRng {
--- a/crates/node/tests/soak/traffic.rs
+++ b/crates/node/tests/soak/traffic.rs
@@ -98,6 +98,8 @@
     let text = String::from_utf8_lossy(response.body());
     let expected = match response.status() {
         StatusCode::OK => stream_of(&RequestedStream::parse(body)),
+        // Only servers send these.
+        StatusCode::INTERNAL_SERVER_ERROR | StatusCode::UNPROCESSABLE_ENTITY => failure_text(id),
         // An answer of the daemon itself.
         _ if !text.starts_with(FAILURE_START) => return Ok(()),
         _ => failure_text(id),
