--- a/crates/serving/src/lots/candidates.rs
+++ b/crates/serving/src/lots/candidates.rs
@@ -52,12 +52,6 @@
         self.candidates.iter().any(|it| it.lot == lot)
     }
 
-    /// Returns since when this daemon knows a lot that waits to be claimed.
-    pub fn known_since(&self, lot: &str) -> Option<Timestamp> {
-        let candidate = self.candidates.iter().find(|it| it.lot == lot);
-        candidate.map(|it| it.known_since)
-    }
-
     /// Records which daemon is asked to run a lot. The first call wins, since a lot that
     /// was submitted twice may be assigned to two daemons.
     pub fn assign(&mut self, lot: &str, runner: PeerId) {
--- a/crates/serving/src/lots/mod.rs
+++ b/crates/serving/src/lots/mod.rs
@@ -31,6 +31,6 @@
 pub use peer_read::{LOT_PATH, lot_for_peer};
 pub use read::answer_lot_request;
 pub use retire::follow_retire_orders;
-pub use sweep::sweep_lots;
+pub use sweep::{keys_to_sweep, sweep_lots};
 pub use waiting::LedgerCache;
 pub use worker::run_lots;
--- a/crates/serving/src/lots/sweep.rs
+++ b/crates/serving/src/lots/sweep.rs
@@ -43,26 +43,16 @@
 }
 
 async fn sweep<D: Dialect>(node: &Node<D>) -> Result<usize, StoreError> {
-    let listed = node
-        .store
-        .range(KeyRange::Prefix(keys::all_data().to_owned()), 0)
-        .await?;
+    let list = async |prefix: &str| {
+        let range = KeyRange::Prefix(prefix.to_owned());
+        node.store.range(range, 0).await
+    };
+    // A lot that is accepted between the two lists has no data in the first.
+    let data = list(keys::all_data()).await?;
+    let open = list(keys::OPEN).await?;
     let kept = (node.settings.results_kept_s + RETENTION_MARGIN).as_millis() as u64;
     let oldest = unix_millis().saturating_sub(kept);
-    let mut old = Vec::new();
-    for pair in &listed.pairs {
-        let is_head = pair.key.ends_with("/head");
-        if is_head && from_json::<LotHead>(pair).is_ok_and(|it| is_old(&it, oldest)) {
-            old.push(pair.key.trim_end_matches("head"));
-        }
-    }
-    let is_due = |pair: &&KeyValue| old.iter().any(|it| pair.key.starts_with(it));
-    let due: Vec<String> = listed
-        .pairs
-        .iter()
-        .filter(is_due)
-        .map(|it| it.key.clone())
-        .collect();
+    let due = keys_to_sweep(&data.pairs, &open.pairs, oldest);
     for keys in due.chunks(DELETIONS_PER_CALL) {
         let batch = WriteBatch {
             then: keys.iter().cloned().map(Write::Delete).collect(),
@@ -73,6 +63,26 @@
     Ok(due.len())
 }
 
+/// Returns the keys of the lots that ended before `oldest`, in Unix milliseconds, as far as
+/// wall clocks tell. A lot with an open mark hasn't ended, whatever they tell.
+pub fn keys_to_sweep(data: &[KeyValue], open: &[KeyValue], oldest: u64) -> Vec<String> {
+    let mut old = Vec::new();
+    for pair in data {
+        let Some(folder) = pair.key.strip_suffix("head") else {
+            continue;
+        };
+        let lot = folder.strip_prefix(keys::all_data());
+        let mark = lot.map(|it| keys::open(it.trim_end_matches('/')));
+        let is_open = open.iter().any(|it| Some(&it.key) == mark.as_ref());
+        if !is_open && from_json::<LotHead>(pair).is_ok_and(|it| is_old(&it, oldest)) {
+            old.push(folder);
+        }
+    }
+    let is_due = |pair: &&KeyValue| old.iter().any(|it| pair.key.starts_with(it));
+    let due = data.iter().filter(is_due);
+    due.map(|it| it.key.clone()).collect()
+}
+
 fn is_old(head: &LotHead, oldest: u64) -> bool {
     head.submitted.max(head.given_up) < oldest
 }
