comfreyrampd takes no answer for one to another request

Callers of comfreyrampd got the answer to a request before theirs, possibly another customer's, and items of lots were recorded with the result of another item. Cause: an answer was taken for the present request's because it came over the connection on which that was sent. A server that answers twice, the second time late, puts its second answer there.

ServerClient compares the x-request-id, which the daemon sends with each request. It uses a connection again only to servers that repeat the id, and there takes only an answer with it; otherwise the connection is dropped, the server charged, and the request may have run. An answer over a new connection is taken whatever its id, since it can belong to no other request; servers that give no id or make one up, as plain services do, are served over a new connection each time, and so are queries without an id (load, health).

Such an answer isn't a broken connection, so it starts no check whether the server died, which would make its request a suspect. Ruled out: refusing answers without the id, which would cut off every server that gives none; looking for unexpected bytes before a connection is used again, which misses those that arrive after the request was sent. The stand-ins repeat the id now.

--- a/crates/daemon/src/callers/engine_call.rs
+++ b/crates/daemon/src/callers/engine_call.rs
@@ -377,6 +377,10 @@
             server.note_outcome(ServerOutcome::Broken);
             Err(AttemptFailure::TimedOut)
         }
+        Err(CallError::OtherRequest) => {
+            server.note_other_answer(&call.caller.request_id);
+            Err(AttemptFailure::Broken)
+        }
     }
 }
 
--- a/crates/daemon/src/callers/plain_call.rs
+++ b/crates/daemon/src/callers/plain_call.rs
@@ -256,7 +256,7 @@
                 if let Some(answer) = self.upload.caller_error(&error) {
                     return Err(answer);
                 }
-                Err(note_failure(&server, &error).await)
+                Err(note_failure(&server, &error, &self.caller.request_id).await)
             }
         })
     }
@@ -408,7 +408,11 @@
 }
 
 /// Records a failed attempt on its server.
-async fn note_failure(server: &ChosenServer, error: &CallError) -> AttemptFailure {
+async fn note_failure(
+    server: &ChosenServer,
+    error: &CallError,
+    request_id: &str,
+) -> AttemptFailure {
     match error {
         CallError::NotSent(_) => {
             server.note_not_sent();
@@ -422,6 +426,10 @@
             server.note_outcome(ServerOutcome::Broken);
             AttemptFailure::TimedOut
         }
+        CallError::OtherRequest => {
+            server.note_other_answer(request_id);
+            AttemptFailure::Broken
+        }
     }
 }
 
--- a/crates/daemon/src/lot_work/engine_runner.rs
+++ b/crates/daemon/src/lot_work/engine_runner.rs
@@ -75,11 +75,14 @@
     }
 
     async fn call_failed(&self, run: &ItemRun, error: &CallError) -> Outcome {
-        let outcome = match error {
-            CallError::NotSent(_) => ServerOutcome::ConnectFailed,
-            CallError::Broken(_) | CallError::TimedOut(_) => ServerOutcome::Broken,
-        };
-        run.slot.server.note_outcome(outcome);
+        let server = &run.slot.server;
+        match error {
+            CallError::NotSent(_) => server.note_outcome(ServerOutcome::ConnectFailed),
+            CallError::Broken(_) | CallError::TimedOut(_) => {
+                server.note_outcome(ServerOutcome::Broken);
+            }
+            CallError::OtherRequest => server.note_other_answer(&run.item_request.id),
+        }
         match error {
             CallError::Broken(_) => self.broken(run).await,
             _ => ItemOutcome::ServerFault {
--- a/crates/daemon/src/server_pool.rs
+++ b/crates/daemon/src/server_pool.rs
@@ -459,6 +459,16 @@
         }
     }
 
+    /// Records that the answer to another request came. The connection didn't break, so it is
+    /// no sign that the server died.
+    pub fn note_other_answer(&self, request_id: &str) {
+        log::warn!(
+            "servers: {} answered another request in place of {request_id}",
+            self.name
+        );
+        self.note_outcome(ServerOutcome::Broken);
+    }
+
     /// Records that no connection could be opened.
     pub fn note_not_sent(&self) {
         self.note_outcome(ServerOutcome::ConnectFailed);
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -5,7 +5,7 @@
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
-use comfreyramp_http::HttpClient;
+use comfreyramp_http::ServerClient;
 use comfreyramp_lots::SystemClock;
 use comfreyramp_policy::{Incarnation, RetryBudget};
 use comfreyramp_settings::DaemonSettings;
@@ -41,7 +41,7 @@
     /// The backend servers and their load.
     pub servers: ServerPool,
     /// The HTTP client for requests to backend servers.
-    pub client: HttpClient,
+    pub client: ServerClient,
     /// The platform's key-value service.
     pub store: GatewayStore<DaemonMetrics>,
     /// The customers' files and lots (batch jobs).
@@ -96,7 +96,7 @@
             suspect_records: SuspectRecords::new(parts.store.clone()),
             snapshots: parts.snapshots,
             servers: ServerPool::default(),
-            client: HttpClient::default(),
+            client: ServerClient::default(),
             lots: DaemonLots::new(parts.store.clone(), SystemClock),
             bulk_limiters: BulkLimiters::default(),
             store: parts.store,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -40,6 +40,9 @@
     /// No answer arrived within the time limit.
     #[error("no answer within {0:?}")]
     TimedOut(Duration),
+    /// What arrived isn't the answer to this request, as far as its id shows.
+    #[error("the answer is one to another request")]
+    OtherRequest,
 }
 
 impl CallError {
@@ -64,6 +67,15 @@
 impl HttpClient {
     /// Creates a client whose connections must open within `connect_timeout`.
     pub fn new(connect_timeout: Duration) -> Self {
+        HttpClient::with_idle_connections(connect_timeout, usize::MAX)
+    }
+
+    /// Creates a client that opens a connection for each request.
+    pub(crate) fn without_reuse() -> Self {
+        HttpClient::with_idle_connections(CONNECT_TIMEOUT, 0)
+    }
+
+    fn with_idle_connections(connect_timeout: Duration, max_idle: usize) -> Self {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_nodelay(true);
@@ -74,6 +86,7 @@
         let client = Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(max_idle)
             .build(connector);
         HttpClient { client }
     }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`serve`] accepts connections until its token is cancelled, then lets the
 //!   open ones finish.
 //! - [`HttpClient`] calls other servers and reports whether a failed request may
-//!   have been sent.
+//!   have been sent. [`ServerClient`] also makes sure that an answer is the request's.
 //! - [`MessageBody`] is the body type that the client and the server share.
 //! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] where its
 //!   events end, and [`AnswerProgress`] from both whether an answer has been broken off.
@@ -22,6 +22,7 @@
 mod event_splitter;
 mod guarded_socket;
 mod serve;
+mod server_client;
 
 pub use answer_guard::{AnswerGuard, AnswerNotes};
 pub use answer_progress::{AnswerEnd, AnswerProgress};
@@ -33,6 +34,7 @@
 pub use event_splitter::{EventSplitter, EventTooLong, event_data, event_id, event_text};
 pub use guarded_socket::{CloseGuard, GuardedSocket, set_reset_on_close};
 pub use serve::{ServeLimits, bind, serve};
+pub use server_client::ServerClient;
 
 pub use bytes::Bytes;
 pub use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
--- a/crates/standins/src/engine/server.rs
+++ b/crates/standins/src/engine/server.rs
@@ -177,6 +177,7 @@
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<MessageBody> {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
+        let request_id = request.headers().get("x-request-id").cloned();
         let mut response = match (method, path.as_str()) {
             (Method::POST, "/v1/chat/completions") => {
                 self.generate(AnswerShape::Chat, request).await
@@ -199,6 +200,9 @@
             _ => error_response(StatusCode::NOT_FOUND, "not_found", "no such path"),
         };
         response.headers_mut().extend(self.load_headers());
+        if let Some(id) = request_id {
+            response.headers_mut().insert("x-request-id", id);
+        }
         response
     }
 
--- a/crates/standins/src/service/server.rs
+++ b/crates/standins/src/service/server.rs
@@ -86,6 +86,7 @@
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<MessageBody> {
         let path = request.uri().path().to_owned();
+        let request_id = request.headers().get("x-request-id").cloned();
         let mut response = match path.as_str() {
             "/stand-in/requests" => {
                 json_response(StatusCode::OK, &json!({ "requests": self.log.list() }))
@@ -95,6 +96,9 @@
             _ => self.describe(request).await,
         };
         response.headers_mut().extend(self.load_headers());
+        if let Some(id) = request_id {
+            response.headers_mut().insert("x-request-id", id);
+        }
         response
     }
 
