--- a/crates/store/tests/cut_answers.rs
+++ b/crates/store/tests/cut_answers.rs
@@ -9,11 +9,13 @@
 mod common;
 
 use assert_matches::assert_matches;
-use comfreyramp_standins::runner::{ClosingAnswer, ClosingServer};
+use comfreyramp_standins::runner::{
+    ClosingAnswer, ClosingServer, ScriptedAnswer, ScriptedRequest, ScriptedServer,
+};
 use comfreyramp_store::{GatewayStore, NoMetrics, PlatformStore, StoreError, WatchStream};
 use tokio_util::sync::CancellationToken;
 
-use common::{prefix, settings};
+use common::{absent, batch, prefix, put, settings};
 
 const OPENED: &str = "{\"result\":{\"header\":{\"revision\":\"5\"},\"created\":true}}\n";
 const CHANGE: &str = "{\"result\":{\"header\":{\"revision\":\"6\"},\"events\":[{\"kv\":\
@@ -62,3 +64,24 @@
         assert_matches!(answer, Err(StoreError::AnswerLost(_)), "{place}");
     }
 }
+
+/// The status of an error whose body is cut off must not be taken for the statement that a
+/// write was rejected: the error may have said that its outcome is unknown.
+#[tokio::test]
+async fn an_error_that_is_cut_off_is_a_lost_answer() {
+    const ABORTED: &[u8] = br#"{"code":10,"message":"the leader changed"}"#;
+    for status in [400, 409, 429, 503] {
+        for length in [0, 10, ABORTED.len()] {
+            let script =
+                move |_: &ScriptedRequest| ScriptedAnswer::cut(status, "", &ABORTED[..length]);
+            let stop = CancellationToken::new();
+            let server = ScriptedServer::start("platform", script, stop.clone());
+            let server = server.await.unwrap();
+            let settings = settings(&format!("http://{}", server.address));
+            let store = GatewayStore::new(settings, NoMetrics);
+            let writing = batch(vec![absent("s/a")], vec![put("s/a", "1")]);
+            let answer = store.transact(writing).await;
+            assert_matches!(answer, Err(StoreError::AnswerLost(_)), "{status} {length}");
+        }
+    }
+}
