An error of the etcd gateway that is cut off is a lost answer

The status of an error was acted on before its body was whole: where that broke off, a 4xx counted as a rejection, after which a write has certainly not been made. The body may have said that the outcome is unknown, as after a change of the platform's leader (409). Such a write was given up although it may be in force. Found by reading.

Before: an_error_that_is_cut_off_is_a_lost_answer failed (400 without a body); it passes now. At the fleet's store the whole answer is read before its status is looked at.

--- a/crates/store/src/gateway_store.rs
+++ b/crates/store/src/gateway_store.rs
@@ -164,7 +164,8 @@
     }
     let status = response.status();
     let body = collect_limited(response.into_body(), MAX_ERROR_BYTES).await;
-    Err(response_error(status, &body.unwrap_or_default()))
+    let body = body.map_err(|error| StoreError::AnswerLost(format!("status {status}: {error}")))?;
+    Err(response_error(status, &body))
 }
 
 /// Applies a timeout to a call. A timeout counts as a lost answer, since the request
