Answers of the etcd gateway are compared with their calls

Besides, a missing field counts as its default, so that an answer of another kind was taken for an empty list, or for the statement that nothing was written. The keys in an answer now have to belong to the call, a list and a transaction need a revision, a new lease an id, and a renewal has to name its lease.

Found by reading; not seen outside of tests.

--- a/crates/store/src/gateway_store.rs
+++ b/crates/store/src/gateway_store.rs
@@ -10,8 +10,8 @@
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    CallEnd, CallMetrics, GatewayWatch, KeyRange, LeaseId, NoMetrics, PlatformStore, RangeAnswer,
-    Revision, StoreCall, StoreError, TransactionAnswer, WriteBatch,
+    CallEnd, CallMetrics, GatewayWatch, KeyRange, KeyValue, LeaseId, NoMetrics, PlatformStore,
+    RangeAnswer, Revision, StoreCall, StoreError, TransactionAnswer, WriteBatch,
     line_reader::LineReader,
     wire::{
         ErrorMessage, HeaderResponse, LeaseMessage, RangeRequest, RangeResponse, StreamLine,
@@ -114,6 +114,20 @@
         self.counted(call, exchange).await
     }
 
+    /// Reads the keys of a range.
+    async fn read(
+        &self,
+        range: &KeyRange,
+        request: &RangeRequest,
+    ) -> Result<RangeAnswer, StoreError> {
+        let response: Result<RangeResponse, _> =
+            self.call(StoreCall::Range, "/v3/kv/range", request).await;
+        let answer = RangeAnswer::try_from(response?)?;
+        check_revision(answer.revision)?;
+        check_keys(&answer.pairs, |it| range.contains(it))?;
+        Ok(answer)
+    }
+
     /// Makes a call and returns a reader of the lines of its streamed response.
     async fn open<Q: Serialize + Sync>(
         &self,
@@ -213,6 +227,29 @@
     StoreError::AnswerLost(message)
 }
 
+/// Returns an error if an answer names a key that doesn't belong to its call. Answers have no
+/// id, so one to another call is found by its content only, and doesn't say how this call
+/// ended.
+fn check_keys(pairs: &[KeyValue], belongs: impl Fn(&String) -> bool) -> Result<(), StoreError> {
+    match pairs.iter().find(|it| !belongs(&it.key)) {
+        Some(pair) => Err(StoreError::AnswerLost(format!(
+            "a response to another call, with key {}",
+            pair.key
+        ))),
+        None => Ok(()),
+    }
+}
+
+/// Returns an error if an answer lacks the revision that each answer about keys has.
+fn check_revision(revision: Revision) -> Result<(), StoreError> {
+    match revision > 0 {
+        true => Ok(()),
+        false => Err(StoreError::AnswerLost(
+            "a response without a revision".to_owned(),
+        )),
+    }
+}
+
 impl<T: Default> StreamLine<T> {
     /// Returns the line's message, or the error that ends the stream.
     pub(crate) fn into_result(self) -> Result<T, StoreError> {
@@ -236,25 +273,28 @@
     type Watch = GatewayWatch<C>;
 
     async fn range(&self, range: KeyRange, limit: usize) -> Result<RangeAnswer, StoreError> {
-        let request = RangeRequest::new(&range, limit);
-        let answer: Result<RangeResponse, _> =
-            self.call(StoreCall::Range, "/v3/kv/range", &request).await;
-        answer?.try_into()
+        self.read(&range, &RangeRequest::new(&range, limit)).await
     }
 
     async fn read_keys(&self, range: KeyRange) -> Result<RangeAnswer, StoreError> {
-        let request = RangeRequest::keys_only(&range);
-        let answer: Result<RangeResponse, _> =
-            self.call(StoreCall::Range, "/v3/kv/range", &request).await;
-        answer?.try_into()
+        self.read(&range, &RangeRequest::keys_only(&range)).await
     }
 
     async fn transact(&self, batch: WriteBatch) -> Result<TransactionAnswer, StoreError> {
+        let read_back = batch.read_back.clone();
         let request = TransactionRequest::from(batch);
-        let answer: Result<TransactionResponse, _> = self
+        let response: Result<TransactionResponse, _> = self
             .call(StoreCall::Transaction, "/v3/kv/txn", &request)
             .await;
-        answer?.try_into()
+        let answer = TransactionAnswer::try_from(response?)?;
+        match &answer {
+            TransactionAnswer::Written(revision) => check_revision(*revision)?,
+            TransactionAnswer::Refused { found, revision } => {
+                check_revision(*revision)?;
+                check_keys(found, |it| read_back.contains(it))?;
+            }
+        }
+        Ok(answer)
     }
 
     async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
@@ -262,7 +302,12 @@
         let answer: LeaseMessage = self
             .call(StoreCall::LeaseGrant, "/v3/lease/grant", &request)
             .await?;
-        Ok(LeaseId(answer.id))
+        match answer.id {
+            0 => Err(StoreError::AnswerLost(
+                "a new lease without an id".to_owned(),
+            )),
+            id => Ok(LeaseId(id)),
+        }
     }
 
     async fn renew(&self, lease: LeaseId) -> Result<Duration, StoreError> {
@@ -272,7 +317,12 @@
             let line = lines.next().await?;
             let line = line.ok_or_else(|| StoreError::AnswerLost("an empty answer".into()))?;
             let line: StreamLine<LeaseMessage> = read_json(&line)?;
-            line.into_result()?.time_left()
+            let renewed = line.into_result()?;
+            if renewed.id != lease.0 {
+                let text = format!("a response about lease {}", renewed.id);
+                return Err(StoreError::AnswerLost(text));
+            }
+            renewed.time_left()
         };
         self.counted(StoreCall::LeaseRenew, exchange).await
     }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -53,6 +53,17 @@
 }
 
 impl KeyRange {
+    /// Returns whether the range contains a key.
+    pub fn contains(&self, key: &str) -> bool {
+        let (first, end) = self.bounds();
+        let key = key.as_bytes();
+        match end.as_ref() {
+            [] => key == first,
+            [0] => key >= first.as_ref(),
+            end => key >= first.as_ref() && key < end,
+        }
+    }
+
     /// Returns the first key and the end of the range in the form of the platform's
     /// calls: no end for a single key, a single zero byte for all keys that follow.
     pub fn bounds(&self) -> (Bytes, Bytes) {
