--- a/crates/store/tests/foreign_answers.rs
+++ b/crates/store/tests/foreign_answers.rs
@@ -2,6 +2,7 @@
 //! they state has to fit the call.
 
 #![allow(
+    clippy::panic,
     clippy::unwrap_used,
     reason = "a test fails where something is missing"
 )]
