Soak: engines answer 503 and 429 to requests that they ran

Without the statement that a request wasn't run, which it was: a caller of a route whose requests may run once must not be refused then.

--- a/crates/node/tests/soak/faulty_engine.rs
+++ b/crates/node/tests/soak/faulty_engine.rs
@@ -209,7 +209,7 @@
 
 /// Draws an answer that is a failure or belongs to another request.
 fn draw_fault(random: &mut StdRng) -> EngineAnswer {
-    match random.random_range(0..10) {
+    match random.random_range(0..12) {
         0 | 1 => EngineAnswer::CutFailure(500),
         2 => EngineAnswer::CutFailure(422),
         3 => EngineAnswer::Failure(502),
@@ -217,6 +217,9 @@
         5 | 6 => EngineAnswer::Failure(500),
         7 => EngineAnswer::Failure(422),
         8 => EngineAnswer::OfAnother { has_id: true },
+        // Without the statement that the request wasn't run, which it was.
+        10 => EngineAnswer::Failure(503),
+        11 => EngineAnswer::Failure(429),
         _ => EngineAnswer::OfAnother { has_id: false },
     }
 }
