Tests of scripted engines share their start; two of them see more

given_up, late_answers, lot_faults and false_refusals started their engine with the same lines, which the fleet has now.

--- a/crates/node/tests/false_refusals.rs
+++ b/crates/node/tests/false_refusals.rs
@@ -8,11 +8,8 @@
 
 mod fleet;
 
-use std::time::Duration;
-
-use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
+use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest};
 use fleet::{CallerRequest, Fleet};
-use tokio_util::sync::CancellationToken;
 
 /// The statuses that promise a caller that the request hasn't run and never will.
 const REFUSALS: [u16; 4] = [408, 421, 429, 503];
@@ -22,20 +19,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_ran_is_not_refused_with_its_servers_status() {
     let fleet = Fleet::started().await;
-    let stop = CancellationToken::new();
-    let _guard = stop.clone().drop_guard();
     let script = |it: &ScriptedRequest| {
         let status = it.request.path.rsplit('/').next().unwrap_or_default();
         ScriptedAnswer::whole(status.parse().unwrap(), it.request.id(), b"it ran")
     };
-    let server = ScriptedServer::start("scripted-1", script, stop).await;
-    let server = server.unwrap();
-    server.register("drafts", "zone-1", &fleet.store);
-    for engine in &fleet.servers[..2] {
-        engine.register(&fleet.store, "draining");
-    }
-    // All daemons follow the list of servers.
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let server = fleet.add_scripted_engine(2, script).await;
     let mut refused = Vec::new();
     for status in [408, 429, 503] {
         let path = format!("/once/{status}");
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -21,7 +21,10 @@
 use comfreyramp_standins::{
     kv::{KvEndpoint, KvState},
     link::FaultLink,
-    runner::{BackendKind, BackendOptions, BackendServer, RequestedStream},
+    runner::{
+        BackendKind, BackendOptions, BackendServer, RequestedStream, ScriptedAnswer,
+        ScriptedRequest, ScriptedServer,
+    },
 };
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -411,6 +414,24 @@
         }
     }
 
+    /// Starts an engine in the first zone that answers by a script until the fleet is gone,
+    /// drains the first `drained` of the fleet's own engines, and waits until all daemons
+    /// follow the settings and the list of servers.
+    pub(crate) async fn add_scripted_engine(
+        &self,
+        drained: usize,
+        script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
+    ) -> Arc<ScriptedServer> {
+        let server = ScriptedServer::start("scripted-1", script, self.stop.clone());
+        let server = server.await.unwrap();
+        server.register("drafts", "zone-1", &self.store);
+        for engine in &self.servers[..drained] {
+            engine.register(&self.store, "draining");
+        }
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        server
+    }
+
     /// Waits until all entry daemons are ready.
     pub(crate) async fn wait_ready(&self) {
         for daemon in self.daemons.iter().filter(|it| it.caller_address.is_some()) {
--- a/crates/node/tests/given_up.rs
+++ b/crates/node/tests/given_up.rs
@@ -17,7 +17,6 @@
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use fleet::{CallerRequest, Fleet, HOST, item};
 use serde_json::{Value, json};
-use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// The index of the only daemon that runs lots.
 const LOT_DAEMON: usize = 2;
@@ -40,7 +39,6 @@
 struct ScriptedFleet {
     fleet: Fleet,
     server: Arc<ScriptedServer>,
-    _stop: DropGuard,
 }
 
 impl ScriptedFleet {
@@ -57,20 +55,8 @@
     ) -> ScriptedFleet {
         let mut fleet = Fleet::started().await;
         fleet.put_retention(retention.as_secs());
-        let stop = CancellationToken::new();
-        let server = ScriptedServer::start("scripted-1", script, stop.clone());
-        let server = server.await.unwrap();
-        server.register("drafts", "zone-1", &fleet.store);
-        for engine in &fleet.servers[..2] {
-            engine.register(&fleet.store, "draining");
-        }
-        // All daemons follow the settings and the list of servers.
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-        ScriptedFleet {
-            fleet,
-            server,
-            _stop: stop.drop_guard(),
-        }
+        let server = fleet.add_scripted_engine(2, script).await;
+        ScriptedFleet { fleet, server }
     }
 
     /// Submits a lot of one item, and returns how long after its submission the item's
@@ -216,16 +202,16 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lot_that_changes_its_daemon_is_not_kept_anew() {
     let script = |it: &ScriptedRequest| ScriptedAnswer::not_run(503, it.request.id());
-    let mut fleet = ScriptedFleet::start(script).await;
+    let mut fleet = ScriptedFleet::start_with(LONG_RETENTION, script).await;
     let submitted_at = Instant::now();
     let status = fleet.fleet.submit_lot(0, "lot-moves", &["one"]).await;
     assert_eq!(status, Ok(StatusCode::ACCEPTED));
-    tokio::time::sleep(RETENTION.mul_f64(0.75)).await;
+    tokio::time::sleep(LONG_RETENTION.mul_f64(0.75)).await;
     fleet.fleet.terminate(LOT_DAEMON);
     assert!(fleet.fleet.exits_cleanly(LOT_DAEMON).await);
     fleet.fleet.restart(LOT_DAEMON);
     let page = fleet.fleet.read_finished_lot(0, "lot-moves").await;
-    assert_kept(submitted_at.elapsed(), &page["results"][0]);
+    assert_kept_for(LONG_RETENTION, submitted_at.elapsed(), &page["results"][0]);
 }
 
 /// Returns a lot whose items are kept for longer than its route may be missing.
@@ -263,6 +249,8 @@
     long_kept_lot("lot-newer", u64::MAX).write(&fleet.fleet);
     let written_at = Instant::now();
     tokio::time::sleep(LIST_INTERVAL + ROUTE_GRACE + Duration::from_secs(1)).await;
+    let claims = fleet.fleet.store.keys("lots/claim/lot-newer");
+    assert!(!claims.is_empty(), "no daemon runs the lot");
     let results = fleet.fleet.store.keys("lots/data/lot-newer/results/");
     assert!(
         results.is_empty(),
--- a/crates/node/tests/late_answers.rs
+++ b/crates/node/tests/late_answers.rs
@@ -9,12 +9,11 @@
 
 mod fleet;
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use comfreyramp_http::{Bytes, Response, StatusCode};
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use fleet::{CallerRequest, Fleet};
-use tokio_util::sync::{CancellationToken, DropGuard};
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
 const ROUNDS: usize = 6;
@@ -24,7 +23,6 @@
     fleet: Fleet,
     server: Arc<ScriptedServer>,
     sent: usize,
-    _stop: DropGuard,
 }
 
 impl LateFleet {
@@ -34,21 +32,12 @@
         script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
     ) -> LateFleet {
         let fleet = Fleet::started().await;
-        let stop = CancellationToken::new();
-        let server = ScriptedServer::start("scripted-1", script, stop.clone());
-        let server = server.await.unwrap();
-        server.register("drafts", "zone-1", &fleet.store);
-        fleet.servers[0].register(&fleet.store, "draining");
-        if is_alone {
-            fleet.servers[1].register(&fleet.store, "draining");
-        }
-        // All daemons follow the list of servers.
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let drained = if is_alone { 2 } else { 1 };
+        let server = fleet.add_scripted_engine(drained, script).await;
         LateFleet {
             fleet,
             server,
             sent: 0,
-            _stop: stop.drop_guard(),
         }
     }
 
--- a/crates/node/tests/lot_faults.rs
+++ b/crates/node/tests/lot_faults.rs
@@ -20,7 +20,6 @@
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use fleet::Fleet;
 use serde_json::Value;
-use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// The index of the only daemon that runs lots.
 const LOT_DAEMON: usize = 2;
@@ -66,7 +65,6 @@
 struct FailingFleet {
     fleet: Fleet,
     server: Arc<ScriptedServer>,
-    _stop: DropGuard,
 }
 
 impl FailingFleet {
@@ -77,7 +75,6 @@
             let name = format!("lots-{number}");
             fleet.add_daemon(&name, "zone-2", false).await;
         }
-        let stop = CancellationToken::new();
         let runs = AtomicUsize::new(0);
         let script = move |it: &ScriptedRequest| {
             let id = it.request.id();
@@ -87,19 +84,8 @@
             };
             answer.delayed(RUN_TIME)
         };
-        let server = ScriptedServer::start("scripted-1", script, stop.clone());
-        let server = server.await.unwrap();
-        server.register("drafts", "zone-1", &fleet.store);
-        for engine in &fleet.servers[..2] {
-            engine.register(&fleet.store, "draining");
-        }
-        // All daemons follow the list of servers.
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-        FailingFleet {
-            fleet,
-            server,
-            _stop: stop.drop_guard(),
-        }
+        let server = fleet.add_scripted_engine(2, script).await;
+        FailingFleet { fleet, server }
     }
 
     /// Submits a lot of one item and waits until its first run has begun. Returns the index
