Failures of items: lost answers at all daemons, since they relay calls

In the two tests of counts without an answer the call was relayed by another daemon, whose answer arrived; they didn't reach the repetition that they are about.

--- a/crates/node/tests/lot_faults.rs
+++ b/crates/node/tests/lot_faults.rs
@@ -181,11 +181,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failure_whose_count_gets_no_answer_is_counted_once() {
     let fleet = FailingFleet::start(1).await;
-    let daemon = fleet.begin_lot("lot-a").await;
-    fleet.fleet.daemons[daemon]
-        .store_endpoint
-        .faults
-        .lose_answers(3);
+    fleet.begin_lot("lot-a").await;
+    // At all daemons, since they make calls for each other.
+    for daemon in &fleet.fleet.daemons {
+        daemon.store_endpoint.faults.lose_answers(3);
+    }
     fleet.until_runs(2).await;
     assert_eq!(fleet.stored_faults("lot-a"), Some(1));
     fleet.assert_done("lot-a").await;
@@ -195,9 +195,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failure_whose_count_is_written_late_is_counted_once() {
     let fleet = FailingFleet::start(1).await;
-    let daemon = fleet.begin_lot("lot-d").await;
-    let faults = &fleet.fleet.daemons[daemon].store_endpoint.faults;
-    faults.delay_writes(1, Duration::from_millis(1_200));
+    fleet.begin_lot("lot-d").await;
+    for daemon in &fleet.fleet.daemons {
+        let faults = &daemon.store_endpoint.faults;
+        faults.delay_writes(1, Duration::from_millis(1_200));
+    }
     fleet.until_runs(2).await;
     assert_eq!(fleet.stored_faults("lot-d"), Some(1));
     fleet.assert_done("lot-d").await;
