Failing test: the late answer to a probe becomes an item's result

All runs of an item have the item's id, and so have the probes that are sent in its place: the late second answer to a probe is recorded as the result of the item. The tests of the file also wait until their customer's rate has settled: one was refused by rate right after the start of its fleet.

--- a/crates/daemon/tests/item_failures.rs
+++ b/crates/daemon/tests/item_failures.rs
@@ -5,12 +5,16 @@
 mod lot_calls;
 mod support;
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
+use comfreyramp_http::Method;
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use lot_calls::{LotCaller, input};
 use serde_json::{Value, json};
-use support::{FleetPlan, TestFleet, vm};
+use support::{FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, chat, vm};
 use tokio_util::sync::CancellationToken;
 
 /// How many items the lot has.
@@ -43,6 +47,29 @@
 async fn run_lot(
     script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
 ) -> Value {
+    // The lengths of the requests for the item. Those that differ from the first are probes.
+    let lengths = Arc::new(Mutex::new(Vec::new()));
+    let chosen_lengths = lengths.clone();
+    let chosen = move |it: &ScriptedRequest| {
+        let mut lengths = chosen_lengths.lock().unwrap();
+        let is_probe = lengths.first().is_some_and(|first| first != length(it));
+        if is_probe || lengths.len() == RUNS {
+            return whole(it);
+        }
+        lengths.push(length(it).to_owned());
+        script(it)
+    };
+    let (lot, _) = run_lot_at(chosen).await;
+    let runs = lengths.lock().unwrap().len();
+    assert_eq!(runs, RUNS, "the item failed too seldom");
+    lot["request_counts"].clone()
+}
+
+/// Runs a lot at one engine, which answers the requests for one item by `chosen`. Returns the
+/// lot and its output.
+async fn run_lot_at(
+    chosen: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
+) -> (Value, String) {
     let fleet = TestFleet::start(FleetPlan {
         engines: Vec::new(),
         ..FleetPlan::default()
@@ -50,23 +77,12 @@
     .await;
     let stop = CancellationToken::new();
     let _stopped = stop.clone().drop_guard();
-    // The lengths of the requests for the item. Those that differ from the first are probes.
-    let lengths = Arc::new(Mutex::new(Vec::new()));
-    let chosen_lengths = lengths.clone();
     let answer = move |it: &ScriptedRequest| match it.request.id() {
         "" => ScriptedAnswer::whole(200, "", b"{}")
             .header("x-engine-running", "0")
             .header("x-engine-waiting", "0")
             .header("x-engine-batch", "16"),
-        id if id.contains(CHOSEN_ITEM) => {
-            let mut lengths = chosen_lengths.lock().unwrap();
-            let is_probe = lengths.first().is_some_and(|first| first != length(it));
-            if is_probe || lengths.len() == RUNS {
-                return whole(it);
-            }
-            lengths.push(length(it).to_owned());
-            script(it)
-        }
+        id if id.contains(CHOSEN_ITEM) => chosen(it),
         _ => whole(it),
     };
     let server = ScriptedServer::start("scripted-1", answer, stop)
@@ -74,15 +90,31 @@
         .unwrap();
     let listed = vm("scripted-1", "zone-1", "engines", server.address);
     fleet.platform.put_vm(listed);
+    wait_until_served(&fleet).await;
     let caller = LotCaller::new(&fleet, 0);
     let file = caller.upload(&input(ITEMS, 4)).await;
     let lot = caller.create(&file).await;
     let lot = caller
         .wait_for(lot["id"].as_str().unwrap(), "completed")
         .await;
-    let runs = lengths.lock().unwrap().len();
-    assert_eq!(runs, RUNS, "the item failed too seldom");
-    lot["request_counts"].clone()
+    let output = lot["output_file_id"].as_str().unwrap();
+    let path = format!("/v1/files/{output}/content");
+    let output = caller.send(Method::GET, &path, String::new()).await.text();
+    (lot, output)
+}
+
+/// Waits until the engine is known and the customer's rate has settled.
+async fn wait_until_served(fleet: &TestFleet) {
+    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+    while !fleet
+        .chat(0, KEY, &chat("a", 4, true))
+        .await
+        .status
+        .is_success()
+    {
+        assert!(tokio::time::Instant::now() < deadline, "never served");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
 
 /// An engine that is full hasn't run the item. An item that came at busy moments must not be
@@ -118,3 +150,32 @@
     assert_eq!(counts["completed"], ITEMS - 1, "{counts}");
     assert_eq!(counts["failed"], 1, "{counts}");
 }
+
+/// The late answer to a probe, which is sent in place of an item's run, must not be recorded as
+/// the item's result.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_to_a_probe_is_not_recorded_as_the_result_of_the_item() {
+    let received: Arc<Mutex<Vec<(String, String)>>> = Arc::default();
+    let requests = received.clone();
+    let chosen = move |it: &ScriptedRequest| {
+        let mut requests = requests.lock().unwrap();
+        let earlier = requests
+            .iter()
+            .rfind(|(id, _)| Some(id) == it.previous_id.as_ref());
+        let late = earlier.map(|(id, length)| answer(id, length));
+        let is_first = requests.is_empty();
+        requests.push((it.request.id().to_owned(), length(it).to_owned()));
+        match late {
+            _ if is_first => ScriptedAnswer::whole(500, it.request.id(), b"{}"),
+            Some(late) => late.then(&whole(it)),
+            None => whole(it),
+        }
+    };
+    let (_, output) = run_lot_at(chosen).await;
+    let received = received.lock().unwrap();
+    let item_length = &received[0].1;
+    assert_ne!(&received[1].1, item_length, "no probe was sent");
+    let mut lines = output.lines();
+    let line = lines.find(|it| it.contains("\"item-3\"")).unwrap();
+    assert!(line.contains(&format!("to {item_length} bytes")), "{line}");
+}
