Each run of an item has a request id of its own in comfreyrampd

An item's result could be the answer to the probe that was sent in its place, or belong to an earlier run of it that began elsewhere in the text. Cause: all of them went to engines with the item's id, so that an engine that answers twice, the second time late, answered the next run on the connection with the matching id.

The id that engines get, and that results name as request_id, is now the item's with the number of the run at this daemon. Connections aren't shared by daemons.

Before: a_late_answer_to_a_probe_is_not_recorded_as_the_result_of_the_item failed; it passes now. Runs that resume were not tried; they have ids of their own as well.

--- a/crates/daemon/src/lot_work/engine_runner.rs
+++ b/crates/daemon/src/lot_work/engine_runner.rs
@@ -1,6 +1,12 @@
 //! Runs single items of lots on engines.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use comfreyramp_http::{
     Bytes, CallError, EventSplitter, HeaderValue, Incoming, MessageBody, Method, Request, Response,
@@ -47,11 +53,15 @@
 #[derive(Debug)]
 pub(super) struct EngineRunner {
     state: Arc<SharedState>,
+    next_run: AtomicU64,
 }
 
 impl EngineRunner {
     pub(super) fn new(state: Arc<SharedState>) -> Self {
-        EngineRunner { state }
+        EngineRunner {
+            state,
+            next_run: AtomicU64::new(0),
+        }
     }
 
     /// Sends the item and reads its answer.
@@ -82,7 +92,7 @@
             CallError::Broken(_) | CallError::TimedOut(_) => {
                 server.note_outcome(ServerOutcome::Broken);
             }
-            CallError::OtherRequest => server.note_other_answer(&run.item_request.id),
+            CallError::OtherRequest => server.note_other_answer(&run.request_id),
         }
         match error {
             CallError::Broken(_) => self.broken(run).await,
@@ -145,7 +155,7 @@
             .and_then(|it| it["usage"]["completion_tokens"].as_u64());
         ItemOutcome::Done {
             status: status.as_u16(),
-            request_id: run.item_request.id.clone(),
+            request_id: run.request_id.clone(),
             body: raw,
             tokens: tokens.and_then(|it| it.try_into().ok()).unwrap_or(0),
         }
@@ -194,7 +204,8 @@
         let started_at = self.state.clock.now();
         let customer = item_request.customer.clone();
         let preempt = slot.stop.clone();
-        let mut run = ItemRun::new(item_request, slot);
+        let number = self.next_run.fetch_add(1, Ordering::Relaxed);
+        let mut run = ItemRun::new(item_request, slot, number);
         let outcome = tokio::select! {
             biased;
             () = stop.cancelled() => Some(ItemOutcome::Cancelled),
@@ -212,6 +223,9 @@
 /// An item that is running.
 struct ItemRun {
     item_request: ItemRequest<AnswerBuilder>,
+    /// The id of the request. Each run has its own, so that a late answer to an earlier run, or
+    /// to a probe in its place, isn't taken for the answer to this one.
+    request_id: String,
     slot: BulkSlot,
     builder: AnswerBuilder,
     resumed_at: u32,
@@ -219,9 +233,10 @@
 }
 
 impl ItemRun {
-    fn new(mut item_request: ItemRequest<AnswerBuilder>, slot: BulkSlot) -> Self {
+    fn new(mut item_request: ItemRequest<AnswerBuilder>, slot: BulkSlot, number: u64) -> Self {
         let builder = item_request.resume.take().unwrap_or_default();
         ItemRun {
+            request_id: format!("{}.{number}", item_request.id),
             resumed_at: builder.tokens,
             builder,
             item_request,
@@ -244,7 +259,7 @@
         let headers = request.headers_mut();
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
-        headers.insert("x-request-id", self.item_request.id.parse().ok()?);
+        headers.insert("x-request-id", self.request_id.parse().ok()?);
         Some(request)
     }
 
@@ -278,7 +293,7 @@
         match builder.finish(AnswerShape::of(&self.item_request.endpoint)) {
             Some(body) => ItemOutcome::Done {
                 status: StatusCode::OK.as_u16(),
-                request_id: self.item_request.id.clone(),
+                request_id: self.request_id.clone(),
                 body,
                 tokens,
             },
