A refusal of a streamed request is an answer, and no failure of its engine

Callers whose streamed request an engine refused, such as with a 400, got another error under its status; the request went to further engines, and each was charged with a broken answer, so that one customer's wrong requests could have healthy engines ejected. Cause: the body of any status was read as a stream of events, which without a last event counts as broken off.

Only a success is a stream now. Any other answer is read to its end and returned as it is, as for requests that aren't streamed; one that is cut off is a failed attempt.

--- a/crates/daemon/src/callers/engine_call.rs
+++ b/crates/daemon/src/callers/engine_call.rs
@@ -284,6 +284,16 @@
     log: &mut AttemptLog,
 ) -> Result<Response<MessageBody>, AttemptFailure> {
     let (server, response) = send_attempt(state, call, call.body.clone(), log).await?;
+    read_whole(state, call, &server, response).await
+}
+
+/// Reads an answer that isn't streamed to its end.
+pub(super) async fn read_whole(
+    state: &SharedState,
+    call: &EngineCall,
+    server: &ChosenServer,
+    response: Response<Incoming>,
+) -> Result<Response<MessageBody>, AttemptFailure> {
     let (head, body) = response.into_parts();
     let left = call.deadline.since(state.clock.now());
     let body = match tokio::time::timeout(left, collect_limited(body, ANSWER_LIMIT)).await {
--- a/crates/daemon/src/callers/engine_stream.rs
+++ b/crates/daemon/src/callers/engine_stream.rs
@@ -12,7 +12,7 @@
 use super::{
     Answer,
     caller::{key_withdrawn, withdrawn_answer},
-    engine_call::{EngineCall, send_attempt},
+    engine_call::{EngineCall, read_whole, send_attempt},
     forwarded::returned_headers,
 };
 use crate::{
@@ -39,10 +39,16 @@
     mut log: AttemptLog,
 ) -> Answer {
     let (server, upstream) = loop {
-        match send_attempt(state, &call, call.body.clone(), &mut log).await {
-            Ok(opened) => break opened,
-            Err(failure) => state.after_failure(&mut log, failure)?,
-        }
+        let failure = match send_attempt(state, &call, call.body.clone(), &mut log).await {
+            Ok((server, upstream)) if upstream.status().is_success() => break (server, upstream),
+            // A refusal isn't a stream of events.
+            Ok((server, upstream)) => match read_whole(state, &call, &server, upstream).await {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        state.after_failure(&mut log, failure)?;
     };
     let (sender, body) = MessageBody::stream();
     let mut response = Response::new(body);
