--- a/crates/policy/src/lots/route_absence.rs
+++ b/crates/policy/src/lots/route_absence.rs
@@ -11,7 +11,7 @@
 /// a longer one.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_secs(2);
 /// The longest silence of the store in which a daemon's settings say something about the
-/// present. It is less than [`ROUTE_GRACE`], so that a daemon without the store ends no item for them.
+/// present. It is less than [`ROUTE_GRACE`], so that a daemon without the store ends no item.
 const MAX_STORE_SILENCE: Duration = Duration::from_secs(3);
 
 /// What a daemon's settings say about a route.
