Logs name the servers' versions and the streams that requests take up

Of a stream that goes on elsewhere the lines named neither the version of the server nor that of the one before, and none told a request that takes up a stream from a new one.

--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -45,6 +45,8 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub is_ready: bool,
+    /// The version of its software.
+    pub version: String,
     /// A number that changes when the server restarts under the same name.
     pub incarnation: u64,
     /// How much longer it stays cold, as of `revision`; `None` if its entry has no valid
--- a/crates/policy/tests/cold_fleet/mod.rs
+++ b/crates/policy/tests/cold_fleet/mod.rs
@@ -278,6 +278,7 @@
                 address: format!("10.0.0.{number}:80"),
                 slots: SLOTS,
                 is_ready: true,
+                version: "v1".to_owned(),
                 incarnation: restarts,
                 cold_left: Some(server.cold_until.saturating_sub(self.now)),
                 revision: self.revision,
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -25,6 +25,7 @@
         address: format!("{name}:80"),
         slots: 4,
         is_ready: true,
+        version: "v1".to_owned(),
         incarnation: 1,
         cold_left: Some(Duration::ZERO),
         revision: 1,
--- a/crates/policy/tests/placement_cold.rs
+++ b/crates/policy/tests/placement_cold.rs
@@ -109,6 +109,7 @@
         address: format!("{name}:80"),
         slots: 8,
         is_ready: true,
+        version: "v1".to_owned(),
         incarnation: 1,
         cold_left,
         revision: 1,
--- a/crates/policy/tests/placement_load.rs
+++ b/crates/policy/tests/placement_load.rs
@@ -64,6 +64,7 @@
                 address: format!("10.0.0.{number}:80"),
                 slots: SLOTS as u32,
                 is_ready: true,
+                version: "v1".to_owned(),
                 incarnation: 1,
                 cold_left: Some(Duration::ZERO),
                 revision: 1,
--- a/crates/policy/tests/zone_contacts.rs
+++ b/crates/policy/tests/zone_contacts.rs
@@ -97,6 +97,7 @@
         address: format!("{name}:80"),
         slots: 6,
         is_ready: true,
+        version: "v1".to_owned(),
         incarnation: 1,
         cold_left: Some(Duration::ZERO),
         revision: 1,
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -157,13 +157,16 @@
             stop,
         };
         self.running += 1;
+        let servers = self.node.servers.borrow();
+        let listing = servers.listing(server);
         log::info!(
             lot:% = held.id, item = held.items[item].item.id,
-            server = self.node.servers.borrow().listing(server).name,
+            server = listing.name, version = listing.version,
             events = held.items[item].progress.events,
             due_ms = held.head.due as i64 - unix_millis() as i64, running = self.running;
             "lots: an item starts"
         );
+        drop(servers);
         let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Bulk);
         let node = self.node.clone();
         let sender = self.sender.clone();
--- a/crates/serving/src/model/caller_request.rs
+++ b/crates/serving/src/model/caller_request.rs
@@ -44,6 +44,18 @@
     pub host: String,
     /// The requested operation.
     pub ask: CallerAction,
+    /// The stream that the request takes up, if it takes up one.
+    pub resumed: Option<ResumedStream>,
+}
+
+/// A stream that broke off at the caller, which takes it up with a new request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The id of the last event that the caller has received, as it states it.
+    pub last_event: String,
+    /// The id of the caller's request that received the stream's first event, if it states
+    /// one.
+    pub first_request: Option<String>,
 }
 
 /// Describes what is invalid in a request's head or in a lot's submission.
--- a/crates/serving/src/model/mod.rs
+++ b/crates/serving/src/model/mod.rs
@@ -6,7 +6,7 @@
 mod refusal;
 mod server_answer;
 
-pub use caller_request::{CallerAction, CallerHead, InvalidRequest};
+pub use caller_request::{CallerAction, CallerHead, InvalidRequest, ResumedStream};
 pub use fleet_settings::{
     CallerLimits, CustomerSettings, FleetSettings, LotTerms, RetireOrder, RouteKind, RouteSettings,
     ServiceSettings, ServiceWeight,
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -22,7 +22,8 @@
     fleet::{KnownCustomer, choose_service},
     lots,
     model::{
-        CallerAction, CallerHead, Refusal, RefusalCause, RequestMetadata, RouteKind, RouteSettings,
+        CallerAction, CallerHead, Refusal, RefusalCause, RequestMetadata, ResumedStream, RouteKind,
+        RouteSettings,
     },
     node::Node,
     suspects::fingerprint,
@@ -65,6 +66,8 @@
     pub(super) route: Arc<RouteSettings>,
     head: request::Parts,
     body: Bytes,
+    /// The stream of an earlier request that this one takes up.
+    resumed: Option<ResumedStream>,
     fingerprint: u64,
     pub(super) received_at: Timestamp,
     pub(super) deadline: Timestamp,
@@ -175,6 +178,7 @@
         route,
         head,
         body,
+        resumed: caller.resumed,
         received_at,
         deadline,
         tried_servers: Vec::new(),
@@ -452,6 +456,20 @@
         self.node.metrics.stream_end(framing, end.as_str());
     }
 
+    /// Logs that a stream goes on at the server that was tried last.
+    pub(super) fn log_resumption(&self, last_event: Option<u64>) {
+        let servers = self.node.servers.borrow();
+        let names = |id: &ServerId| {
+            let listing = servers.listing(*id);
+            (listing.name.clone(), listing.version.clone())
+        };
+        let tried: Vec<(String, String)> = self.tried_servers.iter().map(names).collect();
+        log::info!(
+            request = self.request_id, after:? = last_event, tried:? = tried;
+            "callers: stream resumed on another server"
+        );
+    }
+
     /// Logs the end of the request and records its duration.
     pub(super) fn record_end(&self, outcome: &str, status: StatusCode) {
         let now = self.node.clock.now();
@@ -462,15 +480,16 @@
         self.node.metrics.whole(self.customer_name(), "live", span);
         let progress = self.progress;
         let servers = self.node.servers.borrow();
-        let server = self
-            .tried_servers
-            .last()
-            .map_or("", |it| &servers.listing(*it).name);
+        let server = self.tried_servers.last().map(|it| servers.listing(*it));
+        let resumed = self.resumed.as_ref();
         log::info!(
             request = self.request_id,
             customer = self.customer_name(),
             route = self.route.name,
-            server = server,
+            server = server.map_or("", |it| &it.name),
+            version = server.map_or("", |it| &it.version),
+            resumed:? = resumed.and_then(|it| it.first_request.as_deref()),
+            after = resumed.map_or("", |it| &it.last_event),
             tried = self.tried_servers.len(),
             status = status.as_u16(),
             live = self.load.live,
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -179,7 +179,7 @@
     loop {
         let failure = match request.open_next(last_id, &mut is_admitted).await {
             Ok(Ok(open)) if open.head.status.is_success() => {
-                log::info!(request = request.request_id, after:? = last_id; "callers: stream resumed on another server");
+                request.log_resumption(last_id);
                 let events = EventTracker {
                     last_id,
                     ..EventTracker::default()
