--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -38,4 +38,4 @@
 
 pub use bytes::Bytes;
 pub use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
-pub use hyper::body::Incoming;
+pub use hyper::body::{Body, Incoming};
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::Pin,
     process::{Child, Command, Stdio},
     sync::{
         Arc,
@@ -17,7 +18,9 @@
     time::{Duration, Instant},
 };
 
-use comfreyramp_http::{Bytes, HttpClient, MessageBody, Method, Request, Response, StatusCode};
+use comfreyramp_http::{
+    Body as _, Bytes, HttpClient, Incoming, MessageBody, Method, Request, Response, StatusCode,
+};
 use comfreyramp_standins::{
     kv::{KvEndpoint, KvState},
     link::FaultLink,
@@ -96,6 +99,8 @@
     /// How long the daemon may hold a read of a lot open until results arrive.
     pub(crate) wait_ms: u64,
     pub(crate) body: &'a [u8],
+    /// More headers, as pairs of name and value.
+    pub(crate) headers: Vec<(&'static str, String)>,
 }
 
 impl<'a> CallerRequest<'a> {
@@ -107,6 +112,7 @@
             key: KEY,
             wait_ms: 300,
             body,
+            headers: Vec::new(),
         }
     }
 
@@ -118,6 +124,7 @@
             key: KEY,
             wait_ms: 300,
             body: b"",
+            headers: Vec::new(),
         }
     }
 
@@ -125,6 +132,18 @@
         self.key = key;
         self
     }
+
+    /// Adds a header.
+    pub(crate) fn header(mut self, name: &'static str, value: &str) -> Self {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// Takes up the stream that the request `first` began, after an event.
+    pub(crate) fn takes_up(self, first: &str, last_event: u64) -> Self {
+        self.header("resumes", first)
+            .header("last-event-id", &last_event.to_string())
+    }
 }
 
 impl Fleet {
@@ -170,6 +189,24 @@
         fleet
     }
 
+    /// Starts a further engine with a version of its software.
+    pub(crate) async fn add_engine(&mut self, id: &str, zone: &str, version: &str) {
+        let options = BackendOptions {
+            id: id.to_owned(),
+            service: "drafts".to_owned(),
+            zone: zone.to_owned(),
+            kind: BackendKind::Engine {
+                events: EVENTS,
+                event_interval: Duration::from_millis(15),
+            },
+        };
+        let server = BackendServer::start(options, &self.store, self.stop.clone());
+        let server = server.await.unwrap();
+        server.set_identity(version, 1);
+        server.register(&self.store, "ready");
+        self.servers.push(server);
+    }
+
     /// Starts a fleet with two entry daemons, which serve callers, and one daemon that runs
     /// lots, and waits until the entry daemons are ready.
     pub(crate) async fn started() -> Fleet {
@@ -201,7 +238,7 @@
         link_address
     }
 
-    async fn with_daemons(mut self) -> Fleet {
+    pub(crate) async fn with_daemons(mut self) -> Fleet {
         let fleet = &mut self;
         fleet.add_daemon("entry-1", "zone-1", true).await;
         fleet.add_daemon("entry-2", "zone-2", true).await;
@@ -553,22 +590,39 @@
         daemon: usize,
         call: CallerRequest<'_>,
     ) -> Result<Response<Bytes>, String> {
+        let request = self.request(daemon, call);
+        let response = self
+            .client
+            .exchange(request, REQUEST_TIMEOUT, MAX_RESPONSE_BYTES)
+            .await;
+        response.map_err(|error| error.to_string())
+    }
+
+    /// Sends a request to a daemon and returns the response with its body unread.
+    pub(crate) async fn open(
+        &self,
+        daemon: usize,
+        call: CallerRequest<'_>,
+    ) -> Result<Response<Incoming>, String> {
+        let request = self.request(daemon, call);
+        let response = self.client.send_within(REQUEST_TIMEOUT, request).await;
+        response.map_err(|error| error.to_string())
+    }
+
+    fn request(&self, daemon: usize, call: CallerRequest<'_>) -> Request<MessageBody> {
         let address = self.addresses[daemon].unwrap();
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(call.method)
             .uri(format!("http://{address}{}", call.path))
             .header("host", HOST)
             .header("x-request-id", call.id)
             .header("x-deadline-ms", "5000")
             .header("x-wait-ms", call.wait_ms)
-            .header("api-key", call.key)
-            .body(MessageBody::from(call.body.to_vec()))
-            .unwrap();
-        let response = self
-            .client
-            .exchange(request, REQUEST_TIMEOUT, MAX_RESPONSE_BYTES)
-            .await;
-        response.map_err(|error| error.to_string())
+            .header("api-key", call.key);
+        for (name, value) in call.headers {
+            request = request.header(name, value);
+        }
+        request.body(MessageBody::from(call.body.to_vec())).unwrap()
     }
 
     /// Submits a lot, and returns the status of the response.
@@ -592,6 +646,16 @@
     }
 }
 
+/// Returns the next bytes of a response's body; nothing once it has ended or broken off.
+pub(crate) async fn next_bytes(body: &mut Incoming) -> Option<Bytes> {
+    loop {
+        let frame = std::future::poll_fn(|it| Pin::new(&mut *body).poll_frame(it)).await;
+        if let Ok(data) = frame?.ok()?.into_data() {
+            return Some(data);
+        }
+    }
+}
+
 /// Returns an item of a lot as it is submitted.
 pub(crate) fn item(lot: &str, number: usize, body: &str) -> Value {
     use base64::Engine as _;
--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -18,7 +18,10 @@
 use serde_json::{Value, json};
 use tokio_util::sync::CancellationToken;
 
-use super::requested_stream::RequestedStream;
+use super::{
+    requested_stream::RequestedStream,
+    state_report::{REPORT_PATH, state_report},
+};
 use crate::{kv::KvState, process::stand_in_limits};
 
 /// The longest request body that is read, in bytes; a longer one is taken as empty.
@@ -55,6 +58,24 @@
     pub kind: BackendKind,
 }
 
+/// The software version and the run of a server's process.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerIdentity {
+    /// The version of its software.
+    pub version: String,
+    /// When it started, in Unix milliseconds.
+    pub born: u64,
+}
+
+impl Default for ServerIdentity {
+    fn default() -> Self {
+        ServerIdentity {
+            version: "v1".to_owned(),
+            born: 1,
+        }
+    }
+}
+
 /// A request that a server received.
 #[derive(Clone, Debug)]
 pub struct BackendArrival {
@@ -68,6 +89,15 @@
     pub headers: HeaderMap,
     /// Whether the server ran it: it was addressed to this server, which was not full.
     pub ran: bool,
+    /// The version of the server's software.
+    pub version: String,
+}
+
+impl BackendArrival {
+    /// Returns whether the request resumes a stream after an event.
+    pub fn resumes(&self) -> bool {
+        self.headers.contains_key("last-event-id")
+    }
 }
 
 /// A running server.
@@ -78,6 +108,7 @@
     pub address: SocketAddr,
     /// The address in its store entry, which differs from the own one behind a link.
     published_address: Mutex<SocketAddr>,
+    identity: Mutex<ServerIdentity>,
     arrivals: Mutex<Vec<BackendArrival>>,
     is_full: AtomicBool,
     ends_with_connection: AtomicBool,
@@ -101,6 +132,7 @@
             address,
             published_address: Mutex::new(address),
             options,
+            identity: Mutex::default(),
             arrivals: Mutex::default(),
             is_full: AtomicBool::new(false),
             ends_with_connection: AtomicBool::new(false),
@@ -125,6 +157,22 @@
         self.register(store, "ready");
     }
 
+    /// Returns the version and the run of the server.
+    pub fn identity(&self) -> ServerIdentity {
+        let identity = self.identity.lock().unwrap_or_else(PoisonError::into_inner);
+        identity.clone()
+    }
+
+    /// Sets the version and the run of the server, as a restart with other software does. Its
+    /// store entry shows them once it is written again.
+    pub fn set_identity(&self, version: &str, born: u64) {
+        let identity = ServerIdentity {
+            version: version.to_owned(),
+            born,
+        };
+        *self.identity.lock().unwrap_or_else(PoisonError::into_inner) = identity;
+    }
+
     /// Writes its store entry with a state, such as `ready`.
     pub fn register(&self, store: &KvState, state: &str) {
         self.register_cold(store, state, &json!(0));
@@ -136,10 +184,11 @@
             .published_address
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
+        let ServerIdentity { version, born } = self.identity();
         let entry = json!({
             "service": self.options.service, "address": address.to_string(),
-            "zone": self.options.zone, "version": "v1", "slots": 8, "state": state,
-            "cold_left_ms": cold_left_ms, "seq": 0, "born": 1,
+            "zone": self.options.zone, "version": version, "slots": 8, "state": state,
+            "cold_left_ms": cold_left_ms, "seq": 0, "born": born,
         });
         let key = format!("servers/{}", self.options.id);
         store.put(&key, entry.to_string().as_bytes());
@@ -173,6 +222,12 @@
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<MessageBody> {
         let (head, body) = request.into_parts();
+        let ServerIdentity { version, born } = self.identity();
+        if head.uri.path() == REPORT_PATH {
+            let mut answer = Response::new(MessageBody::from(state_report(born).into_bytes()));
+            set_header(&mut answer, "content-type", "application/json");
+            return answer;
+        }
         let body = collect_limited(body, MAX_BODY_BYTES)
             .await
             .unwrap_or_default();
@@ -189,6 +244,7 @@
             path: head.uri.path().to_owned(),
             headers: head.headers.clone(),
             ran: is_expected && !is_full,
+            version,
         };
         self.arrivals
             .lock()
--- a/crates/standins/src/runner/closing_server.rs
+++ b/crates/standins/src/runner/closing_server.rs
@@ -15,9 +15,15 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::raw_request::RawRequest;
+use super::{
+    raw_request::RawRequest,
+    state_report::{REPORT_PATH, report_answer},
+};
 use crate::kv::KvState;
 
+/// When the server started, in Unix milliseconds.
+const BORN: u64 = 1;
+
 /// The delay between two pieces of a body, so that they arrive one by one.
 const PIECE_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -102,7 +108,7 @@
     pub fn register(&self, service: &str, zone: &str, store: &KvState) {
         let entry = json!({
             "service": service, "address": self.address.to_string(), "zone": zone,
-            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 0, "born": 1,
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 0, "born": BORN,
         });
         let key = format!("servers/{}", self.id);
         store.put(&key, entry.to_string().as_bytes());
@@ -120,8 +126,17 @@
     }
 
     async fn answer(self: Arc<Self>, mut stream: TcpStream) {
-        let Some(request) = RawRequest::read(&mut stream).await else {
-            return;
+        let request = loop {
+            let Some(request) = RawRequest::read(&mut stream).await else {
+                return;
+            };
+            if request.path != REPORT_PATH {
+                break request;
+            }
+            let report = report_answer(BORN);
+            if stream.write_all(report.as_bytes()).await.is_err() {
+                return;
+            }
         };
         let request_id = request.id();
         self.requests.fetch_add(1, Ordering::SeqCst);
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -7,8 +7,11 @@
 mod raw_request;
 mod requested_stream;
 mod scripted_server;
+mod state_report;
 
-pub use backend_server::{BackendArrival, BackendKind, BackendOptions, BackendServer};
+pub use backend_server::{
+    BackendArrival, BackendKind, BackendOptions, BackendServer, ServerIdentity,
+};
 pub use closing_server::{ClosingAnswer, ClosingServer};
 pub use raw_request::RawRequest;
 pub use requested_stream::RequestedStream;
--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -12,9 +12,15 @@
 use tokio::{io::AsyncWriteExt, net::TcpStream};
 use tokio_util::sync::CancellationToken;
 
-use super::raw_request::RawRequest;
+use super::{
+    raw_request::RawRequest,
+    state_report::{REPORT_PATH, report_answer},
+};
 use crate::kv::KvState;
 
+/// When the server started, in Unix milliseconds.
+const BORN: u64 = 1;
+
 /// A request that a scripted server received.
 #[derive(Clone, Debug)]
 pub struct ScriptedRequest {
@@ -173,7 +179,7 @@
     pub fn register(&self, service: &str, zone: &str, store: &KvState) {
         let entry = json!({
             "service": service, "address": self.address.to_string(), "zone": zone,
-            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 0, "born": 1,
+            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 0, "born": BORN,
         });
         store.put(
             &format!("servers/{}", self.id),
@@ -194,6 +200,13 @@
     ) {
         let mut previous_id = None;
         while let Some(request) = RawRequest::read(&mut stream).await {
+            if request.path == REPORT_PATH {
+                let report = report_answer(BORN);
+                if stream.write_all(report.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             let id = request.id().to_owned();
             let received = ScriptedRequest {
                 request,
