A stream or item goes on only at the software version that began it

Cause: a run that goes on was placed like a new one. The directory's version wasn't decoded, 'Resumes' wasn't read, and nobody but the lost daemon could have said which server began a stream. Class: work is continued by somebody who doesn't know what it was begun with.

Change: the daemon that passes a stream's first event on tells four others, the stream's keepers; who is asked to take it up looks there. Placement takes the version as a condition, for live streams within an answer and taken up, and for items. Before a stream or item goes on, its server confirms over the same connection that it is in the run that the directory lists. Unknown, or without servers: refused at once as not run.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,8 @@
 //!   ([`bulk::BulkLimiter`], [`lots::LotRanking`]).
 //! - [`placement`]: which server a request goes to, when it is refused instead,
 //!   and which lot items are preempted ([`placement::PlacementTable`]).
+//! - [`streams`]: at which software version a stream may go on
+//!   ([`streams::OriginTable`]).
 //! - [`usage`]: enforces customers' rates by usage counts that daemons exchange
 //!   ([`usage::UsageTracker`]).
 //! - Members and freshness: which daemons belong to the fleet, and how old the
@@ -37,6 +39,7 @@
 pub mod rates;
 mod retries;
 mod routing;
+pub mod streams;
 mod suspects;
 mod time;
 mod urgency;
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -9,7 +9,7 @@
     cold_start::{ColdStart, ColdStartLimit},
     server_load::ServerLoad,
 };
-use crate::{ServerId, Timestamp, hash::name_hash, usage::PeerId};
+use crate::{ServerId, Timestamp, hash::name_hash, streams::SoftwareKey, usage::PeerId};
 
 /// The weight of a lot item against a live request when a server is chosen for a live
 /// request: the item can be preempted, which takes a moment.
@@ -56,6 +56,13 @@
     pub revision: i64,
 }
 
+impl ServerListing {
+    /// Returns the key of the server's software.
+    pub fn software(&self) -> SoftwareKey {
+        SoftwareKey::of(&self.service, &self.version)
+    }
+}
+
 /// What a request requires of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -67,6 +74,8 @@
     pub exclude: &'a [ServerId],
     /// The longest wait for a slot that still meets the request's objective.
     pub max_wait: Duration,
+    /// The only software that may answer: that which began the stream that goes on.
+    pub software: Option<SoftwareKey>,
 }
 
 /// A chosen server.
@@ -107,6 +116,9 @@
 struct ServerEntry {
     listing: ServerListing,
     key: u64,
+    software: SoftwareKey,
+    /// Whether it may have restarted, with other software, since its entry was read.
+    may_have_restarted: bool,
     load: ServerLoad,
     cold_start: ColdStart,
     is_listed: bool,
@@ -162,6 +174,7 @@
                 entry.load.slots = listing.slots;
             }
             entry.listing = listing.clone();
+            entry.may_have_restarted &= !is_news;
             let Some(limit) = cold_limit(&self.cold_limits, &listing.service) else {
                 continue;
             };
@@ -185,6 +198,8 @@
             .find(|it| it.listing.name == listing.name);
         let entry = ServerEntry {
             key: name_hash(&listing.name),
+            software: listing.software(),
+            may_have_restarted: false,
             load: ServerLoad::new(listing.slots),
             cold_start: former.map_or_else(ColdStart::default, |it| {
                 ColdStart::after_restart_of(&it.cold_start)
@@ -295,6 +310,22 @@
         &self.servers[id.index()].listing
     }
 
+    /// Returns the software of a server, as the directory lists it.
+    pub fn software(&self, id: ServerId) -> SoftwareKey {
+        self.servers[id.index()].software
+    }
+
+    /// Returns whether a server may have restarted, with other software, since its entry was
+    /// read: a connection to it failed.
+    pub fn may_have_restarted(&self, id: ServerId) -> bool {
+        self.servers[id.index()].may_have_restarted
+    }
+
+    /// Records that a server is still in the run that the directory lists.
+    pub fn confirm_run(&mut self, id: ServerId) {
+        self.servers[id.index()].may_have_restarted = false;
+    }
+
     /// Returns the hash of a server's name.
     pub fn key(&self, id: ServerId) -> u64 {
         self.servers[id.index()].key
@@ -311,6 +342,12 @@
         self.servers.iter().any(usable)
     }
 
+    /// Returns whether a service has a server with this software that takes new requests.
+    pub fn has_software(&self, service: &str, software: SoftwareKey) -> bool {
+        let usable = |it: &ServerEntry| it.is_usable(service) && it.software == software;
+        self.servers.iter().any(usable)
+    }
+
     /// Chooses a server for a live request.
     ///
     /// # Errors
@@ -361,6 +398,7 @@
         let is_candidate = |index: &usize| {
             let entry = &self.servers[*index];
             entry.is_usable(query.service)
+                && entry.has_software(query.software)
                 && !query.exclude.contains(&ServerId(*index as u32))
                 && entry.is_avoided(now) == is_avoided
                 && entry.cold_start.has_room(now)
@@ -394,6 +432,7 @@
         for (index, entry) in self.servers.iter().enumerate() {
             let id = ServerId(index as u32);
             let is_ineligible = !entry.is_usable(query.service)
+                || !entry.has_software(query.software)
                 || query.exclude.contains(&id)
                 || entry.is_avoided(now)
                 || entry.cold_start.is_cold(now)
@@ -480,6 +519,10 @@
     pub fn note(&mut self, id: ServerId, outcome: ServerOutcomeKind, now: Timestamp) {
         let entry = &mut self.servers[id.index()];
         entry.load.record_outcome(outcome, now);
+        entry.may_have_restarted |= matches!(
+            outcome,
+            ServerOutcomeKind::Unreachable | ServerOutcomeKind::Broken
+        );
         let may_be_down = match outcome {
             ServerOutcomeKind::Unreachable => true,
             ServerOutcomeKind::Broken => entry.load.is_ejected(now),
@@ -527,10 +570,16 @@
     /// Returns whether the entry is that of a listed server, in the same run.
     fn is_of(&self, listing: &ServerListing) -> bool {
         self.listing.incarnation == listing.incarnation
+            && self.listing.version == listing.version
+            && self.listing.service == listing.service
             && self.listing.name == listing.name
             && self.listing.address == listing.address
     }
 
+    fn has_software(&self, software: Option<SoftwareKey>) -> bool {
+        software.is_none_or(|it| self.software == it)
+    }
+
     fn is_usable(&self, service: &str) -> bool {
         self.is_listed
             && self.listing.is_ready
--- a/crates/policy/tests/cold_fleet/mod.rs
+++ b/crates/policy/tests/cold_fleet/mod.rs
@@ -484,6 +484,7 @@
                 zone: &zone.to_string(),
                 exclude: &tried,
                 max_wait: Duration::from_millis(210),
+                software: None,
             };
             let table = &mut self.daemons[number].table;
             let Ok(placement) = table.choose_live(query, local, &mut self.random) else {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -44,6 +44,7 @@
         zone: "a",
         exclude,
         max_wait: OBJECTIVE,
+        software: None,
     }
 }
 
--- a/crates/policy/tests/placement_cold.rs
+++ b/crates/policy/tests/placement_cold.rs
@@ -122,6 +122,7 @@
         zone: "a",
         exclude,
         max_wait: Duration::from_millis(200),
+        software: None,
     }
 }
 
--- a/crates/policy/tests/placement_large.rs
+++ b/crates/policy/tests/placement_large.rs
@@ -236,6 +236,7 @@
             zone: &zone_name(zone),
             exclude: &[],
             max_wait: Duration::from_secs(60),
+            software: None,
         };
         let placement = self.tables[daemon].choose_live(query, self.now, &mut self.random);
         if let Ok(placement) = placement {
--- a/crates/policy/tests/placement_load.rs
+++ b/crates/policy/tests/placement_load.rs
@@ -143,6 +143,7 @@
                 zone: &zone,
                 exclude: &[],
                 max_wait: MAX_LIVE_WAIT,
+                software: None,
             };
             match self.tables[daemon].choose_live(query, self.now, &mut self.random) {
                 Ok(placement) => self.send(daemon, placement.server, WorkKind::Live, LIVE_TIME),
@@ -199,6 +200,7 @@
                     zone: "zone-0",
                     exclude: &[],
                     max_wait: Duration::ZERO,
+                    software: None,
                 };
                 let table = &self.tables[daemon];
                 let placement = table.choose_bulk(query, self.now, &mut self.random);
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -84,6 +84,13 @@
         metadata: &RequestMetadata<'_>,
     ) -> Result<Request<Bytes>, http::Error>;
 
+    /// Builds the request for a server's report of its own state, without a host.
+    fn state_query() -> Request<Bytes>;
+
+    /// Returns the number of the server's run, as in [`ServerListing::incarnation`], from its
+    /// report of its own state.
+    fn read_run(report: &[u8]) -> Option<u64>;
+
     /// Parses the head of an answer.
     fn read_answer(head: &response::Parts) -> ServerAnswer;
 
--- a/crates/serving/src/fleet/announcer.rs
+++ b/crates/serving/src/fleet/announcer.rs
@@ -7,7 +7,10 @@
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
-use super::{ArrivalClock, MAX_QUEUE_CHECK_INTERVAL, MESSAGE_PADDING, PeerMessage};
+use super::{
+    ArrivalClock, MAX_QUEUE_CHECK_INTERVAL, MESSAGE_PADDING, PeerMessage,
+    stream_notice::{decode_notice, encode_notice},
+};
 use crate::{dialect::Dialect, node::Node};
 
 /// Shortest delay between a change of load and the report of it to near peers. Changes
@@ -79,6 +82,30 @@
     }
 }
 
+/// Tells other daemons which software began the streams of this one, until `stop` is
+/// cancelled.
+pub async fn send_origins<D: Dialect>(
+    node: Rc<Node<D>>,
+    socket: Rc<UdpSocket>,
+    stop: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = node.origins_untold.notified() => {}
+            () = stop.cancelled() => return,
+        }
+        for (peer, origins) in node.take_untold_origins() {
+            match encode_notice(&origins) {
+                // A datagram that can't be sent counts as lost: the stream has other keepers.
+                Ok(bytes) => drop(socket.try_send_to(&bytes, peer)),
+                Err(error) => {
+                    log::error!(error:% = error; "peers: failed to encode the origins of streams");
+                }
+            }
+        }
+    }
+}
+
 fn send_report<'a, D: Dialect>(
     node: &Node<D>,
     socket: &UdpSocket,
@@ -133,6 +160,17 @@
             // was received.
             Err(_) => continue,
         };
+        match decode_notice(&buffer[..length]) {
+            Some(Ok(origins)) => {
+                node.receive_origins(&origins);
+                continue;
+            }
+            Some(Err(error)) => {
+                log::warn!(error:% = error; "peers: failed to decode the origins of streams");
+                continue;
+            }
+            None => {}
+        }
         let padded = length + MESSAGE_PADDING;
         buffer[length..padded].fill(0);
         match postcard::from_bytes::<PeerMessage>(&buffer[..padded]) {
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -6,6 +6,7 @@
     Timestamp, ZoneContacts,
     lots::was_out_of_contact,
     placement::{HomePair, home_pairs},
+    streams::{KeeperCandidate, KeeperCounts, StreamKey, choose_keepers},
     usage::PeerId,
 };
 use rand::{Rng, seq::IndexedRandom};
@@ -351,6 +352,25 @@
         named.map(|it| it.record.address).collect()
     }
 
+    /// Returns the addresses of the daemons that keep the origin of a stream, as seen from
+    /// the zone `own`.
+    pub fn stream_keepers(
+        &self,
+        stream: StreamKey,
+        counts: KeeperCounts,
+        own: &str,
+        now: Timestamp,
+    ) -> Vec<SocketAddr> {
+        let timeout = self.reporting_timeout();
+        let members = self.members.iter();
+        let members = members.filter(|it| !it.is_leaving && it.reported_within(timeout, now));
+        let candidates = members.map(|it| KeeperCandidate {
+            id: it.id,
+            is_near: it.record.zone == own,
+        });
+        self.addresses_of(&choose_keepers(stream, counts, candidates))
+    }
+
     /// Returns the addresses of the daemons that report that they reach the store, and
     /// so can relay calls to it.
     pub fn relay_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
--- a/crates/serving/src/fleet/mod.rs
+++ b/crates/serving/src/fleet/mod.rs
@@ -16,9 +16,10 @@
 mod store_probe;
 mod store_relay;
 mod store_view;
+mod stream_notice;
 mod view_server;
 
-pub use announcer::{receive_reports, run_announcer, send_urgent_reports};
+pub use announcer::{receive_reports, run_announcer, send_origins, send_urgent_reports};
 pub use arrival_clock::{ArrivalClock, MAX_QUEUE_CHECK_INTERVAL};
 pub use fleet_view::{FleetView, KnownCustomer, choose_service};
 pub use follow::{FollowUpdate, FollowedStore, INITIAL_WATCH_DELAY, follow_store};
@@ -34,4 +35,5 @@
 pub use store_probe::probe_store;
 pub use store_relay::RelayedStore;
 pub use store_view::{PrefixSnapshot, StoreView};
+pub use stream_notice::request_origin;
 pub use view_server::ViewServer;
--- a/crates/serving/src/fleet/peer_door.rs
+++ b/crates/serving/src/fleet/peer_door.rs
@@ -10,6 +10,7 @@
 use super::{
     peer_views::{VIEWS_PATH, encode_newer_views},
     store_relay::RELAY_PATH,
+    stream_notice::{STREAMS_PATH, encode_software, stream_of_path},
 };
 use crate::{
     dialect::Dialect,
@@ -22,7 +23,8 @@
 const MAX_CALL_BYTES: usize = 12 << 20;
 
 /// Answers a request of another daemon: for newer views, for a store call on behalf of a
-/// daemon that can't reach the store, or for the results of a lot that a caller reads there.
+/// daemon that can't reach the store, for the results of a lot that a caller reads there, or
+/// for the software that began a stream.
 pub async fn handle_peer_request<D: Dialect>(
     node: Rc<Node<D>>,
     request: Request<Incoming>,
@@ -34,6 +36,13 @@
             None => empty_response(StatusCode::NOT_FOUND),
         };
     }
+    if let Some(rest) = path.strip_prefix(STREAMS_PATH) {
+        let software = stream_of_path(rest).and_then(|it| node.known_origin(it));
+        return match software {
+            Some(software) => Response::new(AnswerBody::whole(encode_software(software))),
+            None => empty_response(StatusCode::NOT_FOUND),
+        };
+    }
     let is_view = path == VIEWS_PATH;
     if !is_view && path != RELAY_PATH {
         return empty_response(StatusCode::NOT_FOUND);
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -35,6 +35,8 @@
 /// by how much it grows with each. The item may really fail, so it isn't run often.
 const UNPROVEN_BACKOFF: Duration = Duration::from_secs(1);
 const UNPROVEN_BACKOFF_FACTOR: u32 = 8;
+/// Delay before an item is looked at again for which no server of its version had room.
+const VERSION_BACKOFF: Duration = Duration::from_millis(100);
 /// Delay before an item is looked at again whose route is missing.
 const ROUTE_BACKOFF: Duration = Duration::from_millis(500);
 
@@ -65,6 +67,8 @@
     breaks: u32,
     /// Number of failures whose answers weren't known to be whole.
     unproven: u32,
+    /// Moment since which no server of the version that began the item has had room.
+    pub(super) version_missed_since: Option<Timestamp>,
 }
 
 /// A lot that this daemon runs, with the state of its items and of its writes.
@@ -492,6 +496,25 @@
             recorded_faults: faults,
             breaks: 0,
             unproven: 0,
+            version_missed_since: None,
         }
     }
+
+    /// Returns for how long no server of the item's version has had room while others had.
+    pub(super) fn version_missed_for(&self, now: Timestamp) -> Duration {
+        let since = self.version_missed_since;
+        since.map_or(Duration::ZERO, |it| now.since(it))
+    }
+
+    /// Lets the item wait, since no server of its version has room.
+    pub(super) fn wait_for_version(&mut self, now: Timestamp) {
+        self.version_missed_since.get_or_insert(now);
+        self.phase = ItemPhase::Waiting(now + VERSION_BACKOFF);
+    }
+
+    /// Drops what earlier runs of the item wrote. Returns whether there was anything.
+    pub(super) fn begin_anew(&mut self) -> bool {
+        let progress = std::mem::take(&mut self.progress);
+        progress.events > 0
+    }
 }
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -5,7 +5,7 @@
 use comfreyramp_http::{
     AnswerEnd, AnswerProgress, BodyFraming, EventSplitter, event_id, event_text,
 };
-use comfreyramp_policy::placement::ServerOutcomeKind;
+use comfreyramp_policy::{placement::ServerOutcomeKind, streams::SoftwareKey};
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
 use tokio_util::sync::CancellationToken;
@@ -14,7 +14,7 @@
     dialect::{Dialect, ServerDialect},
     model::{LotItem, RequestMetadata},
     node::Node,
-    path::{AnswerKind, AttemptFailure, AttemptGuard, OpenAnswer, open_answer},
+    path::{AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, open_answer},
 };
 
 /// Longest wait for the first event. It is longer than for live requests, because the item
@@ -32,6 +32,8 @@
     pub(super) output: Vec<u8>,
     /// Number of events so far.
     pub(super) events: u32,
+    /// Software that wrote the events. No other may resume the item.
+    pub(super) software: Option<SoftwareKey>,
     /// Whether the last run, which resumed, ended with its connection before any event.
     is_end_suspected: bool,
 }
@@ -74,15 +76,25 @@
     guard: AttemptGuard<D>,
     mut run: ItemRun,
 ) -> ItemOutcome {
-    let request = {
+    let (request, terms) = {
         let servers = node.servers.borrow();
+        let incarnation = servers.listing(guard.server).incarnation;
+        let must_confirm =
+            run.progress.software.is_some() || servers.may_have_restarted(guard.server);
+        let terms = AttemptTerms {
+            kind: AnswerKind::Events,
+            timeout: FIRST_EVENT_TIMEOUT,
+            // A directory without runs can't tell them apart.
+            run: (must_confirm && incarnation > 0).then_some(incarnation),
+        };
         let ticket = RequestMetadata {
             server: &servers.listing(guard.server).name,
             customer: Some(&run.customer),
             time_left: run.time_left,
             last_event: run.progress.last_event,
         };
-        <D::Servers as ServerDialect>::item_request(&run.item, &run.host, &ticket)
+        let request = <D::Servers as ServerDialect>::item_request(&run.item, &run.host, &ticket);
+        (request, terms)
     };
     let request = match request {
         Ok(request) => request.map(Full::new),
@@ -92,7 +104,7 @@
         }
     };
     let id = &run.item.id;
-    let opening = open_answer(guard, request, id, AnswerKind::Events, FIRST_EVENT_TIMEOUT);
+    let opening = open_answer(guard, request, id, terms);
     let opened = tokio::select! {
         opened = opening => opened,
         () = run.stop.cancelled() => return ItemOutcome::Stopped(run.progress),
@@ -148,6 +160,7 @@
 ) -> ItemOutcome {
     let mut splitter = EventSplitter::default();
     let mut progress = open.progress;
+    let software = node.servers.borrow().software(open.guard.server);
     let mut next = open.first.take();
     loop {
         if let Some(data) = next.take() {
@@ -157,6 +170,7 @@
             }
             while let Some(event) = splitter.next_event() {
                 run.progress.add_event(&event);
+                run.progress.software.get_or_insert(software);
             }
         }
         let reading = tokio::time::timeout(EVENT_TIMEOUT, open.body.frame());
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -6,6 +6,7 @@
     ServerId, Timestamp,
     lots::{RouteObservation, StartRank, may_begin_items},
     placement::{PlacementQuery, PreemptionOrder, WorkKind},
+    streams::SoftwareKey,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -24,9 +25,20 @@
 
 /// Maximum number of items that run at once, each with its output in memory.
 const MAX_RUNNING_ITEMS: usize = 64;
+/// How long an item that was begun waits for a server of its version while others have room.
+const MAX_VERSION_WAIT: Duration = Duration::from_secs(1);
 /// An item with less time left isn't started, since its server would stop before the end.
 const MIN_RUN_TIME: Duration = Duration::from_millis(300);
 
+/// Where an item runs, or why it doesn't.
+enum ItemPlacement {
+    At(ServerId),
+    /// No server of the version that began the item has room.
+    WaitsForVersion,
+    /// No server of the route has room.
+    RouteIsFull,
+}
+
 impl<D: Dialect> LotWorker<D> {
     /// Gives up the waiting items of lots whose retention has passed.
     pub(super) fn give_up_expired(&mut self, now: Timestamp) {
@@ -98,11 +110,16 @@
                 if full.iter().any(|it| Arc::ptr_eq(it, &route)) {
                     break;
                 }
-                let Some(server) = self.choose_server(&route, now) else {
-                    full.push(route);
-                    break;
-                };
-                self.start(index, item, server, now);
+                match self.place_item(index, item, &route, now) {
+                    ItemPlacement::At(server) => self.start(index, item, server, now),
+                    ItemPlacement::WaitsForVersion => {
+                        self.held[index].items[item].wait_for_version(now);
+                    }
+                    ItemPlacement::RouteIsFull => {
+                        full.push(route);
+                        break;
+                    }
+                }
             }
         }
     }
@@ -125,15 +142,64 @@
         ranked.into_iter().map(|it| it.1).collect()
     }
 
-    fn choose_server(&self, route: &RouteSettings, now: Timestamp) -> Option<ServerId> {
+    /// Chooses a server for an item. One that was begun goes on at the software that began
+    /// it, and begins anew elsewhere if that has no room for long.
+    fn place_item(
+        &mut self,
+        index: usize,
+        item: usize,
+        route: &RouteSettings,
+        now: Timestamp,
+    ) -> ItemPlacement {
+        let software = self.held[index].items[item].progress.software;
+        let bound = software.and_then(|it| self.choose_server(route, Some(it), now));
+        if let Some(server) = bound {
+            return ItemPlacement::At(server);
+        }
+        let other = self.choose_server(route, None, now);
+        let has_software = software.is_some_and(|it| self.has_software(route, it));
+        let held = &mut self.held[index];
+        let Some(server) = other else {
+            held.items[item].version_missed_since = None;
+            return ItemPlacement::RouteIsFull;
+        };
+        if has_software && held.items[item].version_missed_for(now) < MAX_VERSION_WAIT {
+            return ItemPlacement::WaitsForVersion;
+        }
+        if held.items[item].begin_anew() {
+            log::info!(
+                lot:% = held.id, item = held.items[item].item.id;
+                "lots: an item begins anew, as no server of its version has room"
+            );
+        }
+        ItemPlacement::At(server)
+    }
+
+    fn has_software(&self, route: &RouteSettings, software: SoftwareKey) -> bool {
+        let servers = self.node.servers.borrow();
+        let mut services = route.services.iter();
+        services.any(|it| servers.has_software(&it.service, software))
+    }
+
+    fn choose_server(
+        &self,
+        route: &RouteSettings,
+        software: Option<SoftwareKey>,
+        now: Timestamp,
+    ) -> Option<ServerId> {
         let servers = self.node.servers.borrow();
         let mut random = rand::rng();
-        let service = choose_service(route, |it| servers.has_server(it), &mut random)?;
+        let has_server = |service: &str| match software {
+            Some(software) => servers.has_software(service, software),
+            None => servers.has_server(service),
+        };
+        let service = choose_service(route, has_server, &mut random)?;
         let query = PlacementQuery {
             service,
             zone: &self.node.settings.zone,
             exclude: &[],
             max_wait: Duration::ZERO,
+            software,
         };
         servers
             .choose_bulk(query, now, &mut random)
@@ -151,6 +217,7 @@
             time_left: held.time_left(now),
             stop: stop.clone(),
         };
+        held.items[item].version_missed_since = None;
         held.items[item].phase = ItemPhase::Running {
             server,
             started_at: now,
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -24,6 +24,7 @@
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     stream_ends: IntCounterVec,
+    streams_taken_up: IntCounterVec,
     store_calls: IntCounterVec,
     lots: IntCounterVec,
     in_flight: IntGaugeVec,
@@ -72,6 +73,11 @@
                 "Streams of events from servers, by framing and by how they ended.",
                 &["framing", "end"],
             )?,
+            streams_taken_up: counter(
+                "comfreyramp_streams_taken_up_total",
+                "Streams that callers took up, by whether the version that began them is known.",
+                &["origin"],
+            )?,
             store_calls: counter(
                 "comfreyramp_store_calls_total",
                 "Calls to the store, by how they ended.",
@@ -110,6 +116,7 @@
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
         registry.register(Box::new(metrics.stream_ends.clone()))?;
+        registry.register(Box::new(metrics.streams_taken_up.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.lots.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
@@ -148,6 +155,11 @@
         self.stream_ends.with_label_values(&[framing, end]).inc();
     }
 
+    /// Counts a stream that a caller took up.
+    pub fn stream_taken_up(&self, origin: &str) {
+        self.streams_taken_up.with_label_values(&[origin]).inc();
+    }
+
     /// Counts `count` occurrences of an event of lots or their items.
     pub fn lot(&self, event: &str, count: u64) {
         self.lots.with_label_values(&[event]).inc_by(count);
--- a/crates/serving/src/model/refusal.rs
+++ b/crates/serving/src/model/refusal.rs
@@ -22,6 +22,10 @@
     NoSettings,
     /// No server of the service accepts requests. The request hasn't run.
     NoServer,
+    /// No server of the version that began the stream accepts requests. It hasn't gone on.
+    NoServerOfVersion,
+    /// No daemon knows which version began the stream. It hasn't gone on.
+    UnknownOrigin,
     /// All servers are full for longer than the request may wait. It hasn't run.
     Full,
     /// The request was sent to servers, and none of them ran it.
@@ -52,6 +56,8 @@
             RefusalCause::TokenLimitExceeded => "over_bound",
             RefusalCause::NoSettings => "no_settings",
             RefusalCause::NoServer => "no_server",
+            RefusalCause::NoServerOfVersion => "no_server_of_version",
+            RefusalCause::UnknownOrigin => "unknown_origin",
             RefusalCause::Full => "full",
             RefusalCause::RejectedByServers => "turned_away",
             RefusalCause::StoreUnavailable => "store_away",
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -3,16 +3,19 @@
 //!
 //! This module has the state itself, the settings in force and the periodic work. Its
 //! submodules maintain what is known of servers (`directory`), of peers (`peers`), of lots
-//! (`lot_news`) and of the store (`store_health`), and admit requests (`admission`).
+//! (`lot_news`), of streams (`stream_origins`) and of the store (`store_health`), and admit
+//! requests (`admission`).
 
 mod admission;
 mod directory;
 mod lot_news;
 mod peers;
 mod store_health;
+mod stream_origins;
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -21,6 +24,7 @@
 use comfreyramp_policy::{
     Timestamp,
     placement::{ColdTolerance, PlacementTable, ServerListing},
+    streams::{OriginTable, StreamOrigin},
     usage::{PeerId, UsageTracker},
 };
 use comfreyramp_store::WatchBatch;
@@ -141,6 +145,8 @@
     pub urgent_report_due: Notify,
     /// Notified when a report has to be sent to, or requested from, some peers at once.
     pub prompt_reports_due: Notify,
+    /// Notified when a stream began whose software has to be told to its keepers.
+    pub origins_untold: Notify,
     /// Notified when a slot of a server became free or reports on lots have arrived.
     pub bulk_work_changed: Notify,
     /// The number of items that this daemon still has to run.
@@ -152,6 +158,9 @@
     fleet: RefCell<Option<Rc<FleetView>>>,
     usage: RefCell<UsageTracker>,
     suspects: RefCell<SuspectTracker>,
+    origins: RefCell<OriginTable>,
+    /// Origins of streams, with the addresses of the daemons that have to be told.
+    untold_origins: RefCell<Vec<(StreamOrigin, Vec<SocketAddr>)>>,
     members: RefCell<MemberList>,
     lags: Cell<ViewLags>,
     lease: RefCell<Option<HeldLease>>,
@@ -186,6 +195,7 @@
             load_changed: Notify::new(),
             urgent_report_due: Notify::new(),
             prompt_reports_due: Notify::new(),
+            origins_untold: Notify::new(),
             bulk_work_changed: Notify::new(),
             pending_items: Cell::new(0),
             is_retiring: Cell::new(false),
@@ -193,6 +203,8 @@
             fleet: RefCell::default(),
             usage: RefCell::new(usage),
             suspects: RefCell::default(),
+            origins: RefCell::default(),
+            untold_origins: RefCell::default(),
             lags: Cell::default(),
             members: RefCell::new(MemberList::new(&settings.name)),
             lease: RefCell::default(),
--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -207,6 +207,19 @@
         }
     }
 
+    /// Waits until another request can be sent, after the answer to the last one has been
+    /// read completely.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure::NotSent`] if the server has closed the connection.
+    pub async fn next_request(&mut self) -> Result<(), SendFailure> {
+        self.request.end();
+        self.idle.get_or_insert(Duration::ZERO);
+        let ready = self.sender.ready().await;
+        ready.map_err(|_| SendFailure::NotSent)
+    }
+
     /// Whether the connection had carried another request before.
     pub fn is_reused(&self) -> bool {
         self.idle.is_some()
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -7,6 +7,7 @@
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
+    streams::{SoftwareKey, StreamKey},
 };
 use http::{Request, Response, StatusCode, request};
 use http_body_util::Full;
@@ -14,7 +15,7 @@
 
 use super::{
     AnswerBody, AttemptGuard, OpenAnswer,
-    server_attempt::{AnswerKind, AttemptFailure, open_answer},
+    server_attempt::{AnswerKind, AttemptFailure, AttemptTerms, open_answer},
     stream_relay::StreamRelay,
 };
 use crate::{
@@ -68,6 +69,12 @@
     body: Bytes,
     /// The stream of an earlier request that this one takes up.
     resumed: Option<ResumedStream>,
+    /// The software that began the stream, once the caller has an event of it. No other may
+    /// go on with it.
+    software: Option<SoftwareKey>,
+    /// Whether the stream's software has been told to other daemons: the caller has an event
+    /// of this answer.
+    has_told_origin: bool,
     fingerprint: u64,
     pub(super) received_at: Timestamp,
     pub(super) deadline: Timestamp,
@@ -179,6 +186,8 @@
         head,
         body,
         resumed: caller.resumed,
+        software: None,
+        has_told_origin: false,
         received_at,
         deadline,
         tried_servers: Vec::new(),
@@ -215,6 +224,9 @@
         if self.node.is_suspect(self.fingerprint) {
             return Err(RefusalCause::CrashesServers.into());
         }
+        if self.is_resumable() {
+            self.software = self.find_origin().await?;
+        }
         let mut is_admitted = false;
         loop {
             let open = match self.open_next(None, &mut is_admitted).await? {
@@ -284,12 +296,15 @@
         let request = self.build_request(server, last_event, now);
         let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
         self.node.report_placement(server);
-        let timeout = self.first_byte_timeout(now);
-        let kind = match self.route.kind {
-            RouteKind::Stream { .. } => AnswerKind::Events,
-            _ => AnswerKind::Plain,
+        let terms = AttemptTerms {
+            kind: match self.route.kind {
+                RouteKind::Stream { .. } => AnswerKind::Events,
+                _ => AnswerKind::Plain,
+            },
+            timeout: self.first_byte_timeout(now),
+            run: self.run_to_confirm(server),
         };
-        let result = open_answer(guard, request, &self.request_id, kind, timeout).await;
+        let result = open_answer(guard, request, &self.request_id, terms).await;
         if matches!(result, Err(failure) if failure.is_broken_off()) {
             self.node.record_crash(self.fingerprint);
         }
@@ -306,18 +321,89 @@
         Ok(result)
     }
 
+    fn is_resumable(&self) -> bool {
+        self.route.kind == RouteKind::Stream { resumable: true }
+    }
+
+    /// Returns the key of the stream: that of the request that received its first event.
+    fn stream_key(&self) -> StreamKey {
+        let resumed = self.resumed.as_ref();
+        let first = resumed.and_then(|it| it.first_request.as_deref());
+        StreamKey::of(self.customer_name(), first.unwrap_or(&self.request_id))
+    }
+
+    /// Returns the software that began the stream that the caller takes up, if it takes up
+    /// one.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a stream of which no daemon knows the software.
+    async fn find_origin(&self) -> Result<Option<SoftwareKey>, Refusal> {
+        let Some(resumed) = &self.resumed else {
+            return Ok(None);
+        };
+        let found = match resumed.first_request {
+            Some(_) => self.node.find_origin(self.stream_key()).await,
+            None => None,
+        };
+        let metrics = &self.node.metrics;
+        metrics.stream_taken_up(if found.is_some() { "known" } else { "unknown" });
+        let refusal = Refusal::new(RefusalCause::UnknownOrigin);
+        found
+            .map(Some)
+            .ok_or(refusal.retry_after(UNAVAILABLE_RETRY_AFTER))
+    }
+
+    /// Records that the caller gets an event from a server: from now on, only the server's
+    /// software may go on with the stream.
+    pub(super) fn note_event_passed(&mut self, server: ServerId) {
+        if self.has_told_origin {
+            return;
+        }
+        self.has_told_origin = true;
+        let listed = self.node.servers.borrow().software(server);
+        let software = *self.software.get_or_insert(listed);
+        self.node
+            .record_origin(self.stream_key(), software, self.route.timeout);
+    }
+
+    /// Returns whether the stream can go on after the event `last_event`, the last one that
+    /// was passed on.
+    pub(super) fn knows_position(&self, last_event: Option<u64>) -> bool {
+        !self.has_told_origin || last_event.is_some()
+    }
+
+    /// Returns the run of a server that has to be confirmed before the request is sent:
+    /// where the stream goes on, and where it begins at a server that may have restarted.
+    fn run_to_confirm(&self, server: ServerId) -> Option<u64> {
+        let servers = self.node.servers.borrow();
+        let is_doubted = self.is_resumable() && servers.may_have_restarted(server);
+        let run = servers.listing(server).incarnation;
+        // A directory without runs can't tell them apart.
+        (run > 0 && (self.software.is_some() || is_doubted)).then_some(run)
+    }
+
     fn choose_server(&self, now: Timestamp) -> Result<Placement, Refusal> {
         let servers = self.node.servers.borrow();
         let mut random = rand::rng();
-        let service = choose_service(&self.route, |it| servers.has_server(it), &mut random);
+        let has_server = |service: &str| match self.software {
+            Some(software) => servers.has_software(service, software),
+            None => servers.has_server(service),
+        };
+        let service = choose_service(&self.route, has_server, &mut random);
         let Some(service) = service else {
-            return Err(self.final_refusal(RefusalCause::NoServer, UNAVAILABLE_RETRY_AFTER));
+            let cause = match self.software {
+                Some(_) => RefusalCause::NoServerOfVersion,
+                None => RefusalCause::NoServer,
+            };
+            return Err(self.final_refusal(cause, UNAVAILABLE_RETRY_AFTER));
         };
         let query = PlacementQuery {
             service,
             zone: &self.node.settings.zone,
             exclude: &self.tried_servers,
             max_wait: self.max_slot_wait(now),
+            software: self.software,
         };
         match servers.choose_live(query, now, &mut random) {
             Ok(placement) => Ok(placement),
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -12,4 +12,6 @@
 pub use connection_pool::{ConnectionPool, MAX_IDLE, SendFailure, ServerConnection};
 pub use front_body::{AnswerBody, AnswerBodyError};
 pub use live_request::answer_caller;
-pub use server_attempt::{AnswerKind, AttemptFailure, AttemptGuard, OpenAnswer, open_answer};
+pub use server_attempt::{
+    AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, open_answer,
+};
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -3,12 +3,12 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::{AnswerProgress, BodyFraming};
+use comfreyramp_http::{AnswerProgress, BodyFraming, collect_limited};
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
 };
-use http::{Request, response};
+use http::{HeaderValue, Request, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
@@ -27,6 +27,11 @@
 /// else ends it without discarding them.
 const ITEM_MAX_IDLE: Duration = Duration::from_millis(1_000);
 
+/// How long a server may take to report its state, for which it needs no slot.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(300);
+/// The maximum size in bytes of a server's report of its state.
+const MAX_STATE_BYTES: usize = 64 << 10;
+
 /// Counts a request as in flight on a server until it is dropped.
 #[derive(Debug)]
 pub struct AttemptGuard<D: Dialect> {
@@ -101,6 +106,9 @@
     NotRun,
     /// Another server now has the address. It didn't run the request.
     Misdirected,
+    /// The server didn't confirm that it is in the run that the directory lists. The request
+    /// wasn't sent.
+    Unconfirmed,
     /// The request was sent, and no complete answer was received.
     Broken,
     /// An answer to another request was received in place of the expected one.
@@ -133,6 +141,7 @@
             AttemptFailure::NotSent => "not_sent",
             AttemptFailure::NotRun => "not_run",
             AttemptFailure::Misdirected => "misdirected",
+            AttemptFailure::Unconfirmed => "unconfirmed",
             AttemptFailure::Broken => "broken",
             AttemptFailure::ForeignAnswer => "foreign_answer",
             AttemptFailure::NoEvent => "no_event",
@@ -149,8 +158,9 @@
             | AttemptFailure::NoEvent => Some(ServerOutcomeKind::Broken),
             AttemptFailure::NotRun => Some(ServerOutcomeKind::Full),
             AttemptFailure::Misdirected => Some(ServerOutcomeKind::Replaced),
-            // Says nothing about the server, as the request may just take long.
-            AttemptFailure::TimedOut => None,
+            // Neither says anything about the server's health: the request may just take long,
+            // and a server in another run works.
+            AttemptFailure::TimedOut | AttemptFailure::Unconfirmed => None,
         }
     }
 }
@@ -164,6 +174,18 @@
     Plain,
 }
 
+/// What is required of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptTerms {
+    /// The kind of body that a successful answer has.
+    pub kind: AnswerKind,
+    /// The longest wait for the first bytes of the answer's body.
+    pub timeout: Duration,
+    /// The run of the server that has to be confirmed before the request is sent; `None` if
+    /// any may run it.
+    pub run: Option<u64>,
+}
+
 /// An answer whose first bytes have been received.
 #[derive(Debug)]
 pub struct OpenAnswer<D: Dialect> {
@@ -183,7 +205,7 @@
     pub first: Option<Bytes>,
 }
 
-/// Sends a request to a server and waits, at most `timeout`, for the first bytes of the
+/// Sends a request to a server and waits, at most as `terms` say, for the first bytes of the
 /// answer's body. Until they are passed on, another server can still take over without the
 /// caller noticing; a head alone doesn't show that the server runs the request.
 ///
@@ -194,13 +216,12 @@
     guard: AttemptGuard<D>,
     request: Request<Full<Bytes>>,
     request_id: &str,
-    kind: AnswerKind,
-    timeout: Duration,
+    terms: AttemptTerms,
 ) -> Result<OpenAnswer<D>, AttemptFailure> {
     let node = guard.node.clone();
     let server = guard.server;
-    let exchanging = send_and_receive(guard, request, request_id, kind);
-    let result = match tokio::time::timeout(timeout, exchanging).await {
+    let exchanging = send_and_receive(guard, request, request_id, terms);
+    let result = match tokio::time::timeout(terms.timeout, exchanging).await {
         Ok(result) => result,
         Err(_) => Err(AttemptFailure::TimedOut),
     };
@@ -224,7 +245,7 @@
     guard: AttemptGuard<D>,
     request: Request<Full<Bytes>>,
     request_id: &str,
-    kind: AnswerKind,
+    terms: AttemptTerms,
 ) -> Result<OpenAnswer<D>, AttemptFailure> {
     let node = guard.node.clone();
     let address = address_of(&node, guard.server)?;
@@ -238,6 +259,10 @@
         .connect(address, request_id, max_idle, now)
         .await;
     let mut connection = connecting.map_err(|_| AttemptFailure::Unreachable)?;
+    if let Some(run) = terms.run {
+        confirm_run::<D>(&mut connection, address, run).await?;
+        node.servers.borrow_mut().confirm_run(guard.server);
+    }
     let sent_at = node.clock.now();
     let method = request.method().clone();
     let sending = connection.send(request).await;
@@ -275,7 +300,7 @@
     }
     let progress = AnswerProgress::new(BodyFraming::of(&method, &head));
     let first = read_first_bytes(&mut body).await?;
-    let has_events = kind == AnswerKind::Events && head.status.is_success();
+    let has_events = terms.kind == AnswerKind::Events && head.status.is_success();
     if has_events && first.is_none() && progress.is_broken_off() {
         let end = progress.end_of_body();
         let framing = progress.framing.as_str();
@@ -293,6 +318,33 @@
     })
 }
 
+/// Asks a server, over the connection that the request is sent on next, whether it is still
+/// in a run. The directory may be older than the server's process, and a connection doesn't
+/// outlive one.
+async fn confirm_run<D: Dialect>(
+    connection: &mut ServerConnection,
+    address: SocketAddr,
+    run: u64,
+) -> Result<(), AttemptFailure> {
+    let mut query = <D::Servers as ServerDialect>::state_query().map(Full::new);
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        query.headers_mut().insert(header::HOST, host);
+    }
+    let asking = async {
+        let response = connection.send(query).await.ok()?;
+        collect_limited(response.into_body(), MAX_STATE_BYTES)
+            .await
+            .ok()
+    };
+    let report = tokio::time::timeout(CONFIRM_TIMEOUT, asking).await;
+    let report = report.ok().flatten().ok_or(AttemptFailure::Unconfirmed)?;
+    if <D::Servers as ServerDialect>::read_run(&report) != Some(run) {
+        return Err(AttemptFailure::Unconfirmed);
+    }
+    let next = connection.next_request().await;
+    next.map_err(|_| AttemptFailure::Unconfirmed)
+}
+
 /// Returns whether an answer belongs to a request. An answer without an id may be taken only
 /// for a statement that the request wasn't run, and only on a connection that carried no
 /// other request.
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -159,12 +159,14 @@
         let ReadingStream {
             request, events, ..
         } = *reading;
-        let can_fail_over = request.check_failover(AttemptFailure::Broken).is_ok();
-        let Some(events) = events.filter(|_| can_fail_over) else {
+        let last_id = events.as_ref().and_then(|it| it.last_id);
+        let can_fail_over = request.check_failover(AttemptFailure::Broken).is_ok()
+            && request.knows_position(last_id);
+        if events.is_none() || !can_fail_over {
             request.record_end("stream broken", StatusCode::BAD_GATEWAY);
             return false;
-        };
-        let resuming = tokio::task::spawn_local(resume_stream(request, events.last_id));
+        }
+        let resuming = tokio::task::spawn_local(resume_stream(request, last_id));
         self.state = RelayState::Resuming(AbortOnDropHandle::new(resuming));
         true
     }
@@ -245,7 +247,13 @@
         self.progress.push_events(&data);
         match &mut self.events {
             None => ReadStep::Bytes(data),
-            Some(events) => events.push(&data),
+            Some(events) => {
+                let step = events.push(&data);
+                if matches!(&step, ReadStep::Bytes(bytes) if !bytes.is_empty()) {
+                    self.request.note_event_passed(self.guard.server);
+                }
+                step
+            }
         }
     }
 }
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -18,7 +18,7 @@
     fleet::{
         FollowUpdate, FollowedStore, INITIAL_WATCH_DELAY, MEMBERS, follow_peers, follow_store,
         handle_peer_request, keep_membership, probe_store, receive_reports, run_announcer,
-        send_urgent_reports,
+        send_origins, send_urgent_reports,
     },
     lots::{follow_retire_orders, run_lots, sweep_lots},
     node::Node,
@@ -255,6 +255,7 @@
         socket.clone(),
         stop.clone(),
     ));
+    tokio::task::spawn_local(send_origins(node.clone(), socket.clone(), stop.clone()));
     tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
     tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
     tokio::task::spawn_local(probe_store(node.clone(), stop.clone()));
