A stream whose first request isn't named goes on while one version is in use

Such a stream goes on now as long as no second version was known within a minute, and is refused otherwise, where nobody can tell.

--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -26,6 +26,9 @@
 /// daemons have reported their counts to each other. Without them each such request
 /// preempts an item.
 const BULK_RESERVED_SLOTS: u32 = 1;
+/// How long a software counts as in use after its last server has left: longer than a stream
+/// that it began may be taken up.
+const SOFTWARE_MEMORY: Duration = Duration::from_secs(60);
 /// The shortest and the longest delay after which a rejected caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
@@ -140,6 +143,9 @@
     /// The services whose servers may get few requests while they are cold, sorted by
     /// name.
     cold_limits: Vec<(String, ColdStartLimit)>,
+    /// When each software of the listed servers was last known to be in use, sorted by
+    /// software.
+    used_software: Vec<(SoftwareKey, String, Timestamp)>,
     /// Sorted.
     evacuated_zones: Vec<String>,
     silent_zones: Vec<String>,
@@ -157,6 +163,7 @@
     /// Applies the directory's list. Servers that are no longer on it get no new
     /// requests. Returns the servers that have turned cold.
     pub fn set_listings(&mut self, listings: &[ServerListing], now: Timestamp) -> Vec<ServerId> {
+        self.note_used_software(now);
         // An entry that becomes free is reused for a new server, so those that stay listed
         // have to be known before.
         for entry in &mut self.servers {
@@ -187,6 +194,32 @@
         turned_cold
     }
 
+    /// Records the software of all servers that are listed until now.
+    fn note_used_software(&mut self, now: Timestamp) {
+        let used = &mut self.used_software;
+        used.retain(|it| now.since(it.2) < SOFTWARE_MEMORY);
+        for entry in self.servers.iter().filter(|it| it.is_listed) {
+            match used.binary_search_by_key(&entry.software, |it| it.0) {
+                Ok(index) => used[index].2 = now,
+                Err(index) => {
+                    used.insert(index, (entry.software, entry.listing.service.clone(), now));
+                }
+            }
+        }
+    }
+
+    /// Returns whether all servers of a service that this daemon has known lately have the
+    /// same software.
+    pub fn has_single_version(&self, service: &str, now: Timestamp) -> bool {
+        let listed = self.servers.iter();
+        let listed = listed.filter(|it| it.is_listed && it.listing.service == service);
+        let used = self.used_software.iter();
+        let used = used.filter(|it| it.1 == service && now.since(it.2) < SOFTWARE_MEMORY);
+        let mut known = listed.map(|it| it.software).chain(used.map(|it| it.0));
+        let first = known.next();
+        known.all(|it| Some(it) == first)
+    }
+
     /// Returns the index of a server's entry, and adds one if there is none.
     fn entry_of(&mut self, listing: &ServerListing) -> usize {
         if let Some(index) = self.servers.iter().position(|it| it.is_of(listing)) {
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -333,7 +333,8 @@
     }
 
     /// Returns the software that began the stream that the caller takes up, if it takes up
-    /// one.
+    /// one. A caller that doesn't name the request that began the stream is served while only
+    /// one version is in use.
     ///
     /// # Errors
     ///
@@ -344,6 +345,10 @@
         };
         let found = match resumed.first_request {
             Some(_) => self.node.find_origin(self.stream_key()).await,
+            None if self.has_single_version() => {
+                self.node.metrics.stream_taken_up("single_version");
+                return Ok(None);
+            }
             None => None,
         };
         let metrics = &self.node.metrics;
@@ -354,6 +359,14 @@
             .ok_or(refusal.retry_after(UNAVAILABLE_RETRY_AFTER))
     }
 
+    /// Returns whether each service of the route has had servers of one version only.
+    fn has_single_version(&self) -> bool {
+        let now = self.node.clock.now();
+        let servers = self.node.servers.borrow();
+        let mut services = self.route.services.iter();
+        services.all(|it| servers.has_single_version(&it.service, now))
+    }
+
     /// Records that the caller gets an event from a server: from now on, only the server's
     /// software may go on with the stream.
     pub(super) fn note_event_passed(&mut self, server: ServerId) {
