--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 mod ids;
 pub mod lots;
 mod members;
+pub mod parts;
 pub mod placement;
 mod queue;
 pub mod rates;
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -5,7 +5,7 @@
 //! dialect is a type parameter, fixed when the program starts.
 
 use bytes::Bytes;
-use comfreyramp_policy::placement::ServerListing;
+use comfreyramp_policy::{parts::PartKey, placement::ServerListing};
 use comfreyramp_store::PlatformStore;
 use http::{HeaderMap, Request, Response, StatusCode, request, response};
 
@@ -84,6 +84,10 @@
         metadata: &RequestMetadata<'_>,
     ) -> Result<Request<Bytes>, http::Error>;
 
+    /// Returns the parts of the prompt that a request to a server has in common with others,
+    /// from its headers.
+    fn shared_parts(headers: &HeaderMap) -> Vec<PartKey>;
+
     /// Builds the request for a server's report of its own state, without a host.
     fn state_query() -> Request<Bytes>;
 
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -6,6 +6,7 @@
 use comfreyramp_http::{AnswerEnd, AnswerProgress, BodyError, collect_limited};
 use comfreyramp_policy::{
     ServerId, Timestamp,
+    parts::PartKey,
     placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
     streams::{SoftwareKey, StreamKey},
 };
@@ -72,6 +73,8 @@
     /// The software that began the stream, once the caller has an event of it. No other may
     /// go on with it.
     software: Option<SoftwareKey>,
+    /// The parts of its prompt that other requests have too.
+    parts: Vec<PartKey>,
     /// Whether the stream's software has been told to other daemons: the caller has an event
     /// of this answer.
     has_told_origin: bool,
@@ -88,6 +91,8 @@
     load: LoadShare,
     /// When the first bytes of an answer were received.
     first_byte_at: Option<Timestamp>,
+    /// When the first bytes of the last server's answer were received.
+    run_began_at: Option<Timestamp>,
     /// What was received of the last answer, for the log.
     progress: Option<AnswerProgress>,
 }
@@ -181,6 +186,7 @@
         node: node.clone(),
         request_id: caller.request_id,
         fingerprint: fingerprint(name, head.uri.path(), &body),
+        parts: <D::Servers as ServerDialect>::shared_parts(&head.headers),
         customer,
         route,
         head,
@@ -196,6 +202,7 @@
         is_retry,
         load: LoadShare::default(),
         first_byte_at: None,
+        run_began_at: None,
         progress: None,
     };
     request.run().await
@@ -307,6 +314,7 @@
         let result = open_answer(guard, request, &self.request_id, terms).await;
         if matches!(result, Err(failure) if failure.is_broken_off()) {
             self.node.record_crash(self.fingerprint);
+            self.log_broken_run(server, None);
         }
         if matches!(result, Err(AttemptFailure::Unreachable)) {
             self.unreachable_servers += 1;
@@ -315,8 +323,10 @@
             self.runs += 1;
         }
         if let Ok(open) = &result {
+            let now = self.node.clock.now();
             self.progress = Some(open.progress);
-            self.first_byte_at.get_or_insert(self.node.clock.now());
+            self.first_byte_at.get_or_insert(now);
+            self.run_began_at = Some(now);
         }
         Ok(result)
     }
@@ -555,6 +565,24 @@
         self.node.metrics.stream_end(framing, end.as_str());
     }
 
+    /// Returns for how long the last server has been writing its answer, if it has begun.
+    pub(super) fn written_for(&self) -> Option<Duration> {
+        let now = self.node.clock.now();
+        self.run_began_at.map(|it| now.since(it))
+    }
+
+    /// Logs that a server broke off while it answered the request, and how long it had been
+    /// writing the answer by then, if it had begun.
+    pub(super) fn log_broken_run(&self, server: ServerId, written_for: Option<Duration>) {
+        log::info!(
+            request = self.request_id,
+            server = self.node.servers.borrow().listing(server).name,
+            parts:? = self.parts,
+            written_ms = written_for.map(|it| it.as_millis() as u64);
+            "suspects: a server broke off at a request"
+        );
+    }
+
     /// Logs that a stream goes on at the server that was tried last.
     pub(super) fn log_resumption(&self, last_event: Option<u64>) {
         let servers = self.node.servers.borrow();
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -156,6 +156,10 @@
             return false;
         };
         reading.guard.record_outcome(ServerOutcomeKind::Broken);
+        let written_for = reading.request.written_for();
+        reading
+            .request
+            .log_broken_run(reading.guard.server, written_for);
         let ReadingStream {
             request, events, ..
         } = *reading;
