--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -16,6 +16,7 @@
 };
 use http::Version;
 use serde_json::{Value, json};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use super::{
@@ -76,6 +77,15 @@
     }
 }
 
+/// A part of prompts that crashes the server.
+#[derive(Clone, Debug)]
+struct CrashingPart {
+    id: String,
+    /// The number of events that are sent before the crash.
+    after_events: u64,
+    store: Arc<KvState>,
+}
+
 /// A request that a server received.
 #[derive(Clone, Debug)]
 pub struct BackendArrival {
@@ -109,6 +119,9 @@
     /// The address in its store entry, which differs from the own one behind a link.
     published_address: Mutex<SocketAddr>,
     identity: Mutex<ServerIdentity>,
+    crashing_part: Mutex<Option<CrashingPart>>,
+    /// The number of crashes so far. Each ends all streams.
+    crashes: watch::Sender<u32>,
     arrivals: Mutex<Vec<BackendArrival>>,
     is_full: AtomicBool,
     ends_with_connection: AtomicBool,
@@ -133,6 +146,8 @@
             published_address: Mutex::new(address),
             options,
             identity: Mutex::default(),
+            crashing_part: Mutex::default(),
+            crashes: watch::Sender::new(0),
             arrivals: Mutex::default(),
             is_full: AtomicBool::new(false),
             ends_with_connection: AtomicBool::new(false),
@@ -212,6 +227,47 @@
         self.break_after.store(events, Ordering::SeqCst);
     }
 
+    /// Lets the server crash after so many events of each answer to a request that has this
+    /// part in its prompt, other than as its last. It is back at once, in another run, and
+    /// registers in the store.
+    pub fn set_crashing_part(&self, id: &str, after_events: u64, store: Arc<KvState>) {
+        let part = CrashingPart {
+            id: id.to_owned(),
+            after_events,
+            store,
+        };
+        let mut crashing = self
+            .crashing_part
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *crashing = Some(part);
+    }
+
+    /// Returns the number of crashes so far.
+    pub fn crashes(&self) -> u32 {
+        *self.crashes.borrow()
+    }
+
+    /// Ends all streams, as a crash of the server does, and registers the next run.
+    pub fn crash(&self, store: &KvState) {
+        let ServerIdentity { version, born } = self.identity();
+        self.set_identity(&version, born + 1);
+        self.crashes.send_modify(|it| *it += 1);
+        self.register(store, "ready");
+    }
+
+    /// Returns the part that crashes the server, if a prompt has it other than as its last.
+    fn crashing_part_of(&self, prompt: &str) -> Option<CrashingPart> {
+        let crashing = self
+            .crashing_part
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let part = crashing.clone()?;
+        let mut ids = prompt.split(',').map(|it| it.split(':').next());
+        ids.next_back();
+        ids.any(|it| it == Some(&part.id)).then_some(part)
+    }
+
     /// Returns the requests received so far.
     pub fn arrivals(&self) -> Vec<BackendArrival> {
         self.arrivals
@@ -281,7 +337,28 @@
                     let after = text("last-event-id").parse().unwrap_or(0);
                     let break_after = self.break_after.swap(u32::MAX, Ordering::SeqCst);
                     let ids = after + 1..=events;
-                    tokio::spawn(send_events(sender, requested, ids, pause, break_after));
+                    let crashing = self.crashing_part_of(&text("x-prompt-prefix"));
+                    let mut crashes = self.crashes.subscribe();
+                    let server = self.clone();
+                    tokio::spawn(async move {
+                        let crash = async {
+                            let Some(part) = crashing else {
+                                return std::future::pending().await;
+                            };
+                            let written = pause.mul_f64(part.after_events as f64 + 0.5);
+                            tokio::time::sleep(written).await;
+                            server.crash(&part.store);
+                        };
+                        let sending = send_events(&sender, requested, ids, pause, break_after);
+                        let break_reason = tokio::select! {
+                            break_reason = sending => break_reason,
+                            () = crash => Some("the server crashes"),
+                            _ = crashes.changed() => Some("the server has crashed"),
+                        };
+                        if let Some(reason) = break_reason {
+                            sender.abort(reason).await;
+                        }
+                    });
                 }
             }
             set_header(&mut answer, "x-response-signature", &self.options.id);
@@ -298,23 +375,25 @@
     }
 }
 
+/// Sends events, and returns why the stream has to be broken off, if it has.
 async fn send_events(
-    sender: BodySender,
+    sender: &BodySender,
     requested: RequestedStream,
     ids: RangeInclusive<u64>,
     pause: Duration,
     break_after: u32,
-) {
+) -> Option<&'static str> {
     for (sent, id) in ids.enumerate() {
         if sent as u32 == break_after {
             // The stream is cut in the middle of an event, as a crash of the server would do.
             sender.send(format!("id: {id}\nda")).await;
             tokio::time::sleep(CUT_DELAY).await;
-            return sender.abort("the server cuts the stream").await;
+            return Some("the server cuts the stream");
         }
         tokio::time::sleep(pause).await;
         if !sender.send(requested.event(id)).await {
-            return;
+            return None;
         }
     }
+    None
 }
