Parts of prompts that crash servers are blocked over the whole fleet

What callers saw: requests with one part in their prompts were sent to servers 32 times more after it had crashed five, 40 in all; sound requests of the same route lost their streams with them.

Cause: what was counted was the whole request, by customer, path and body, and no two of these were alike; a server that broke off after its first bytes wasn't counted at all; and counts were lost with the daemon that had them. Class: the unit that is counted isn't the one that does the harm.

Change: lost servers are counted by part (policy::parts). An answer that is written to its end clears all parts of its request, which is what tells the bad one from those that sound requests share. Daemons report what they know, theirs and what they were told. A blocked part is tried by one daemon at a time, seldom: outages may look the same. Items of lots with a blocked part wait.

--- a/crates/node/tests/stale_zone.rs
+++ b/crates/node/tests/stale_zone.rs
@@ -127,6 +127,7 @@
         asks_word: false,
         usage_times: Default::default(),
         uptime_ms: 0,
+        parts: Vec::new(),
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,8 @@
 //! - Claims: calls that must not run twice ([`ClaimTracker`]).
 //! - [`bulk`] and [`lots`]: how much bulk work a server gets, and from which lots
 //!   ([`bulk::BulkLimiter`], [`lots::LotRanking`]).
+//! - [`parts`]: which parts of prompts crash the servers that write an answer on them
+//!   ([`parts::PartTable`]).
 //! - [`placement`]: which server a request goes to, when it is refused instead,
 //!   and which lot items are preempted ([`placement::PlacementTable`]).
 //! - [`streams`]: at which software version a stream may go on
--- /dev/null
+++ b/crates/policy/src/parts/part_table.rs
@@ -0,0 +1,167 @@
+//! The parts of prompts that are suspected of crashing servers, as one daemon knows them.
+
+use std::time::Duration;
+
+use super::{PartKey, PartReport, ServerRun, part_entry::PartEntry};
+use crate::Timestamp;
+
+/// The number of servers that are lost before a part is blocked, if no answer on it was
+/// written to its end meanwhile. Servers are lost for other reasons too, a few at once.
+pub const CRASHES_TO_BLOCK: usize = 4;
+/// The maximum number of parts that are remembered. All requests on a lost server share the
+/// suspicion, and most are cleared within seconds.
+const MAX_ENTRIES: usize = 512;
+/// The maximum number of parts in one report.
+const MAX_REPORTED: usize = 24;
+/// For how long each report names a part after something has changed.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+/// A report names a part of which nothing has changed once for so many other daemons, and
+/// each daemon once in [`MAX_REPORT_STRIDE`] reports: a daemon that starts hears it from
+/// any.
+const DAEMONS_PER_STRIDE: usize = 8;
+const MAX_REPORT_STRIDE: u64 = 16;
+
+/// Is added to all moments, which count from the daemon's start: others report of crashes
+/// before it.
+const HISTORY: Duration = Duration::from_secs(86_400);
+
+/// The parts of prompts that are suspected of crashing servers, as one daemon knows them.
+#[derive(Clone, Debug, Default)]
+pub struct PartTable {
+    /// Sorted by part.
+    entries: Vec<PartEntry>,
+}
+
+impl PartTable {
+    /// Records that a server was lost while it began to answer a request with these parts.
+    /// Returns the parts that are blocked from now on.
+    pub fn record_crash(
+        &mut self,
+        parts: &[PartKey],
+        server: ServerRun,
+        now: Timestamp,
+    ) -> Vec<PartKey> {
+        let now = now + HISTORY;
+        let mut blocked = Vec::new();
+        for part in parts {
+            let entry = self.entry(*part, now);
+            let was_blocked = entry.is_blocked();
+            entry.record_crash(server, now);
+            if entry.is_blocked() && !was_blocked {
+                blocked.push(*part);
+            }
+        }
+        blocked
+    }
+
+    /// Records that an answer to a request with these parts was written to its end. Returns
+    /// whether a part was blocked until now.
+    pub fn record_finished(&mut self, parts: &[PartKey], now: Timestamp) -> bool {
+        let now = now + HISTORY;
+        let mut was_blocked = false;
+        for part in parts {
+            if let Ok(index) = self.position(*part) {
+                let entry = &mut self.entries[index];
+                was_blocked |= entry.is_blocked();
+                entry.record_finished(now);
+            }
+        }
+        was_blocked
+    }
+
+    /// Checks whether a request with these parts may be sent, by a daemon whose turn to try a
+    /// part is given by `rank_of`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the part that is blocked, and the number of crashes that are known of it.
+    pub fn check(
+        &mut self,
+        parts: &[PartKey],
+        rank_of: impl Fn(PartKey) -> usize,
+        now: Timestamp,
+    ) -> Result<(), (PartKey, usize)> {
+        let now = now + HISTORY;
+        for part in parts {
+            let Ok(index) = self.position(*part) else {
+                continue;
+            };
+            let entry = &mut self.entries[index];
+            if !entry.is_blocked() || entry.is_expired(now) {
+                continue;
+            }
+            entry.record_seen(now);
+            if !entry.begin_trial(rank_of(*part), now) {
+                return Err((*part, entry.crashes()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns what the report with this number tells a fleet of `daemons` others.
+    pub fn reports(&self, number: u64, daemons: usize, now: Timestamp) -> Vec<PartReport> {
+        let now = now + HISTORY;
+        let stride = (daemons / DAEMONS_PER_STRIDE) as u64;
+        let stride = stride.clamp(1, MAX_REPORT_STRIDE);
+        let is_due = |it: &&PartEntry| {
+            let is_news = now.since(it.changed_at) < NEWS_TIME;
+            let is_turn = (number ^ it.part.0).is_multiple_of(stride);
+            is_news || (it.is_suspected() && is_turn && !it.is_expired(now))
+        };
+        let mut due: Vec<&PartEntry> = self.entries.iter().filter(is_due).collect();
+        // What blocks requests goes first, then what others may not know yet.
+        due.sort_by_key(|it| std::cmp::Reverse((it.crashes(), it.changed_at)));
+        let due = due.into_iter().take(MAX_REPORTED);
+        due.map(|it| it.report(now)).collect()
+    }
+
+    /// Applies what another daemon reported.
+    pub fn receive(&mut self, reports: &[PartReport], now: Timestamp) {
+        let now = now + HISTORY;
+        for report in reports {
+            // An answer says nothing new of a part that nobody suspects here.
+            if report.crashes.is_empty() && self.position(report.part).is_err() {
+                continue;
+            }
+            self.entry(report.part, now).receive(report, now);
+        }
+    }
+
+    /// Returns whether a part is blocked.
+    pub fn is_blocked(&self, part: PartKey, now: Timestamp) -> bool {
+        let now = now + HISTORY;
+        let entry = self.position(part).map(|it| &self.entries[it]);
+        entry.is_ok_and(|it| it.is_blocked() && !it.is_expired(now))
+    }
+
+    fn position(&self, part: PartKey) -> Result<usize, usize> {
+        self.entries.binary_search_by_key(&part, |it| it.part)
+    }
+
+    fn entry(&mut self, part: PartKey, now: Timestamp) -> &mut PartEntry {
+        if self.position(part).is_err() && self.entries.len() >= MAX_ENTRIES {
+            self.make_room(now);
+        }
+        let index = match self.position(part) {
+            Ok(index) => index,
+            Err(index) => {
+                self.entries.insert(index, PartEntry::new(part, now));
+                index
+            }
+        };
+        &mut self.entries[index]
+    }
+
+    /// Forgets expired parts and, without any, the one that matters least.
+    fn make_room(&mut self, now: Timestamp) {
+        self.entries.retain(|it| !it.is_expired(now));
+        if self.entries.len() < MAX_ENTRIES {
+            return;
+        }
+        let entries = self.entries.iter().enumerate();
+        let least = entries.min_by_key(|(_, it)| (it.crashes(), it.last_used_at()));
+        if let Some((index, _)) = least {
+            self.entries.remove(index);
+        }
+    }
+}
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -271,6 +271,16 @@
             .collect()
     }
 
+    /// Returns the number of other daemons.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns whether there is no other daemon.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
     /// Returns the addresses of all other daemons. In a small fleet all are near; in a
     /// large one those that share a home server with this daemon.
     pub fn addresses(&self) -> PeerAddresses {
@@ -352,6 +362,15 @@
         named.map(|it| it.record.address).collect()
     }
 
+    /// Returns the daemons that report.
+    pub fn reporting(&self, now: Timestamp) -> impl Iterator<Item = PeerId> {
+        let timeout = self.reporting_timeout();
+        let members = self.members.iter();
+        members
+            .filter(move |it| !it.is_leaving && it.reported_within(timeout, now))
+            .map(|it| it.id)
+    }
+
     /// Returns the addresses of the daemons that keep the origin of a stream, as seen from
     /// the zone `own`.
     pub fn stream_keepers(
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -4,6 +4,7 @@
 
 use comfreyramp_policy::{
     Timestamp, ViewLag,
+    parts::PartReport,
     placement::LoadShare,
     usage::{PeerId, PeerIncarnation, SpendingTimes, UsageCount},
 };
@@ -122,6 +123,9 @@
     /// The time since the sender started, in milliseconds; 0 in a message of an older
     /// version.
     pub uptime_ms: u32,
+    /// The parts of prompts that are suspected of crashing servers; empty in a message of an
+    /// older version.
+    pub parts: Vec<PartReport>,
 }
 
 /// When a daemon admitted customers' requests, in the form of [`SpendingTimes`].
@@ -171,4 +175,4 @@
 
 /// Number of zero bytes appended to a received message. They stand for the fields that a
 /// message of an older version lacks.
-pub const MESSAGE_PADDING: usize = 6;
+pub const MESSAGE_PADDING: usize = 7;
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -68,6 +68,8 @@
     Broken(ItemProgress),
     /// The run was stopped by this daemon.
     Stopped(ItemProgress),
+    /// The item wasn't sent, since a part of its prompt crashes servers.
+    Blocked(ItemProgress),
 }
 
 /// Runs an item on the server whose slot `guard` occupies.
@@ -104,6 +106,11 @@
         }
     };
     let id = &run.item.id;
+    let parts = <D::Servers as ServerDialect>::shared_parts(request.headers());
+    if node.check_parts(id, &parts).is_err() {
+        return ItemOutcome::Blocked(run.progress);
+    }
+    let server = guard.server;
     let opening = open_answer(guard, request, id, terms);
     let opened = tokio::select! {
         opened = opening => opened,
@@ -111,12 +118,31 @@
     };
     let open = match opened {
         Ok(open) => open,
-        Err(AttemptFailure::NoEvent) => return run.progress.end_without_event(),
-        Err(failure) if failure.may_have_run() => return ItemOutcome::Broken(run.progress),
+        Err(AttemptFailure::NoEvent) if run.progress.last_event.is_some() => {
+            return run.progress.end_without_event();
+        }
+        Err(failure) if failure.may_have_run() => {
+            if failure.is_broken_off() {
+                node.record_broken_run(id, &parts, server, None);
+            }
+            return ItemOutcome::Broken(run.progress);
+        }
         Err(_) => return ItemOutcome::NotRun(run.progress),
     };
     match open.head.status.is_success() {
-        true => read_events(node, open, &mut run).await,
+        true => {
+            let began_at = node.clock.now();
+            let outcome = read_events(node, open, &mut run).await;
+            match &outcome {
+                ItemOutcome::Done(_) => node.record_finished_run(&run.item.id, &parts),
+                ItemOutcome::Broken(_) => {
+                    let written_for = node.clock.now().since(began_at);
+                    node.record_broken_run(&run.item.id, &parts, server, Some(written_for));
+                }
+                _ => {}
+            }
+            outcome
+        }
         false => read_failure(node, open, run).await,
     }
 }
@@ -261,7 +287,8 @@
             | ItemOutcome::FailedUnproven(progress)
             | ItemOutcome::NotRun(progress)
             | ItemOutcome::Broken(progress)
-            | ItemOutcome::Stopped(progress) => progress.events,
+            | ItemOutcome::Stopped(progress)
+            | ItemOutcome::Blocked(progress) => progress.events,
             ItemOutcome::Impossible | ItemOutcome::Failed => 0,
         }
     }
@@ -276,6 +303,7 @@
             ItemOutcome::NotRun(_) => "not_run",
             ItemOutcome::Broken(_) => "broken",
             ItemOutcome::Stopped(_) => "stopped",
+            ItemOutcome::Blocked(_) => "blocked",
         }
     }
 }
--- a/crates/serving/src/node/admission.rs
+++ b/crates/serving/src/node/admission.rs
@@ -1,4 +1,4 @@
-//! Admission of requests: customers' rates, and suspects.
+//! Admission of requests: customers' rates.
 
 use std::time::Duration;
 
@@ -90,17 +90,4 @@
             .refusal(&customer.settings.name, RefusalCause::RateExceeded.as_str());
         Refusal::new(RefusalCause::RateExceeded).retry_after(retry_after)
     }
-
-    /// Records that a server broke off while it ran a request.
-    pub fn record_crash(&self, fingerprint: u64) {
-        let now = self.clock.now();
-        self.suspects.borrow_mut().record_crash(fingerprint, now);
-    }
-
-    /// Whether servers broke off at this request so often that it must not be sent.
-    pub fn is_suspect(&self, fingerprint: u64) -> bool {
-        self.suspects
-            .borrow()
-            .is_suspect(fingerprint, self.clock.now())
-    }
 }
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -4,9 +4,10 @@
 //! This module has the state itself, the settings in force and the periodic work. Its
 //! submodules maintain what is known of servers (`directory`), of peers (`peers`), of lots
 //! (`lot_news`), of streams (`stream_origins`) and of the store (`store_health`), and admit
-//! requests (`admission`).
+//! requests (`admission`, `crash_records`).
 
 mod admission;
+mod crash_records;
 mod directory;
 mod lot_news;
 mod peers;
@@ -23,6 +24,7 @@
 use comfreyramp_http::HttpClient;
 use comfreyramp_policy::{
     Timestamp,
+    parts::PartTable,
     placement::{ColdTolerance, PlacementTable, ServerListing},
     streams::{OriginTable, StreamOrigin},
     usage::{PeerId, UsageTracker},
@@ -158,6 +160,7 @@
     fleet: RefCell<Option<Rc<FleetView>>>,
     usage: RefCell<UsageTracker>,
     suspects: RefCell<SuspectTracker>,
+    parts: RefCell<PartTable>,
     origins: RefCell<OriginTable>,
     /// Origins of streams, with the addresses of the daemons that have to be told.
     untold_origins: RefCell<Vec<(StreamOrigin, Vec<SocketAddr>)>>,
@@ -203,6 +206,7 @@
             fleet: RefCell::default(),
             usage: RefCell::new(usage),
             suspects: RefCell::default(),
+            parts: RefCell::default(),
             origins: RefCell::default(),
             untold_origins: RefCell::default(),
             lags: Cell::default(),
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use comfreyramp_policy::{PausedSources, ServerId, Timestamp, usage::PeerId};
+use comfreyramp_policy::{PausedSources, ServerId, Timestamp, parts::PartReport, usage::PeerId};
 use comfreyramp_store::WatchBatch;
 
 use super::Node;
@@ -87,12 +87,19 @@
             items: self.pending_items.get(),
             placed,
             asks_word: false,
+            parts: self.part_reports(number),
             uptime_ms: u32::try_from(now.as_micros() / 1_000)
                 .unwrap_or(u32::MAX)
                 .max(1),
         }
     }
 
+    fn part_reports(&self, number: u64) -> Vec<PartReport> {
+        let now = self.clock.now();
+        let daemons = self.members.borrow().len();
+        self.parts.borrow().reports(number, daemons, now)
+    }
+
     /// Processes a report of a peer, which was received at `arrived_at`.
     pub fn process_report(&self, message: &PeerMessage, arrived_at: Timestamp) {
         let Some(peer) = self.members.borrow_mut().receive(message, arrived_at) else {
@@ -119,6 +126,7 @@
         self.suspects
             .borrow_mut()
             .receive(peer, &message.suspects, now);
+        self.parts.borrow_mut().receive(&message.parts, now);
         if self.settings.runs_lots {
             let mut inbox = self.lot_inbox.borrow_mut();
             for notice in &message.lots {
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -231,6 +231,7 @@
         if self.node.is_suspect(self.fingerprint) {
             return Err(RefusalCause::CrashesServers.into());
         }
+        self.node.check_parts(&self.request_id, &self.parts)?;
         if self.is_resumable() {
             self.software = self.find_origin().await?;
         }
@@ -244,6 +245,7 @@
                 }
             };
             let status = open.head.status;
+            let server = open.guard.server;
             if status.is_success() && matches!(self.route.kind, RouteKind::Stream { .. }) {
                 return Ok(self.relay(open));
             }
@@ -251,6 +253,9 @@
             let left = self.deadline.since(self.node.clock.now());
             let reading = tokio::time::timeout(left, open.read_whole(MAX_ANSWER_BYTES)).await;
             let whole = reading.unwrap_or(Err(AttemptFailure::TimedOut));
+            if matches!(whole, Err(failure) if failure.is_broken_off()) {
+                self.record_broken_run(server, self.written_for());
+            }
             match whole {
                 Ok(_)
                     if is_retryable_error
@@ -266,6 +271,9 @@
                     if let Some(progress) = &mut self.progress {
                         progress.bytes = body.len() as u64;
                     }
+                    if head.status.is_success() {
+                        self.record_finished_run();
+                    }
                     return Ok(self.return_answer(head, body));
                 }
                 Err(failure) => self.check_failover(failure)?,
@@ -314,7 +322,7 @@
         let result = open_answer(guard, request, &self.request_id, terms).await;
         if matches!(result, Err(failure) if failure.is_broken_off()) {
             self.node.record_crash(self.fingerprint);
-            self.log_broken_run(server, None);
+            self.record_broken_run(server, None);
         }
         if matches!(result, Err(AttemptFailure::Unreachable)) {
             self.unreachable_servers += 1;
@@ -518,7 +526,12 @@
         }
         if failure.may_have_run() {
             let may_run_again = self.route.kind.is_idempotent() && self.runs < self.route.attempts;
-            if !may_run_again || self.node.is_suspect(self.fingerprint) {
+            let is_suspect = self.node.is_suspect(self.fingerprint)
+                || self
+                    .node
+                    .check_parts(&self.request_id, &self.parts)
+                    .is_err();
+            if !may_run_again || is_suspect {
                 return Err(RefusalCause::AnswerLost.into());
             }
         }
@@ -571,16 +584,16 @@
         self.run_began_at.map(|it| now.since(it))
     }
 
-    /// Logs that a server broke off while it answered the request, and how long it had been
-    /// writing the answer by then, if it had begun.
-    pub(super) fn log_broken_run(&self, server: ServerId, written_for: Option<Duration>) {
-        log::info!(
-            request = self.request_id,
-            server = self.node.servers.borrow().listing(server).name,
-            parts:? = self.parts,
-            written_ms = written_for.map(|it| it.as_millis() as u64);
-            "suspects: a server broke off at a request"
-        );
+    /// Records that a server broke off while it answered the request, after it had been
+    /// writing the answer for `written_for`, if it had begun.
+    pub(super) fn record_broken_run(&self, server: ServerId, written_for: Option<Duration>) {
+        self.node
+            .record_broken_run(&self.request_id, &self.parts, server, written_for);
+    }
+
+    /// Records that the answer was written to its end.
+    pub(super) fn record_finished_run(&self) {
+        self.node.record_finished_run(&self.request_id, &self.parts);
     }
 
     /// Logs that a stream goes on at the server that was tried last.
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -141,6 +141,7 @@
             return;
         };
         reading.guard.record_answered();
+        reading.request.record_finished_run();
         let node = &reading.request.node;
         reading.request.record_end("streamed", StatusCode::OK);
         let now = node.clock.now();
@@ -159,7 +160,7 @@
         let written_for = reading.request.written_for();
         reading
             .request
-            .log_broken_run(reading.guard.server, written_for);
+            .record_broken_run(reading.guard.server, written_for);
         let ReadingStream {
             request, events, ..
         } = *reading;
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -31,6 +31,7 @@
         asks_word: false,
         usage_times: Default::default(),
         uptime_ms: 0,
+        parts: Vec::new(),
     }
 }
 
