--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -583,6 +583,12 @@
 }
 
 impl Callers {
+    /// Returns a sender that opens new connections.
+    pub(crate) fn with_new_connections(mut self) -> Callers {
+        self.client = HttpClient::default();
+        self
+    }
+
     /// Sends a request to a daemon and reads the complete response. Returns an error if the
     /// connection breaks before its end.
     pub(crate) async fn send(
--- a/crates/node/tests/stream_versions.rs
+++ b/crates/node/tests/stream_versions.rs
@@ -188,6 +188,30 @@
     assert!(resumed >= 10, "{resumed} streams went on elsewhere");
 }
 
+/// Guards against a stream whose end is that of its connection, inside an event, and that is
+/// taken for complete or goes on at another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_without_a_length_goes_on_only_at_its_version() {
+    let fleet = mixed_fleet().await;
+    for server in &fleet.servers {
+        server.set_ends_with_connection(true);
+    }
+    let mut resumed = 0;
+    for number in 0..20 {
+        fleet.servers[number % 2].cut_next_stream(3);
+        fleet.servers[3 + number % 2].cut_next_stream(3);
+        let id = format!("unframed-{number}");
+        let call = CallerRequest::post("/drafts/1", &id, b"verse");
+        let response = fleet.send(number % 2, call).await;
+        assert_one_version(&fleet, &[&id]);
+        if let Ok(response) = response {
+            assert_eq!(response.body(), &expected_stream());
+        }
+        resumed += usize::from(versions_of(&fleet, &[&id]).len() > 1);
+    }
+    assert!(resumed >= 5, "{resumed} streams went on elsewhere");
+}
+
 /// Guards against a stream that is taken up at another daemon and goes on at a server of
 /// another version, or not at all.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/policy/tests/placement_large.rs
+++ b/crates/policy/tests/placement_large.rs
@@ -339,6 +339,23 @@
     }
 }
 
+/// Guards against callers of a daemon that most of a zone's requests arrive at, and that are
+/// late since it uses its home servers first.
+#[test]
+fn requests_that_mostly_arrive_at_one_daemon_start_on_time() {
+    let even =
+        |servers: &[u64], daemons: &[PeerId]| home_pairs(servers, daemons, DAEMONS_PER_SERVER);
+    let late = (1..=SEEDS).map(|seed| {
+        let mut replay = FleetReplay::new(&[BUSY_ZONE], seed, even);
+        replay.weights[0] = 10.0 * ENTRIES as f64;
+        replay.reports_placements = true;
+        replay.run()
+    });
+    let late = late.sum::<f64>() / SEEDS as f64;
+    eprintln!("late: {late:.4} with most requests at one daemon");
+    assert!(late <= MAX_LATE_FRACTION, "{late} late");
+}
+
 /// At the height of a step one of five zones needs 1.3 times the slots of its servers, while
 /// the others have a quarter of theirs left. Its daemons learn of the load in other zones
 /// from reports that are up to 0.75 s old, and send their requests to servers that others
