Parts of prompts: sound first parts aren't blocked with a bad one, outages count once

In outages of all servers a trial that fell into the next one kept a sound part blocked for long.

Change: parts on which the daemon saw answers within 30 s aren't suspected with one on which it saw none; where all parts had answers, servers that are lost within 250 ms count as one. A trial needs a request whose blocked parts may all be tried, one with a single blocked part comes first, and the other daemons hear of it when it begins. A stream that is taken up without naming its first request confirms its server's run too.

--- a/crates/policy/src/parts/mod.rs
+++ b/crates/policy/src/parts/mod.rs
@@ -15,6 +15,7 @@
 mod part_entry;
 mod part_report;
 mod part_table;
+mod proven_parts;
 mod trials;
 
 pub use part_report::{PartReport, ReportedCrash};
--- a/crates/policy/src/parts/part_report.rs
+++ b/crates/policy/src/parts/part_report.rs
@@ -17,6 +17,8 @@
     pub server: ServerRun,
     /// The time since then, in units of 10 ms.
     pub age: u16,
+    /// Whether crashes at about the same time count as this one.
+    pub is_group: bool,
 }
 
 /// What a daemon knows of a part that is suspected. Ages are in units of 10 ms; the longest
@@ -33,7 +35,7 @@
     pub seen: u16,
     /// How often the part was tried since it was blocked, and crashed a server.
     pub trials: u8,
-    /// The age of the last of these trials.
+    /// The age of the last trial.
     pub tried: Option<u16>,
 }
 
--- a/crates/policy/src/parts/part_table.rs
+++ b/crates/policy/src/parts/part_table.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{PartKey, PartReport, ServerRun, part_entry::PartEntry};
+use super::{PartKey, PartReport, ServerRun, part_entry::PartEntry, proven_parts::ProvenParts};
 use crate::Timestamp;
 
 /// The number of servers that are lost before a part is blocked, if no answer on it was
@@ -11,6 +11,9 @@
 /// The maximum number of parts that are remembered. All requests on a lost server share the
 /// suspicion, and most are cleared within seconds.
 const MAX_ENTRIES: usize = 512;
+/// By how many places a request with several blocked parts comes later, for each further one,
+/// than one with a single blocked part, when parts are tried.
+const RANKS_PER_FURTHER_PART: usize = 5;
 /// The maximum number of parts in one report.
 const MAX_REPORTED: usize = 24;
 /// For how long each report names a part after something has changed.
@@ -30,11 +33,13 @@
 pub struct PartTable {
     /// Sorted by part.
     entries: Vec<PartEntry>,
+    proven: ProvenParts,
 }
 
 impl PartTable {
     /// Records that a server was lost while it began to answer a request with these parts.
-    /// Returns the parts that are blocked from now on.
+    /// Parts on which answers were written lately aren't suspected with those on which none
+    /// were. Returns the parts that are blocked from now on.
     pub fn record_crash(
         &mut self,
         parts: &[PartKey],
@@ -43,10 +48,14 @@
     ) -> Vec<PartKey> {
         let now = now + HISTORY;
         let mut blocked = Vec::new();
-        for part in parts {
+        let is_unproven = |it: &&PartKey| !self.proven.is_proven(**it, now);
+        let unproven: Vec<PartKey> = parts.iter().filter(is_unproven).copied().collect();
+        let is_proven = unproven.is_empty();
+        let suspected = if is_proven { parts } else { &unproven };
+        for part in suspected {
             let entry = self.entry(*part, now);
             let was_blocked = entry.is_blocked();
-            entry.record_crash(server, now);
+            entry.record_crash(server, is_proven, now);
             if entry.is_blocked() && !was_blocked {
                 blocked.push(*part);
             }
@@ -60,6 +69,7 @@
         let now = now + HISTORY;
         let mut was_blocked = false;
         for part in parts {
+            self.proven.record(*part, now);
             if let Ok(index) = self.position(*part) {
                 let entry = &mut self.entries[index];
                 was_blocked |= entry.is_blocked();
@@ -70,7 +80,8 @@
     }
 
     /// Checks whether a request with these parts may be sent, by a daemon whose turn to try a
-    /// part is given by `rank_of`.
+    /// part is given by `rank_of`. Returns whether it tries a blocked part: other daemons
+    /// should hear of that at once.
     ///
     /// # Errors
     ///
@@ -80,22 +91,28 @@
         parts: &[PartKey],
         rank_of: impl Fn(PartKey) -> usize,
         now: Timestamp,
-    ) -> Result<(), (PartKey, usize)> {
+    ) -> Result<bool, (PartKey, usize)> {
         let now = now + HISTORY;
-        for part in parts {
-            let Ok(index) = self.position(*part) else {
-                continue;
-            };
+        let positions = parts.iter().filter_map(|it| self.position(*it).ok());
+        let blocked: Vec<usize> = positions
+            .filter(|&it| self.entries[it].is_blocked() && !self.entries[it].is_expired(now))
+            .collect();
+        // A request with one blocked part shows whether that one crashes servers.
+        let extra_rank = blocked.len().saturating_sub(1) * RANKS_PER_FURTHER_PART;
+        let mut checked = Ok(!blocked.is_empty());
+        for &index in &blocked {
             let entry = &mut self.entries[index];
-            if !entry.is_blocked() || entry.is_expired(now) {
-                continue;
-            }
             entry.record_seen(now);
-            if !entry.begin_trial(rank_of(*part), now) {
-                return Err((*part, entry.crashes()));
+            if !entry.may_be_tried(rank_of(entry.part) + extra_rank, now) {
+                checked = Err((entry.part, entry.crashes()));
+            }
+        }
+        if checked.is_ok() {
+            for &index in &blocked {
+                self.entries[index].begin_trial(now);
             }
         }
-        Ok(())
+        checked
     }
 
     /// Returns what the report with this number tells a fleet of `daemons` others.
--- a/crates/serving/src/node/crash_records.rs
+++ b/crates/serving/src/node/crash_records.rs
@@ -81,7 +81,11 @@
         let members = self.members.borrow();
         let rank_of = |part| trial_rank(part, own, members.reporting(now));
         let checked = self.parts.borrow_mut().check(parts, rank_of, now);
-        checked.map_err(|(part, crashes)| {
+        if checked == Ok(true) {
+            log::warn!(request = request_id, parts:? = parts; "suspects: a blocked part is tried");
+            self.urgent_report_due.notify_one();
+        }
+        checked.map(|_| ()).map_err(|(part, crashes)| {
             log::info!(
                 request = request_id, part:? = part, crashes = crashes;
                 "suspects: a part of the prompt crashes servers"
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -410,8 +410,9 @@
         let servers = self.node.servers.borrow();
         let is_doubted = self.is_resumable() && servers.may_have_restarted(server);
         let run = servers.listing(server).incarnation;
+        let goes_on = self.software.is_some() || self.resumed.is_some();
         // A directory without runs can't tell them apart.
-        (run > 0 && (self.software.is_some() || is_doubted)).then_some(run)
+        (run > 0 && (goes_on || is_doubted)).then_some(run)
     }
 
     fn choose_server(&self, now: Timestamp) -> Result<Placement, Refusal> {
