Live requests: resumption and records in files of their own

No change of behaviour: live_request.rs had grown to 653 lines. What decides at which software a stream goes on is in stream_resumption.rs, what a request records in request_log.rs.

--- a/crates/policy/src/streams/origin_table.rs
+++ b/crates/policy/src/streams/origin_table.rs
@@ -8,7 +8,7 @@
 use super::{SoftwareKey, StreamKey};
 use crate::Timestamp;
 
-/// The maximum number of streams that are kept, 40 bytes each.
+/// The maximum number of streams that are kept, 24 bytes each.
 const MAX_ORIGINS: usize = 65_536;
 
 /// The software that began a stream.
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -3,12 +3,12 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::{AnswerEnd, AnswerProgress, BodyError, collect_limited};
+use comfreyramp_http::{AnswerProgress, BodyError, collect_limited};
 use comfreyramp_policy::{
     ServerId, Timestamp,
     parts::PartKey,
     placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
-    streams::{SoftwareKey, StreamKey},
+    streams::SoftwareKey,
 };
 use http::{Request, Response, StatusCode, request};
 use http_body_util::Full;
@@ -57,7 +57,7 @@
 const MAX_ANSWER_BYTES: usize = 256 << 10;
 /// The time after which a caller may retry if the daemon has no settings or a service has no
 /// servers. Both usually change within a second or two.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(super) const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The state of a live request.
 #[derive(Debug)]
@@ -69,32 +69,32 @@
     head: request::Parts,
     body: Bytes,
     /// The stream of an earlier request that this one takes up.
-    resumed: Option<ResumedStream>,
+    pub(super) resumed: Option<ResumedStream>,
     /// The software that began the stream, once the caller has an event of it. No other may
     /// go on with it.
-    software: Option<SoftwareKey>,
+    pub(super) software: Option<SoftwareKey>,
     /// The parts of its prompt that other requests have too.
-    parts: Vec<PartKey>,
+    pub(super) parts: Vec<PartKey>,
     /// Whether the stream's software has been told to other daemons: the caller has an event
     /// of this answer.
-    has_told_origin: bool,
+    pub(super) has_told_origin: bool,
     fingerprint: u64,
     pub(super) received_at: Timestamp,
     pub(super) deadline: Timestamp,
-    tried_servers: Vec<ServerId>,
+    pub(super) tried_servers: Vec<ServerId>,
     /// The number of tried servers that couldn't be reached.
     unreachable_servers: usize,
     /// The number of servers that ran the request or may have run it.
     pub(super) runs: u32,
     is_retry: bool,
     /// The load of all daemons on the server that was chosen last.
-    load: LoadShare,
+    pub(super) load: LoadShare,
     /// When the first bytes of an answer were received.
-    first_byte_at: Option<Timestamp>,
+    pub(super) first_byte_at: Option<Timestamp>,
     /// When the first bytes of the last server's answer were received.
-    run_began_at: Option<Timestamp>,
+    pub(super) run_began_at: Option<Timestamp>,
     /// What was received of the last answer, for the log.
-    progress: Option<AnswerProgress>,
+    pub(super) progress: Option<AnswerProgress>,
 }
 
 type Answer<D> = Result<Response<AnswerBody<D>>, Refusal>;
@@ -339,82 +339,6 @@
         Ok(result)
     }
 
-    fn is_resumable(&self) -> bool {
-        self.route.kind == RouteKind::Stream { resumable: true }
-    }
-
-    /// Returns the key of the stream: that of the request that received its first event.
-    fn stream_key(&self) -> StreamKey {
-        let resumed = self.resumed.as_ref();
-        let first = resumed.and_then(|it| it.first_request.as_deref());
-        StreamKey::of(self.customer_name(), first.unwrap_or(&self.request_id))
-    }
-
-    /// Returns the software that began the stream that the caller takes up, if it takes up
-    /// one. A caller that doesn't name the request that began the stream is served while only
-    /// one version is in use.
-    ///
-    /// # Errors
-    ///
-    /// Refuses a stream of which no daemon knows the software.
-    async fn find_origin(&self) -> Result<Option<SoftwareKey>, Refusal> {
-        let Some(resumed) = &self.resumed else {
-            return Ok(None);
-        };
-        let found = match resumed.first_request {
-            Some(_) => self.node.find_origin(self.stream_key()).await,
-            None if self.has_single_version() => {
-                self.node.metrics.stream_taken_up("single_version");
-                return Ok(None);
-            }
-            None => None,
-        };
-        let metrics = &self.node.metrics;
-        metrics.stream_taken_up(if found.is_some() { "known" } else { "unknown" });
-        let refusal = Refusal::new(RefusalCause::UnknownOrigin);
-        found
-            .map(Some)
-            .ok_or(refusal.retry_after(UNAVAILABLE_RETRY_AFTER))
-    }
-
-    /// Returns whether each service of the route has had servers of one version only.
-    fn has_single_version(&self) -> bool {
-        let now = self.node.clock.now();
-        let servers = self.node.servers.borrow();
-        let mut services = self.route.services.iter();
-        services.all(|it| servers.has_single_version(&it.service, now))
-    }
-
-    /// Records that the caller gets an event from a server: from now on, only the server's
-    /// software may go on with the stream.
-    pub(super) fn note_event_passed(&mut self, server: ServerId) {
-        if self.has_told_origin {
-            return;
-        }
-        self.has_told_origin = true;
-        let listed = self.node.servers.borrow().software(server);
-        let software = *self.software.get_or_insert(listed);
-        self.node
-            .record_origin(self.stream_key(), software, self.route.timeout);
-    }
-
-    /// Returns whether the stream can go on after the event `last_event`, the last one that
-    /// was passed on.
-    pub(super) fn knows_position(&self, last_event: Option<u64>) -> bool {
-        !self.has_told_origin || last_event.is_some()
-    }
-
-    /// Returns the run of a server that has to be confirmed before the request is sent:
-    /// where the stream goes on, and where it begins at a server that may have restarted.
-    fn run_to_confirm(&self, server: ServerId) -> Option<u64> {
-        let servers = self.node.servers.borrow();
-        let is_doubted = self.is_resumable() && servers.may_have_restarted(server);
-        let run = servers.listing(server).incarnation;
-        let goes_on = self.software.is_some() || self.resumed.is_some();
-        // A directory without runs can't tell them apart.
-        (run > 0 && (goes_on || is_doubted)).then_some(run)
-    }
-
     fn choose_server(&self, now: Timestamp) -> Result<Placement, Refusal> {
         let servers = self.node.servers.borrow();
         let mut random = rand::rng();
@@ -570,80 +494,6 @@
     pub(super) fn customer_name(&self) -> &str {
         self.customer.as_ref().map_or("", |it| &it.settings.name)
     }
-
-    /// Records how a stream from a server ended.
-    pub(super) fn record_stream_end(&mut self, mut progress: AnswerProgress, end: AnswerEnd) {
-        progress.end = Some(end);
-        self.progress = Some(progress);
-        let framing = progress.framing.as_str();
-        self.node.metrics.stream_end(framing, end.as_str());
-    }
-
-    /// Returns for how long the last server has been writing its answer, if it has begun.
-    pub(super) fn written_for(&self) -> Option<Duration> {
-        let now = self.node.clock.now();
-        self.run_began_at.map(|it| now.since(it))
-    }
-
-    /// Records that a server broke off while it answered the request, after it had been
-    /// writing the answer for `written_for`, if it had begun.
-    pub(super) fn record_broken_run(&self, server: ServerId, written_for: Option<Duration>) {
-        self.node
-            .record_broken_run(&self.request_id, &self.parts, server, written_for);
-    }
-
-    /// Records that the answer was written to its end.
-    pub(super) fn record_finished_run(&self) {
-        self.node.record_finished_run(&self.request_id, &self.parts);
-    }
-
-    /// Logs that a stream goes on at the server that was tried last.
-    pub(super) fn log_resumption(&self, last_event: Option<u64>) {
-        let servers = self.node.servers.borrow();
-        let names = |id: &ServerId| {
-            let listing = servers.listing(*id);
-            (listing.name.clone(), listing.version.clone())
-        };
-        let tried: Vec<(String, String)> = self.tried_servers.iter().map(names).collect();
-        log::info!(
-            request = self.request_id, after:? = last_event, tried:? = tried;
-            "callers: stream resumed on another server"
-        );
-    }
-
-    /// Logs the end of the request and records its duration.
-    pub(super) fn record_end(&self, outcome: &str, status: StatusCode) {
-        let now = self.node.clock.now();
-        let span = now.since(self.received_at);
-        let first = self
-            .first_byte_at
-            .map_or(span, |it| it.since(self.received_at));
-        self.node.metrics.whole(self.customer_name(), "live", span);
-        let progress = self.progress;
-        let servers = self.node.servers.borrow();
-        let server = self.tried_servers.last().map(|it| servers.listing(*it));
-        let resumed = self.resumed.as_ref();
-        log::info!(
-            request = self.request_id,
-            customer = self.customer_name(),
-            route = self.route.name,
-            server = server.map_or("", |it| &it.name),
-            version = server.map_or("", |it| &it.version),
-            resumed:? = resumed.and_then(|it| it.first_request.as_deref()),
-            after = resumed.map_or("", |it| &it.last_event),
-            tried = self.tried_servers.len(),
-            status = status.as_u16(),
-            live = self.load.live,
-            bulk = self.load.bulk,
-            first_ms = first.as_millis() as u64,
-            span_ms = span.as_millis() as u64,
-            framing = progress.map_or("", |it| it.framing.as_str()),
-            bytes = progress.map_or(0, |it| it.bytes),
-            events = progress.map_or(0, |it| it.events.events()),
-            answer_end = progress.and_then(|it| it.end).map_or("", AnswerEnd::as_str);
-            "callers: {outcome}"
-        );
-    }
 }
 
 /// Reduces a URI to path and query, the form of a request to a server.
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -5,8 +5,10 @@
 mod front_body;
 mod live_request;
 mod open_request;
+mod request_log;
 mod server_attempt;
 mod stream_relay;
+mod stream_resumption;
 
 pub use connection_loop::{ConnectionLimits, serve_connections};
 pub use connection_pool::{ConnectionPool, MAX_IDLE, SendFailure, ServerConnection};
