Soak: callers take streams up at other daemons while two versions serve

Callers break streams off, or lose them to the soak's faults, and take them up at any daemon. Each run that goes on has to have the version of the run that began the stream, and no event may be missing or repeated.

--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -12,6 +12,7 @@
 //! - a result that any reader has received stays at its position, at every daemon;
 //! - nothing runs of a lot that was ended or refused;
 //! - each lot is finished, with one result of each item;
+//! - a stream goes on only at the version of the server that began it, at any daemon;
 //! - a change of the settings is in force within two seconds at every daemon in contact.
 //!
 //! A daemon that can't be sure may tell readers to retry, but must not contradict these
@@ -43,6 +44,7 @@
 mod harm_log;
 mod lot_ledger;
 mod readers;
+mod resumed_streams;
 mod settings_changes;
 mod traffic;
 
@@ -72,6 +74,12 @@
 const SETTINGS_SEEDS: [u64; 2] = [500, 501];
 /// The seeds of the check script for the test in which engines answer wrongly.
 const ENGINES_SEEDS: [u64; 3] = [700, 701, 702];
+/// The seeds of the check script for the test in which engines of two versions serve.
+const VERSIONS_SEEDS: [u64; 2] = [900, 901];
+/// The engines of the second version, and their zones.
+const SECOND_VERSION_ENGINES: [(&str, &str); 2] = [("engine-3", "zone-1"), ("engine-4", "zone-2")];
+/// The number of callers that take streams up.
+const RESUMERS: u64 = 3;
 /// For how long faults are started.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
 /// The number of entry daemons, which serve callers. They come first in the fleet.
@@ -101,12 +109,14 @@
     Changes,
     /// Some engines answer wrongly, and items are kept for a short time.
     FaultyEngines,
+    /// Engines of two versions serve, and callers take their streams up at other daemons.
+    Versions,
 }
 
 impl SoakKind {
     fn duration(self) -> Duration {
         match self {
-            SoakKind::Faults => FAULT_DURATION,
+            SoakKind::Faults | SoakKind::Versions => FAULT_DURATION,
             SoakKind::Changes => settings_changes::CHANGES_DURATION,
             SoakKind::FaultyEngines => ENGINES_DURATION,
         }
@@ -114,7 +124,7 @@
 
     fn retention(self) -> Duration {
         match self {
-            SoakKind::Faults | SoakKind::Changes => RETENTION,
+            SoakKind::Faults | SoakKind::Changes | SoakKind::Versions => RETENTION,
             SoakKind::FaultyEngines => SHORT_RETENTION,
         }
     }
@@ -122,7 +132,7 @@
     /// Returns how many callers send live requests at the same time.
     fn senders(self) -> usize {
         match self {
-            SoakKind::Faults | SoakKind::Changes => 1,
+            SoakKind::Faults | SoakKind::Changes | SoakKind::Versions => 1,
             SoakKind::FaultyEngines => 6,
         }
     }
@@ -161,7 +171,7 @@
     let mut faults = fault_plan::draw_faults(&mut random);
     let (live, lots) = (fork_random(&mut random), fork_random(&mut random));
     match kind {
-        SoakKind::Faults => {}
+        SoakKind::Faults | SoakKind::Versions => {}
         SoakKind::Changes => faults.extend(settings_changes::draw_changes(&mut random)),
         SoakKind::FaultyEngines => faults.extend(faulty_engine::draw_full_period(&mut random)),
     }
@@ -175,8 +185,14 @@
     let engines = Arc::new(EngineState::new(seed, stop.clone()));
     let _engines_guard = match kind {
         SoakKind::FaultyEngines => Some(start_faulty_engines(&mut fleet, &engines).await),
-        SoakKind::Faults | SoakKind::Changes => None,
+        SoakKind::Faults | SoakKind::Changes | SoakKind::Versions => None,
     };
+    if kind == SoakKind::Versions {
+        for (id, zone) in SECOND_VERSION_ENGINES {
+            fleet.add_engine(id, zone, "v2").await;
+        }
+        tokio::time::sleep(SETTLE_TIME).await;
+    }
     let context = Arc::new(SoakContext {
         seed,
         callers: fleet.callers(),
@@ -197,6 +213,18 @@
         let name = format!("soak-{seed}-{sender}");
         senders.spawn(traffic::send_requests(context.clone(), name, random));
     }
+    let mut resumers = JoinSet::new();
+    if kind == SoakKind::Versions {
+        for resumer in 0..RESUMERS {
+            let random = StdRng::seed_from_u64(seed + resumer);
+            let name = format!("resumed-{seed}-{resumer}");
+            resumers.spawn(resumed_streams::resume_streams(
+                context.clone(),
+                name,
+                random,
+            ));
+        }
+    }
     let lots = tokio::spawn(traffic::submit_lots(context.clone(), lots));
     let settings = tokio::spawn(settings_changes::check_withdrawn_keys(context.clone()));
     let driver = FaultDriver::new(fleet, &context, faults);
@@ -205,6 +233,9 @@
     settings.await.unwrap();
     let once_requests = senders.join_all().await.concat();
     lots.await.unwrap();
+    let streams = resumers.join_all().await.concat();
+    let violations = resumed_streams::check_versions(&fleet, seed, &streams);
+    context.ledger().violations.extend(violations);
     checks::check_runs(&fleet, &once_requests, &context);
     checks::check_lots(&context).await;
     checks::check_ends(&fleet, &context);
@@ -280,3 +311,12 @@
         run_soak(seed, SoakKind::FaultyEngines).await;
     }
 }
+
+/// As above, while engines of two versions serve and callers take their streams up at other
+/// daemons. Streams used to go on at either version.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_to_their_versions_under_random_faults() {
+    for seed in selected_seeds(&VERSIONS_SEEDS) {
+        run_soak(seed, SoakKind::Versions).await;
+    }
+}
