--- a/crates/node/tests/stream_versions.rs
+++ b/crates/node/tests/stream_versions.rs
@@ -168,23 +168,30 @@
     }
 }
 
-/// Guards against a stream that goes on within its answer at a server of another version.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_goes_on_within_its_answer_only_at_its_version() {
-    let fleet = mixed_fleet().await;
+/// Sends requests whose first server cuts the stream, and checks that each keeps to one
+/// version and that what is complete is right. Returns how many streams went on elsewhere.
+async fn cut_streams(fleet: &Fleet, prefix: &str, count: usize) -> usize {
     let mut resumed = 0;
-    for number in 0..40 {
+    for number in 0..count {
         fleet.servers[number % 2].cut_next_stream(3);
         fleet.servers[3 + number % 2].cut_next_stream(3);
-        let id = format!("within-{number}");
+        let id = format!("{prefix}-{number}");
         let call = CallerRequest::post("/drafts/1", &id, b"verse");
         let response = fleet.send(number % 2, call).await;
-        assert_one_version(&fleet, &[&id]);
+        assert_one_version(fleet, &[&id]);
         if let Ok(response) = response {
             assert_eq!(response.body(), &expected_stream());
         }
-        resumed += usize::from(versions_of(&fleet, &[&id]).len() > 1);
+        resumed += usize::from(versions_of(fleet, &[&id]).len() > 1);
     }
+    resumed
+}
+
+/// Guards against a stream that goes on within its answer at a server of another version.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_goes_on_within_its_answer_only_at_its_version() {
+    let fleet = mixed_fleet().await;
+    let resumed = cut_streams(&fleet, "within", 40).await;
     assert!(resumed >= 10, "{resumed} streams went on elsewhere");
 }
 
@@ -196,19 +203,7 @@
     for server in &fleet.servers {
         server.set_ends_with_connection(true);
     }
-    let mut resumed = 0;
-    for number in 0..20 {
-        fleet.servers[number % 2].cut_next_stream(3);
-        fleet.servers[3 + number % 2].cut_next_stream(3);
-        let id = format!("unframed-{number}");
-        let call = CallerRequest::post("/drafts/1", &id, b"verse");
-        let response = fleet.send(number % 2, call).await;
-        assert_one_version(&fleet, &[&id]);
-        if let Ok(response) = response {
-            assert_eq!(response.body(), &expected_stream());
-        }
-        resumed += usize::from(versions_of(&fleet, &[&id]).len() > 1);
-    }
+    let resumed = cut_streams(&fleet, "unframed", 20).await;
     assert!(resumed >= 5, "{resumed} streams went on elsewhere");
 }
 
