Placement: a server's listing and costs in files of their own; settings and reports carry what is coming

ServerListing and ServerEntry move out unchanged. Types for the parts that docs/design/overload-and-uneven-servers.md describes: the pace of a server in its load report, prompt parts in a query, counts of failures in the daemons' report, the memory and connections of servers, ranks and pauses of routes. Nothing uses them yet, so that decisions are unchanged. Messages of daemons without the new field are read as before (one more byte of padding).

--- a/crates/node/tests/stale_zone.rs
+++ b/crates/node/tests/stale_zone.rs
@@ -128,6 +128,7 @@
         usage_times: Default::default(),
         uptime_ms: 0,
         parts: Vec::new(),
+        failures: Vec::new(),
     }
 }
 
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -21,11 +21,18 @@
 mod cold_start;
 mod home_set;
 mod placement_table;
+mod prompt_part;
+mod server_entry;
+mod server_failures;
+mod server_listing;
 mod server_load;
 
 pub use cold_start::{ColdStartLimit, ColdTolerance};
 pub use home_set::{HomePair, home_pairs};
 pub use placement_table::{
-    Placement, PlacementQuery, PlacementRefusal, PlacementTable, PreemptionOrder, ServerListing,
+    Placement, PlacementQuery, PlacementRefusal, PlacementTable, PreemptionOrder,
 };
+pub use prompt_part::PromptPart;
+pub use server_failures::FailureCount;
+pub use server_listing::ServerListing;
 pub use server_load::{LoadShare, ServerOutcomeKind, SlotReport, WorkKind};
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -5,27 +5,15 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{
-    LoadShare, ServerOutcomeKind, SlotReport, WorkKind,
+    LoadShare, PromptPart, ServerListing, ServerOutcomeKind, SlotReport, WorkKind,
     cold_start::{ColdStart, ColdStartLimit},
+    server_entry::{ServerEntry, cold_limit},
     server_load::ServerLoad,
 };
 use crate::{ServerId, Timestamp, hash::name_hash, streams::SoftwareKey, usage::PeerId};
 
-/// The weight of a lot item against a live request when a server is chosen for a live
-/// request: the item can be preempted, which takes a moment.
-const BULK_WEIGHT: f64 = 0.15;
-/// The cost of a server in another zone, in requests. Crossing zones takes a few
-/// milliseconds, and bytes between zones are billed.
-const ZONE_PENALTY: f64 = 1.0;
-/// The cost of a server of which this daemon isn't a home daemon, in requests: about as
-/// much as a full server, since its known load is out of date.
-const NON_HOME_PENALTY: f64 = 1.5;
 /// How many servers of which this daemon isn't a home daemon are compared for a request.
 const DRAWN_SERVERS: usize = 2;
-/// Slots of each server that items leave free for live requests that arrive before the
-/// daemons have reported their counts to each other. Without them each such request
-/// preempts an item.
-const BULK_RESERVED_SLOTS: u32 = 1;
 /// How long a software counts as in use after its last server has left: longer than a stream
 /// that it began may be taken up.
 const SOFTWARE_MEMORY: Duration = Duration::from_secs(60);
@@ -33,39 +21,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
-/// A server as the directory lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerListing {
-    /// Its name.
-    pub name: String,
-    /// The service it belongs to.
-    pub service: String,
-    /// Its zone.
-    pub zone: String,
-    /// Its address as `ip:port`.
-    pub address: String,
-    /// How many requests it runs at once.
-    pub slots: u32,
-    /// Whether it takes new requests.
-    pub is_ready: bool,
-    /// The version of its software.
-    pub version: String,
-    /// A number that changes when the server restarts under the same name.
-    pub incarnation: u64,
-    /// How much longer it stays cold, as of `revision`; `None` if its entry has no valid
-    /// time.
-    pub cold_left: Option<Duration>,
-    /// The store's revision of its entry.
-    pub revision: i64,
-}
-
-impl ServerListing {
-    /// Returns the key of the server's software.
-    pub fn software(&self) -> SoftwareKey {
-        SoftwareKey::of(&self.service, &self.version)
-    }
-}
-
 /// What a request requires of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -79,6 +34,8 @@
     pub max_wait: Duration,
     /// The only software that may answer: that which began the stream that goes on.
     pub software: Option<SoftwareKey>,
+    /// The parts of the request's prompt, in order.
+    pub parts: &'a [PromptPart],
 }
 
 /// A chosen server.
@@ -115,24 +72,6 @@
     pub items: u32,
 }
 
-#[derive(Clone, Debug)]
-struct ServerEntry {
-    listing: ServerListing,
-    key: u64,
-    software: SoftwareKey,
-    /// Whether it may have restarted, with other software, since its entry was read.
-    may_have_restarted: bool,
-    load: ServerLoad,
-    cold_start: ColdStart,
-    is_listed: bool,
-    /// Whether this daemon is one of its home daemons, which use it first.
-    is_home: bool,
-    /// Whether its zone is evacuated.
-    is_evacuated: bool,
-    /// Whether this daemon hears none of its zone's daemons any more.
-    is_in_silent_zone: bool,
-}
-
 /// The servers as one daemon knows them.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementTable {
@@ -598,79 +537,3 @@
         used.map(|it| (it.key, it.load.own)).collect()
     }
 }
-
-impl ServerEntry {
-    /// Returns whether the entry is that of a listed server, in the same run.
-    fn is_of(&self, listing: &ServerListing) -> bool {
-        self.listing.incarnation == listing.incarnation
-            && self.listing.version == listing.version
-            && self.listing.service == listing.service
-            && self.listing.name == listing.name
-            && self.listing.address == listing.address
-    }
-
-    fn has_software(&self, software: Option<SoftwareKey>) -> bool {
-        software.is_none_or(|it| self.software == it)
-    }
-
-    fn is_usable(&self, service: &str) -> bool {
-        self.is_listed
-            && self.listing.is_ready
-            && !self.is_evacuated
-            && self.listing.service == service
-    }
-
-    /// Returns whether the server probably gives no answer.
-    fn is_avoided(&self, now: Timestamp) -> bool {
-        self.load.is_ejected(now) || self.is_in_silent_zone
-    }
-
-    /// Returns whether this daemon uses the server before others: as one of its home
-    /// daemons or, while it is cold, as one of those that may use it.
-    fn is_used_first(&self, now: Timestamp) -> bool {
-        self.is_home || self.cold_start.is_cold(now)
-    }
-
-    /// Takes the server as one that has just started, if its service limits requests to
-    /// cold servers.
-    fn assume_cold(&mut self, limits: &[(String, ColdStartLimit)], now: Timestamp) {
-        if let Some(limit) = cold_limit(limits, &self.listing.service) {
-            self.cold_start.extend(limit, limit.period, now);
-        }
-    }
-
-    fn live_cost(&self, zone: &str, now: Timestamp) -> f64 {
-        let total = self.load.total(now);
-        let live = f64::from(total.live) + self.load.surplus(now);
-        let bulk = f64::from(total.bulk);
-        let slots = f64::from(self.load.slots.max(1));
-        let used = live + BULK_WEIGHT * bulk;
-        let zone_penalty = if self.listing.zone == zone {
-            0.0
-        } else {
-            ZONE_PENALTY
-        };
-        // A full server costs more than any server in another zone.
-        let overload_penalty = (live + 1.0 - slots).max(0.0) * 4.0;
-        // Items have to be preempted there first.
-        let preemption_penalty = if live + bulk + 1.0 > slots { 1.0 } else { 0.0 };
-        let non_home_penalty = match self.is_used_first(now) {
-            true => 0.0,
-            false => NON_HOME_PENALTY,
-        };
-        used / slots * 2.0 + zone_penalty + non_home_penalty + overload_penalty + preemption_penalty
-    }
-
-    fn free_bulk_slots(&self, now: Timestamp) -> f64 {
-        let total = self.load.total(now);
-        let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
-        f64::from(self.load.slots) - f64::from(BULK_RESERVED_SLOTS) - used
-    }
-}
-
-fn cold_limit(limits: &[(String, ColdStartLimit)], service: &str) -> Option<ColdStartLimit> {
-    let index = limits
-        .binary_search_by(|it| it.0.as_str().cmp(service))
-        .ok()?;
-    Some(limits[index].1)
-}
--- /dev/null
+++ b/crates/policy/src/placement/server_entry.rs
@@ -0,0 +1,119 @@
+//! One server as a daemon knows it, and what it costs to send a request there.
+
+use super::{
+    ServerListing,
+    cold_start::{ColdStart, ColdStartLimit},
+    server_load::ServerLoad,
+};
+use crate::{Timestamp, streams::SoftwareKey};
+
+/// The weight of a lot item against a live request when a server is chosen for a live
+/// request: the item can be preempted, which takes a moment.
+const BULK_WEIGHT: f64 = 0.15;
+/// The cost of a server in another zone, in requests. Crossing zones takes a few
+/// milliseconds, and bytes between zones are billed.
+const ZONE_PENALTY: f64 = 1.0;
+/// The cost of a server of which this daemon isn't a home daemon, in requests: about as
+/// much as a full server, since its known load is out of date.
+const NON_HOME_PENALTY: f64 = 1.5;
+/// Slots of each server that items leave free for live requests that arrive before the
+/// daemons have reported their counts to each other. Without them each such request
+/// preempts an item.
+const BULK_RESERVED_SLOTS: u32 = 1;
+
+#[derive(Clone, Debug)]
+pub(super) struct ServerEntry {
+    pub(super) listing: ServerListing,
+    pub(super) key: u64,
+    pub(super) software: SoftwareKey,
+    /// Whether it may have restarted, with other software, since its entry was read.
+    pub(super) may_have_restarted: bool,
+    pub(super) load: ServerLoad,
+    pub(super) cold_start: ColdStart,
+    pub(super) is_listed: bool,
+    /// Whether this daemon is one of its home daemons, which use it first.
+    pub(super) is_home: bool,
+    /// Whether its zone is evacuated.
+    pub(super) is_evacuated: bool,
+    /// Whether this daemon hears none of its zone's daemons any more.
+    pub(super) is_in_silent_zone: bool,
+}
+
+impl ServerEntry {
+    /// Returns whether the entry is that of a listed server, in the same run.
+    pub(super) fn is_of(&self, listing: &ServerListing) -> bool {
+        self.listing.incarnation == listing.incarnation
+            && self.listing.version == listing.version
+            && self.listing.service == listing.service
+            && self.listing.name == listing.name
+            && self.listing.address == listing.address
+    }
+
+    pub(super) fn has_software(&self, software: Option<SoftwareKey>) -> bool {
+        software.is_none_or(|it| self.software == it)
+    }
+
+    pub(super) fn is_usable(&self, service: &str) -> bool {
+        self.is_listed
+            && self.listing.is_ready
+            && !self.is_evacuated
+            && self.listing.service == service
+    }
+
+    /// Returns whether the server probably gives no answer.
+    pub(super) fn is_avoided(&self, now: Timestamp) -> bool {
+        self.load.is_ejected(now) || self.is_in_silent_zone
+    }
+
+    /// Returns whether this daemon uses the server before others: as one of its home
+    /// daemons or, while it is cold, as one of those that may use it.
+    pub(super) fn is_used_first(&self, now: Timestamp) -> bool {
+        self.is_home || self.cold_start.is_cold(now)
+    }
+
+    /// Takes the server as one that has just started, if its service limits requests to
+    /// cold servers.
+    pub(super) fn assume_cold(&mut self, limits: &[(String, ColdStartLimit)], now: Timestamp) {
+        if let Some(limit) = cold_limit(limits, &self.listing.service) {
+            self.cold_start.extend(limit, limit.period, now);
+        }
+    }
+
+    pub(super) fn live_cost(&self, zone: &str, now: Timestamp) -> f64 {
+        let total = self.load.total(now);
+        let live = f64::from(total.live) + self.load.surplus(now);
+        let bulk = f64::from(total.bulk);
+        let slots = f64::from(self.load.slots.max(1));
+        let used = live + BULK_WEIGHT * bulk;
+        let zone_penalty = if self.listing.zone == zone {
+            0.0
+        } else {
+            ZONE_PENALTY
+        };
+        // A full server costs more than any server in another zone.
+        let overload_penalty = (live + 1.0 - slots).max(0.0) * 4.0;
+        // Items have to be preempted there first.
+        let preemption_penalty = if live + bulk + 1.0 > slots { 1.0 } else { 0.0 };
+        let non_home_penalty = match self.is_used_first(now) {
+            true => 0.0,
+            false => NON_HOME_PENALTY,
+        };
+        used / slots * 2.0 + zone_penalty + non_home_penalty + overload_penalty + preemption_penalty
+    }
+
+    pub(super) fn free_bulk_slots(&self, now: Timestamp) -> f64 {
+        let total = self.load.total(now);
+        let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
+        f64::from(self.load.slots) - f64::from(BULK_RESERVED_SLOTS) - used
+    }
+}
+
+pub(super) fn cold_limit(
+    limits: &[(String, ColdStartLimit)],
+    service: &str,
+) -> Option<ColdStartLimit> {
+    let index = limits
+        .binary_search_by(|it| it.0.as_str().cmp(service))
+        .ok()?;
+    Some(limits[index].1)
+}
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -67,7 +67,7 @@
 }
 
 /// A server's own report of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SlotReport {
     /// Requests that hold a slot.
     pub running: u32,
@@ -75,6 +75,9 @@
     pub waiting: u32,
     /// The number of its slots.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual time;
+    /// `None` if the server doesn't report it.
+    pub pace_percent: Option<u32>,
 }
 
 /// One daemon's load on a server.
--- a/crates/policy/tests/cold_fleet/mod.rs
+++ b/crates/policy/tests/cold_fleet/mod.rs
@@ -485,6 +485,7 @@
                 exclude: &tried,
                 max_wait: Duration::from_millis(210),
                 software: None,
+                parts: &[],
             };
             let table = &mut self.daemons[number].table;
             let Ok(placement) = table.choose_live(query, local, &mut self.random) else {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -45,6 +45,7 @@
         exclude,
         max_wait: OBJECTIVE,
         software: None,
+        parts: &[],
     }
 }
 
@@ -178,6 +179,7 @@
         running: 4,
         waiting: 3,
         slots: 4,
+        pace_percent: None,
     };
     table.report(NEAR, report, NOW);
     assert_eq!(chosen(&table), Ok("far".to_owned()));
--- a/crates/policy/tests/placement_cold.rs
+++ b/crates/policy/tests/placement_cold.rs
@@ -123,6 +123,7 @@
         exclude,
         max_wait: Duration::from_millis(200),
         software: None,
+        parts: &[],
     }
 }
 
--- a/crates/policy/tests/placement_large.rs
+++ b/crates/policy/tests/placement_large.rs
@@ -218,6 +218,7 @@
                 running: self.running[server].len() as u32,
                 waiting: self.waiting[server].len() as u32,
                 slots: SLOTS as u32,
+                pace_percent: None,
             };
             self.tables[daemon].report(ServerId(server as u32), report, self.now);
         }
@@ -237,6 +238,7 @@
             exclude: &[],
             max_wait: Duration::from_secs(60),
             software: None,
+            parts: &[],
         };
         let placement = self.tables[daemon].choose_live(query, self.now, &mut self.random);
         if let Ok(placement) = placement {
--- a/crates/policy/tests/placement_load.rs
+++ b/crates/policy/tests/placement_load.rs
@@ -144,6 +144,7 @@
                 exclude: &[],
                 max_wait: MAX_LIVE_WAIT,
                 software: None,
+                parts: &[],
             };
             match self.tables[daemon].choose_live(query, self.now, &mut self.random) {
                 Ok(placement) => self.send(daemon, placement.server, WorkKind::Live, LIVE_TIME),
@@ -201,6 +202,7 @@
                     exclude: &[],
                     max_wait: Duration::ZERO,
                     software: None,
+                    parts: &[],
                 };
                 let table = &self.tables[daemon];
                 let placement = table.choose_bulk(query, self.now, &mut self.random);
--- a/crates/policy/tests/zone_contacts.rs
+++ b/crates/policy/tests/zone_contacts.rs
@@ -121,6 +121,7 @@
             exclude,
             max_wait: Duration::from_millis(200),
             software: None,
+            parts: &[],
         };
         let placement = table.choose_live(query, now, &mut random);
         placement.map(|it| table.listing(it.server).name.clone())
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -5,7 +5,7 @@
 use comfreyramp_policy::{
     Timestamp, ViewLag,
     parts::PartReport,
-    placement::LoadShare,
+    placement::{FailureCount, LoadShare},
     usage::{PeerId, PeerIncarnation, SpendingTimes, UsageCount},
 };
 use serde::{Deserialize, Serialize};
@@ -126,6 +126,9 @@
     /// The parts of prompts that are suspected of crashing servers; empty in a message of an
     /// older version.
     pub parts: Vec<PartReport>,
+    /// The servers at which the sender's requests failed lately; empty in a message of an
+    /// older version.
+    pub failures: Vec<FailureCount>,
 }
 
 /// When a daemon admitted customers' requests, in the form of [`SpendingTimes`].
@@ -175,4 +178,4 @@
 
 /// Number of zero bytes appended to a received message. They stand for the fields that a
 /// message of an older version lacks.
-pub const MESSAGE_PADDING: usize = 7;
+pub const MESSAGE_PADDING: usize = 8;
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -200,6 +200,7 @@
             exclude: &[],
             max_wait: Duration::ZERO,
             software,
+            parts: &[],
         };
         servers
             .choose_bulk(query, now, &mut random)
--- a/crates/serving/src/model/fleet_settings.rs
+++ b/crates/serving/src/model/fleet_settings.rs
@@ -71,6 +71,11 @@
     pub attempts: u32,
     /// Whether callers need no API key.
     pub is_public: bool,
+    /// The rank of its requests against others of the same service; 0 is the highest.
+    pub priority: u32,
+    /// The longest pause between two events with which a stream is still on time, if the
+    /// operators state one.
+    pub max_event_gap: Option<Duration>,
 }
 
 /// A service and what its servers tolerate after they start.
@@ -82,6 +87,12 @@
     pub cold_period: Duration,
     /// How many requests a second a cold server tolerates.
     pub cold_rate: f64,
+    /// How many tokens the requests on one of its servers, and the parts of prompts that it
+    /// keeps, may have together; `None` if its servers aren't model engines.
+    pub memory_tokens: Option<u32>,
+    /// How many connections a server accepts from all daemons together; `None` if that
+    /// isn't stated.
+    pub max_connections: Option<u32>,
 }
 
 /// A customer with its API keys and its rate limit.
@@ -95,6 +106,9 @@
     pub rate: Option<f64>,
     /// The burst: how many requests it may send at once beyond the rate.
     pub burst: f64,
+    /// The rank of its requests, which takes precedence over that of the route; 0 is the
+    /// highest.
+    pub priority: Option<u32>,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -88,6 +88,7 @@
             placed,
             asks_word: false,
             parts: self.part_reports(number),
+            failures: Vec::new(),
             uptime_ms: u32::try_from(now.as_micros() / 1_000)
                 .unwrap_or(u32::MAX)
                 .max(1),
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -360,6 +360,7 @@
             exclude: &self.tried_servers,
             max_wait: self.max_slot_wait(now),
             software: self.software,
+            parts: &[],
         };
         match servers.choose_live(query, now, &mut random) {
             Ok(placement) => Ok(placement),
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -32,6 +32,7 @@
         usage_times: Default::default(),
         uptime_ms: 0,
         parts: Vec::new(),
+        failures: Vec::new(),
     }
 }
 
