--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -364,11 +364,13 @@
 
     /// Returns the daemons that report.
     pub fn reporting(&self, now: Timestamp) -> impl Iterator<Item = PeerId> {
+        self.reporting_members(now).map(|it| it.id)
+    }
+
+    fn reporting_members(&self, now: Timestamp) -> impl Iterator<Item = &KnownMember> {
         let timeout = self.reporting_timeout();
         let members = self.members.iter();
-        members
-            .filter(move |it| !it.is_leaving && it.reported_within(timeout, now))
-            .map(|it| it.id)
+        members.filter(move |it| !it.is_leaving && it.reported_within(timeout, now))
     }
 
     /// Returns the addresses of the daemons that keep the origin of a stream, as seen from
@@ -380,10 +382,7 @@
         own: &str,
         now: Timestamp,
     ) -> Vec<SocketAddr> {
-        let timeout = self.reporting_timeout();
-        let members = self.members.iter();
-        let members = members.filter(|it| !it.is_leaving && it.reported_within(timeout, now));
-        let candidates = members.map(|it| KeeperCandidate {
+        let candidates = self.reporting_members(now).map(|it| KeeperCandidate {
             id: it.id,
             is_near: it.record.zone == own,
         });
@@ -393,14 +392,8 @@
     /// Returns the addresses of the daemons that report that they reach the store, and
     /// so can relay calls to it.
     pub fn relay_addresses(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let is_usable = |it: &&KnownMember| {
-            it.reaches_store && !it.is_leaving && it.reported_within(self.reporting_timeout(), now)
-        };
-        self.members
-            .iter()
-            .filter(is_usable)
-            .map(|it| it.record.address)
-            .collect()
+        let usable = self.reporting_members(now).filter(|it| it.reaches_store);
+        usable.map(|it| it.record.address).collect()
     }
 
     /// Returns the address of a daemon that has a newer view than the revisions `known`,
