Rates: the age of a peer's run is a duration, not a time before the own clock's origin

Cause: a daemon's clock starts at its process's start. The start of a peer that has run for longer was computed as now - uptime, which saturates at the origin, so that every peer seemed to have started together with a daemon that had just restarted. Ruled out: reports of killed daemons taken again, tokens reserved for silent ones, levels taken over (lower_to was never reached, for the same reason).

Change: PeerIncarnation states the uptime, which is compared with the own uptime. The simulated fleets count each daemon's time from its own start.

--- a/crates/policy/src/usage/peer_usage.rs
+++ b/crates/policy/src/usage/peer_usage.rs
@@ -15,8 +15,11 @@
     pub id: PeerId,
     /// A random number that distinguishes its runs.
     pub number: u64,
-    /// When it started; `None` if it doesn't report that.
-    pub started_at: Option<Timestamp>,
+    /// How long it has run; `None` if it doesn't report that.
+    ///
+    /// This is a duration because the receiver's clock starts with its own process: the
+    /// start of a peer that has run for longer has no timestamp on that clock.
+    pub uptime: Option<Duration>,
 }
 
 #[derive(Clone, Debug)]
@@ -110,11 +113,12 @@
     /// Records that a report of an incarnation arrived. Returns whether it is another
     /// incarnation than before, which was killed without a last report.
     ///
-    /// `counted_since` is the time of the first requests that this daemon has to charge.
+    /// `counted_for` is how long ago the first requests were admitted that this daemon has
+    /// to charge.
     pub(super) fn record_report(
         &mut self,
         incarnation: PeerIncarnation,
-        counted_since: Timestamp,
+        counted_for: Duration,
         now: Timestamp,
     ) -> bool {
         let is_new = !self.has_reported || self.incarnation != incarnation.number;
@@ -123,7 +127,7 @@
             self.incarnation = incarnation.number;
             self.is_leaving = false;
             self.is_counted_from_start =
-                self.has_reported || incarnation.started_at.is_some_and(|it| it >= counted_since);
+                self.has_reported || incarnation.uptime.is_some_and(|it| it <= counted_for);
             for count in &mut self.counts {
                 count.admitted = 0;
                 count.times = None;
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -310,11 +310,11 @@
     pub fn receive(&mut self, peer: PeerIncarnation, counts: &[UsageCount], now: Timestamp) {
         let index = self.peer_index(peer.id, now);
         let unreported = self.unreported_span(index, peer, now);
-        let counted_since = self.started_at - MAX_START_SPREAD;
+        let counted_for = now.since(self.started_at) + MAX_START_SPREAD;
         let was_silent = self.peers[index].is_silent;
-        let was_killed = self.peers[index].record_report(peer, counted_since, now);
+        let was_killed = self.peers[index].record_report(peer, counted_for, now);
         let is_level_complete =
-            self.is_recently_started(now) && peer.started_at.is_none_or(|it| it < counted_since);
+            self.is_recently_started(now) && peer.uptime.is_none_or(|it| it > counted_for);
         if was_killed {
             self.charge_unreported(index, unreported, now);
         }
@@ -355,12 +355,9 @@
     /// Returns for how long a daemon that was killed had probably not reported: half an
     /// interval, unless it restarted sooner after its last report.
     fn unreported_span(&self, index: usize, peer: PeerIncarnation, now: Timestamp) -> Duration {
-        let last_received_at = self.peers[index].last_received_at;
-        let restarted_at = peer.started_at.unwrap_or(now);
-        restarted_at
-            .since(last_received_at)
-            .min(self.report_interval)
-            / 2
+        let unheard = now.since(self.peers[index].last_received_at);
+        let restart_delay = unheard.saturating_sub(peer.uptime.unwrap_or_default());
+        restart_delay.min(self.report_interval) / 2
     }
 
     /// Charges what a daemon that was killed probably admitted since its last report.
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -21,7 +21,7 @@
 /// A few daemons that report their counts to each other, some of them cut off.
 struct CountingFleet {
     trackers: Vec<UsageTracker>,
-    incarnations: Vec<PeerIncarnation>,
+    incarnations: Vec<DaemonRun>,
     now: Timestamp,
     /// The group of each daemon; daemons of different groups don't receive each other's
     /// reports.
@@ -87,7 +87,11 @@
             let counts = self.trackers[from].own_counts(self.now);
             for to in 0..self.trackers.len() {
                 if to != from && self.groups[to] == self.groups[from] {
-                    self.trackers[to].receive(self.incarnations[from], &counts, self.now);
+                    self.trackers[to].receive(
+                        self.incarnations[from].reported(self.now),
+                        &counts,
+                        self.now,
+                    );
                 }
             }
         }
@@ -101,12 +105,30 @@
     PeerId(daemon as u64 + 1)
 }
 
-/// Returns a run of a daemon.
-fn incarnation(daemon: usize, number: u64, started_at: Timestamp) -> PeerIncarnation {
-    PeerIncarnation {
-        id: id(daemon),
+/// A run of a daemon.
+#[derive(Clone, Copy)]
+struct DaemonRun {
+    daemon: usize,
+    number: u64,
+    started_at: Timestamp,
+}
+
+impl DaemonRun {
+    /// Returns the run as a report describes it that is sent now.
+    fn reported(self, now: Timestamp) -> PeerIncarnation {
+        PeerIncarnation {
+            id: id(self.daemon),
+            number: self.number,
+            uptime: Some(now.since(self.started_at)),
+        }
+    }
+}
+
+fn incarnation(daemon: usize, number: u64, started_at: Timestamp) -> DaemonRun {
+    DaemonRun {
+        daemon,
         number,
-        started_at: Some(started_at),
+        started_at,
     }
 }
 
@@ -357,7 +379,11 @@
             };
             let counts: Vec<_> = (0..CUSTOMERS).map(count).collect();
             for daemon in reporting {
-                tracker.receive(incarnation(daemon, 1, started_at), &counts, now);
+                tracker.receive(
+                    incarnation(daemon, 1, started_at).reported(now),
+                    &counts,
+                    now,
+                );
             }
         };
         report(&mut tracker, 0..DAEMONS, now);
--- a/crates/policy/tests/usage_fleet/mod.rs
+++ b/crates/policy/tests/usage_fleet/mod.rs
@@ -45,6 +45,8 @@
     schedule: ReportSchedule,
     incarnation: PeerIncarnation,
     zone: usize,
+    /// When it was started last. Its clock counts from there, as that of a real daemon does.
+    booted_at: Timestamp,
     /// `None` while it runs.
     back_at: Option<Timestamp>,
 }
@@ -62,6 +64,21 @@
     random: StdRng,
 }
 
+impl Daemon {
+    /// Returns the time on its own clock.
+    fn clock(&self, now: Timestamp) -> Timestamp {
+        Timestamp::ZERO + now.since(self.booted_at)
+    }
+
+    /// Returns its run, as its reports describe it.
+    fn run(&self, now: Timestamp) -> PeerIncarnation {
+        PeerIncarnation {
+            uptime: Some(now.since(self.booted_at)),
+            ..self.incarnation
+        }
+    }
+}
+
 impl UsageFleet {
     /// Creates a fleet that has run for some seconds. `customers` has each customer's rate,
     /// which is also its burst, and its mean load as a fraction of it.
@@ -95,9 +112,10 @@
                 incarnation: PeerIncarnation {
                     id: id(index),
                     number: 0,
-                    started_at: None,
+                    uptime: None,
                 },
                 zone: index % zones,
+                booted_at: now,
                 back_at: Some(now),
             });
         }
@@ -123,6 +141,22 @@
         }
     }
 
+    /// Kills a daemon, which is back after `down`.
+    pub(crate) fn kill(&mut self, daemon: usize, down: Duration) {
+        self.daemons[daemon].back_at = Some(self.now + down);
+    }
+
+    /// Stops a daemon properly: it tells the others first. It is back after `down`.
+    pub(crate) fn restart(&mut self, daemon: usize, down: Duration) {
+        self.report(daemon);
+        for other in 0..self.daemons.len() {
+            if self.is_heard(daemon, other) {
+                self.daemons[other].tracker.leave(id(daemon));
+            }
+        }
+        self.kill(daemon, down);
+    }
+
     /// Sets the mean load of all customers, as a fraction of their rates.
     pub(crate) fn set_load(&mut self, load: f64) {
         for customer in &mut self.customers {
@@ -143,8 +177,10 @@
             for daemon in 0..self.daemons.len() {
                 self.report_if_due(daemon);
                 let is_tick_due = (self.steps + daemon).is_multiple_of(TICK_STEPS);
-                if is_tick_due && self.daemons[daemon].back_at.is_none() {
-                    self.daemons[daemon].tracker.tick(self.now);
+                let daemon = &mut self.daemons[daemon];
+                if is_tick_due && daemon.back_at.is_none() {
+                    let now = daemon.clock(self.now);
+                    daemon.tracker.tick(now);
                 }
             }
         }
@@ -160,7 +196,8 @@
             }
             daemon.back_at = None;
             daemon.incarnation.number += 1;
-            daemon.incarnation.started_at = Some(now);
+            daemon.booted_at = now;
+            let now = daemon.clock(now);
             daemon.schedule = ReportSchedule::new(now);
             daemon.tracker = UsageTracker::new(now);
             daemon.tracker.set_tolerance(TOLERANCE);
@@ -193,13 +230,15 @@
         if self.daemons[entry].back_at.is_some() {
             return;
         }
-        let (now, key) = (self.now, self.customers[customer].limit.customer);
+        let key = self.customers[customer].limit.customer;
+        let now = self.daemons[entry].clock(self.now);
         let tracker = &self.daemons[entry].tracker;
         if tracker.is_rejected_as_unconfirmed(key, now) {
             for peer in tracker.unconfirmed_peers(now) {
                 let peer = peer.0 as usize - 1;
                 if self.is_heard(peer, entry) {
-                    let counts = self.daemons[peer].tracker.own_counts(now);
+                    let peer_now = self.daemons[peer].clock(self.now);
+                    let counts = self.daemons[peer].tracker.own_counts(peer_now);
                     self.deliver_report(peer, entry, &counts);
                 }
             }
@@ -210,7 +249,7 @@
         match result {
             Ok(()) => {
                 customer.tokens -= 1.0;
-                customer.admitted.push(now);
+                customer.admitted.push(self.now);
             }
             Err(_) => customer.refused_wrongly += usize::from(customer.tokens >= 1.0),
         }
@@ -222,14 +261,20 @@
         let is_urgent = customers
             .into_iter()
             .any(|it| daemon.tracker.is_report_urgent(it));
-        if daemon.back_at.is_some() || !(is_urgent || daemon.schedule.is_due(self.now)) {
+        let now = daemon.clock(self.now);
+        if daemon.back_at.is_some() || !(is_urgent || daemon.schedule.is_due(now)) {
             return;
         }
         let delay = MAX_REPORT_DELAY.mul_f64(self.random.random_range(0.0..1.0));
         self.daemons[from]
             .schedule
-            .record_report(INTERVAL + delay, self.now, &mut self.random);
-        let counts = self.daemons[from].tracker.own_counts(self.now);
+            .record_report(INTERVAL + delay, now, &mut self.random);
+        self.report(from);
+    }
+
+    fn report(&mut self, from: usize) {
+        let now = self.daemons[from].clock(self.now);
+        let counts = self.daemons[from].tracker.own_counts(now);
         for to in 0..self.daemons.len() {
             if self.is_heard(from, to) {
                 self.deliver_report(from, to, &counts);
@@ -247,10 +292,10 @@
     }
 
     fn deliver_report(&mut self, from: usize, to: usize, counts: &[UsageCount]) {
-        let incarnation = self.daemons[from].incarnation;
-        self.daemons[to]
-            .tracker
-            .receive(incarnation, counts, self.now);
+        let incarnation = self.daemons[from].run(self.now);
+        let receiver = &mut self.daemons[to];
+        let now = receiver.clock(self.now);
+        receiver.tracker.receive(incarnation, counts, now);
     }
 }
 
--- a/crates/policy/tests/usage_large.rs
+++ b/crates/policy/tests/usage_large.rs
@@ -104,7 +104,7 @@
                 let peer = peer.0 as usize - 1;
                 if self.groups[peer] == self.groups[daemon] {
                     let counts = self.trackers[peer].own_counts(self.now);
-                    self.trackers[daemon].receive(incarnation(peer), &counts, self.now);
+                    self.trackers[daemon].receive(incarnation(peer, self.now), &counts, self.now);
                 }
             }
         }
@@ -130,7 +130,7 @@
         let counts = self.trackers[from].own_counts(self.now);
         for to in (0..DAEMONS).filter(|it| *it != from) {
             if self.groups[to] == self.groups[from] {
-                self.trackers[to].receive(incarnation(from), &counts, self.now);
+                self.trackers[to].receive(incarnation(from, self.now), &counts, self.now);
             }
         }
     }
@@ -140,11 +140,11 @@
     PeerId(daemon as u64 + 1)
 }
 
-fn incarnation(daemon: usize) -> PeerIncarnation {
+fn incarnation(daemon: usize, now: Timestamp) -> PeerIncarnation {
     PeerIncarnation {
         id: id(daemon),
         number: 1,
-        started_at: Some(Timestamp::from_micros(1_000_000)),
+        uptime: Some(now.since(Timestamp::from_micros(1_000_000))),
     }
 }
 
@@ -315,7 +315,7 @@
     }
     let reported_at = start + Duration::from_millis(600);
     let counts = remote.own_counts(reported_at);
-    local.receive(incarnation(0), &counts, reported_at);
+    local.receive(incarnation(0, reported_at), &counts, reported_at);
     local.tick(reported_at);
     let difference = local.level(CUSTOMER) - remote.level(CUSTOMER);
     assert!(
--- a/crates/serving/src/fleet/peer_message.rs
+++ b/crates/serving/src/fleet/peer_message.rs
@@ -142,13 +142,13 @@
 }
 
 impl PeerMessage {
-    /// Returns the run of the sender, by a report that arrives now.
-    pub fn sender(&self, now: Timestamp) -> PeerIncarnation {
+    /// Returns the run of the sender.
+    pub fn sender(&self) -> PeerIncarnation {
         let uptime = Duration::from_millis(self.uptime_ms.into());
         PeerIncarnation {
             id: PeerId::of_name(&self.from.name),
             number: self.from.incarnation,
-            started_at: (self.uptime_ms > 0).then(|| now - uptime),
+            uptime: (self.uptime_ms > 0).then_some(uptime),
         }
     }
 
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -116,7 +116,7 @@
         }
         if !message.from.runs_lots {
             let mut usage = self.usage.borrow_mut();
-            usage.receive(message.sender(now), &message.timed_usage(), now);
+            usage.receive(message.sender(), &message.timed_usage(), now);
             if message.is_leaving {
                 usage.leave(peer);
             }
--- a/crates/serving/tests/usage_times.rs
+++ b/crates/serving/tests/usage_times.rs
@@ -33,12 +33,12 @@
 /// report without their times charges them to a bucket that has been full since then.
 fn level_after_late_reports(alter: impl Fn(Vec<UsageCount>) -> Vec<UsageCount>) -> f64 {
     let (mut local, mut remote) = (tracker_with_peer(2), tracker_with_peer(1));
-    let sender = PeerIncarnation {
-        id: PeerId(2),
-        number: 1,
-        started_at: Some(at(0)),
-    };
     for millis in [4_000, 4_700] {
+        let sender = PeerIncarnation {
+            id: PeerId(2),
+            number: 1,
+            uptime: Some(Duration::from_millis(millis)),
+        };
         local.tick(at(millis));
         let report = alter(remote.own_counts(at(millis)));
         local.receive(sender, &report, at(millis));
