Placement: requests with long prompt parts go to servers that keep them

Placement doesn't know which server has which part cached, so that each server reads each part again, which takes an engine about 100 ms and delays all requests beside it.

Change: a part's servers are chosen by rendezvous hashing, one server for a part in little demand, more for one in demand: as many as carry its load at a fraction of their slots. That fraction grows with the parts' sum over the memory of all servers. A full server is passed over for one that reads the part anew, unless that has more than 0.6 of its slots in use. Reading counts from a tenth of the objective on, for services whose operators state the memory of their servers; the time to read a token is measured. Otherwise nothing changes, including random draws.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -76,6 +76,8 @@
     version: u64,
     /// How long an item is kept before it may be given up, in seconds.
     retention_s: u64,
+    /// The tokens that an engine keeps; 0 if that isn't stated.
+    engine_memory: u32,
     /// The prefix of a route that the operators have taken away.
     removed_route: Option<&'static str>,
     stop: CancellationToken,
@@ -181,6 +183,7 @@
             has_links: false,
             version: 0,
             retention_s: 60,
+            engine_memory: 0,
             removed_route: None,
             stop,
             client: HttpClient::default(),
@@ -258,6 +261,12 @@
         self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
     }
 
+    /// Writes operators' settings by which an engine keeps this many tokens.
+    pub(crate) fn put_engine_memory(&mut self, tokens: u32) {
+        self.engine_memory = tokens;
+        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
+    }
+
     /// Writes operators' settings without the route with this prefix; with all routes if it
     /// is `None`.
     pub(crate) fn put_without_route(&mut self, prefix: Option<&'static str>) {
@@ -298,7 +307,10 @@
             "version": self.version,
             "routes": routes,
             "services": [
-                {"name": "drafts", "cold_start_s": cold_start_s, "cold_per_s": cold_rate},
+                {
+                    "name": "drafts", "cold_start_s": cold_start_s, "cold_per_s": cold_rate,
+                    "engine": {"kv_capacity": self.engine_memory},
+                },
                 {"name": "proofs"},
             ],
             "limits": {
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -20,7 +20,9 @@
 
 mod cold_start;
 mod home_set;
+mod part_choice;
 mod placement_table;
+mod prompt_cache;
 mod prompt_part;
 mod server_entry;
 mod server_failures;
@@ -32,6 +34,7 @@
 pub use placement_table::{
     Placement, PlacementQuery, PlacementRefusal, PlacementTable, PreemptionOrder,
 };
+pub use prompt_cache::{PromptCacheSettings, PromptReading};
 pub use prompt_part::PromptPart;
 pub use server_failures::FailureCount;
 pub use server_listing::ServerListing;
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -7,6 +7,7 @@
 use super::{
     LoadShare, PromptPart, ServerListing, ServerOutcomeKind, SlotReport, WorkKind,
     cold_start::{ColdStart, ColdStartLimit},
+    prompt_cache::PromptCache,
     server_entry::{ServerEntry, cold_limit},
     server_load::ServerLoad,
 };
@@ -78,7 +79,9 @@
     own: PeerId,
     /// Indexed by [`ServerId`]: a server that left the directory keeps its index for
     /// the requests that still run on it.
-    servers: Vec<ServerEntry>,
+    pub(super) servers: Vec<ServerEntry>,
+    /// The services whose servers keep prompt parts, sorted by name.
+    pub(super) prompt_caches: Vec<PromptCache>,
     /// The services whose servers may get few requests while they are cold, sorted by
     /// name.
     cold_limits: Vec<(String, ColdStartLimit)>,
@@ -375,6 +378,9 @@
                 && entry.is_avoided(now) == is_avoided
                 && entry.cold_start.has_room(now)
         };
+        if let Some(prompt) = self.long_prefix(query.service, query.parts) {
+            return self.best_for_prefix(query, prompt, is_candidate, now, random);
+        }
         let candidates = (0..self.servers.len()).filter(is_candidate);
         let (homes, others): (Vec<usize>, Vec<usize>) =
             candidates.partition(|it| self.servers[*it].is_used_first(now));
@@ -400,6 +406,7 @@
             .servers
             .iter()
             .any(|it| it.is_home && it.is_usable(query.service));
+        let read_costs = self.bulk_read_costs(&query, now);
         let mut best: Option<(f64, usize)> = None;
         for (index, entry) in self.servers.iter().enumerate() {
             let id = ServerId(index as u32);
@@ -418,7 +425,11 @@
             } else {
                 0.5
             };
-            let cost = zone_penalty - entry.free_bulk_slots(now) + random.random_range(0.0..0.5);
+            let read_cost = read_costs.iter().find(|it| it.0 == index);
+            let read_cost = read_cost.map_or(0.0, |it| it.1);
+            let cost = zone_penalty - entry.free_bulk_slots(now)
+                + read_cost
+                + random.random_range(0.0..0.5);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
--- a/crates/policy/src/placement/server_entry.rs
+++ b/crates/policy/src/placement/server_entry.rs
@@ -94,11 +94,23 @@
         let overload_penalty = (live + 1.0 - slots).max(0.0) * 4.0;
         // Items have to be preempted there first.
         let preemption_penalty = if live + bulk + 1.0 > slots { 1.0 } else { 0.0 };
-        let non_home_penalty = match self.is_used_first(now) {
+        let non_home_penalty = self.non_home_penalty(now);
+        used / slots * 2.0 + zone_penalty + non_home_penalty + overload_penalty + preemption_penalty
+    }
+
+    /// Returns the cost of not being a server that this daemon uses first, in requests.
+    pub(super) fn non_home_penalty(&self, now: Timestamp) -> f64 {
+        match self.is_used_first(now) {
             true => 0.0,
             false => NON_HOME_PENALTY,
-        };
-        used / slots * 2.0 + zone_penalty + non_home_penalty + overload_penalty + preemption_penalty
+        }
+    }
+
+    /// Returns the live requests and items on the server for each of its slots.
+    pub(super) fn used_fraction(&self, now: Timestamp) -> f64 {
+        let total = self.load.total(now);
+        let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
+        used / f64::from(self.load.slots.max(1))
     }
 
     pub(super) fn free_bulk_slots(&self, now: Timestamp) -> f64 {
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -5,7 +5,10 @@
 //! dialect is a type parameter, fixed when the program starts.
 
 use bytes::Bytes;
-use comfreyramp_policy::{parts::PartKey, placement::ServerListing};
+use comfreyramp_policy::{
+    parts::PartKey,
+    placement::{PromptPart, ServerListing},
+};
 use comfreyramp_store::PlatformStore;
 use http::{HeaderMap, Request, Response, StatusCode, request, response};
 
@@ -88,6 +91,10 @@
     /// from its headers.
     fn shared_parts(headers: &HeaderMap) -> Vec<PartKey>;
 
+    /// Returns the parts of the prompt of a request to a server with their sizes, in order,
+    /// from its headers. The last one belongs to the request alone.
+    fn prompt_parts(headers: &HeaderMap) -> Vec<PromptPart>;
+
     /// Builds the request for a server's report of its own state, without a host.
     fn state_query() -> Request<Bytes>;
 
--- a/crates/serving/src/lots/mod.rs
+++ b/crates/serving/src/lots/mod.rs
@@ -11,6 +11,7 @@
 mod accept;
 mod candidates;
 mod held_lot;
+mod item_prompt;
 mod item_run;
 mod keys;
 mod lot_cache;
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -5,7 +5,7 @@
 use comfreyramp_policy::{
     ServerId, Timestamp,
     lots::{RouteObservation, StartRank, may_begin_items},
-    placement::{PlacementQuery, PreemptionOrder, WorkKind},
+    placement::{PlacementQuery, PreemptionOrder, PromptPart, WorkKind},
     streams::SoftwareKey,
 };
 use tokio_util::sync::CancellationToken;
@@ -17,6 +17,7 @@
     fleet::choose_service,
     lots::{
         held_lot::ItemPhase,
+        item_prompt::prompt_of,
         item_run::{ItemRun, run_item},
     },
     model::RouteSettings,
@@ -152,11 +153,12 @@
         now: Timestamp,
     ) -> ItemPlacement {
         let software = self.held[index].items[item].progress.software;
-        let bound = software.and_then(|it| self.choose_server(route, Some(it), now));
+        let prompt = prompt_of::<D>(&self.held[index].items[item].item);
+        let bound = software.and_then(|it| self.choose_server(route, Some(it), &prompt, now));
         if let Some(server) = bound {
             return ItemPlacement::At(server);
         }
-        let other = self.choose_server(route, None, now);
+        let other = self.choose_server(route, None, &prompt, now);
         let has_software = software.is_some_and(|it| self.has_software(route, it));
         let held = &mut self.held[index];
         let Some(server) = other else {
@@ -185,6 +187,7 @@
         &self,
         route: &RouteSettings,
         software: Option<SoftwareKey>,
+        prompt: &[PromptPart],
         now: Timestamp,
     ) -> Option<ServerId> {
         let servers = self.node.servers.borrow();
@@ -200,7 +203,7 @@
             exclude: &[],
             max_wait: Duration::ZERO,
             software,
-            parts: &[],
+            parts: prompt,
         };
         servers
             .choose_bulk(query, now, &mut random)
@@ -235,7 +238,8 @@
             "lots: an item starts"
         );
         drop(servers);
-        let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Bulk);
+        let mut guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Bulk);
+        guard.begin_prompt(&run.item.id, &prompt_of::<D>(&run.item));
         let node = self.node.clone();
         let sender = self.sender.clone();
         let lot = held.id.clone();
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -23,6 +23,7 @@
     whole: HistogramVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
+    long_prompts: IntCounterVec,
     stream_ends: IntCounterVec,
     streams_taken_up: IntCounterVec,
     store_calls: IntCounterVec,
@@ -68,6 +69,11 @@
                 "Requests sent to servers, by how it went.",
                 &["outcome"],
             )?,
+            long_prompts: counter(
+                "comfreyramp_long_prompts_total",
+                "Requests with long shared prompt parts, by what their server probably had cached.",
+                &["cached"],
+            )?,
             stream_ends: counter(
                 "comfreyramp_stream_ends_total",
                 "Streams of events from servers, by framing and by how they ended.",
@@ -115,6 +121,7 @@
         registry.register(Box::new(metrics.whole.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.long_prompts.clone()))?;
         registry.register(Box::new(metrics.stream_ends.clone()))?;
         registry.register(Box::new(metrics.streams_taken_up.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
@@ -150,6 +157,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a request with long shared prompt parts.
+    pub fn long_prompt(&self, cached: &str) {
+        self.long_prompts.with_label_values(&[cached]).inc();
+    }
+
     /// Counts the end of a stream of events from a server.
     pub fn stream_end(&self, framing: &str, end: &str) {
         self.stream_ends.with_label_values(&[framing, end]).inc();
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod lot_news;
 mod peers;
+mod prompt_caches;
 mod store_health;
 mod stream_origins;
 
@@ -32,7 +33,7 @@
 use comfreyramp_store::WatchBatch;
 use tokio::sync::Notify;
 
-use self::store_health::StoreHealth;
+use self::{prompt_caches::prompt_caches, store_health::StoreHealth};
 use crate::{
     clock::BootClock,
     dialect::{Dialect, FleetRecords},
@@ -283,10 +284,12 @@
             Some((it.name.clone(), limit))
         });
         let cold_limits = cold_limits.collect();
+        let prompt_caches = prompt_caches(&settings);
         let view = FleetView::new(settings);
         let now = self.clock.now();
         let mut servers = self.servers.borrow_mut();
         servers.set_cold_limits(cold_limits, now);
+        servers.set_prompt_caches(prompt_caches);
         drop(servers);
         drop(views);
         self.assign_home_servers();
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -7,7 +7,7 @@
 use comfreyramp_policy::{
     ServerId, Timestamp,
     parts::PartKey,
-    placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
+    placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, PromptPart, WorkKind},
     streams::SoftwareKey,
 };
 use http::{Request, Response, StatusCode, request};
@@ -75,6 +75,8 @@
     pub(super) software: Option<SoftwareKey>,
     /// The parts of its prompt that other requests have too.
     pub(super) parts: Vec<PartKey>,
+    /// All parts of its prompt with their sizes.
+    prompt: Vec<PromptPart>,
     /// Whether the stream's software has been told to other daemons: the caller has an event
     /// of this answer.
     pub(super) has_told_origin: bool,
@@ -187,6 +189,7 @@
         request_id: caller.request_id,
         fingerprint: fingerprint(name, head.uri.path(), &body),
         parts: <D::Servers as ServerDialect>::shared_parts(&head.headers),
+        prompt: <D::Servers as ServerDialect>::prompt_parts(&head.headers),
         customer,
         route,
         head,
@@ -309,7 +312,8 @@
         }
         self.tried_servers.push(server);
         let request = self.build_request(server, last_event, now);
-        let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        let mut guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        guard.begin_prompt(&self.request_id, &self.prompt);
         self.node.report_placement(server);
         let terms = AttemptTerms {
             kind: match self.route.kind {
@@ -360,7 +364,7 @@
             exclude: &self.tried_servers,
             max_wait: self.max_slot_wait(now),
             software: self.software,
-            parts: &[],
+            parts: &self.prompt,
         };
         match servers.choose_live(query, now, &mut random) {
             Ok(placement) => Ok(placement),
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -5,6 +5,7 @@
 mod front_body;
 mod live_request;
 mod open_request;
+mod prompt_reading;
 mod request_log;
 mod server_attempt;
 mod stream_relay;
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -35,12 +35,14 @@
 /// Counts a request as in flight on a server until it is dropped.
 #[derive(Debug)]
 pub struct AttemptGuard<D: Dialect> {
-    node: Rc<Node<D>>,
+    pub(super) node: Rc<Node<D>>,
     /// The server that the request is sent to.
     pub server: ServerId,
     kind: WorkKind,
-    started_at: Timestamp,
-    has_slot: bool,
+    pub(super) started_at: Timestamp,
+    pub(super) has_slot: bool,
+    /// The tokens of shared prompt parts that the server probably reads first.
+    pub(super) reading_tokens: u32,
 }
 
 impl<D: Dialect> AttemptGuard<D> {
@@ -56,6 +58,7 @@
             kind,
             started_at,
             has_slot,
+            reading_tokens: 0,
         }
     }
 
@@ -300,6 +303,9 @@
     }
     let progress = AnswerProgress::new(BodyFraming::of(&method, &head));
     let first = read_first_bytes(&mut body).await?;
+    if head.status.is_success() {
+        guard.record_first_event();
+    }
     let has_events = terms.kind == AnswerKind::Events && head.status.is_success();
     if has_events && first.is_none() && progress.is_broken_off() {
         let end = progress.end_of_body();
