--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,8 @@
 //!   ([`parts::PartTable`]).
 //! - [`placement`]: which server a request goes to, when it is refused instead,
 //!   and which lot items are preempted ([`placement::PlacementTable`]).
+//! - [`overload`]: which requests wait while all servers are full, and when refused
+//!   callers should return ([`overload::WaitingRequests`], [`overload::ReturnPlan`]).
 //! - [`streams`]: at which software version a stream may go on
 //!   ([`streams::OriginTable`]).
 //! - [`usage`]: enforces customers' rates by usage counts that daemons exchange
@@ -36,6 +38,7 @@
 mod ids;
 pub mod lots;
 mod members;
+pub mod overload;
 pub mod parts;
 pub mod placement;
 mod queue;
@@ -59,7 +62,7 @@
 pub use hash::name_hash;
 pub use ids::{CustomerId, DaemonId, GroupId, Incarnation, ServerId, ServiceId, ZoneId};
 pub use members::{Heartbeat, ListedDaemon, MemberEntry, MemberEvent, MemberTable, ZoneContacts};
-pub use queue::{LiveQueue, QueueCause, QueueRefusal, QueuedCall};
+pub use queue::{LiveQueue, QueueCause, QueueRank, QueueRefusal, QueuedCall};
 pub use retries::{
     AttemptReport, FinalAnswer, FinalCause, RetryBudget, RetryDecision, RunState, SuspectVerdict,
     decide_retry,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -5,6 +5,8 @@
 //! can still overtake it. See `docs/DESIGN.md`.
 
 mod live_queue;
+mod rank;
 mod share;
 
 pub use live_queue::{LiveQueue, QueueCause, QueueRefusal, QueuedCall};
+pub use rank::QueueRank;
--- a/crates/policy/src/queue/live_queue.rs
+++ b/crates/policy/src/queue/live_queue.rs
@@ -2,24 +2,15 @@
 
 use std::{mem::size_of, time::Duration};
 
-use super::share::{CallList, Share};
+use super::{
+    rank::{QueueRank, RankCounts},
+    share::{CallList, Share},
+};
 use crate::{CustomerId, Timestamp, Urgency};
 
 /// The most calls that wait.
 const MAX_CALLS: usize = 4096;
 
-/// The longest wait of a call by urgency, whatever its deadline. A person has given up
-/// by then, and a program is better asked to retry.
-const MAX_WAITS: [Duration; 3] = [
-    Duration::from_secs(10),
-    Duration::from_secs(30),
-    Duration::from_secs(30),
-];
-
-/// One in this many starts goes to a lower urgency if any call waits there, so that
-/// lower urgencies make progress while more urgent calls keep coming.
-const LOWER_URGENCY_INTERVAL: u32 = 8;
-
 /// The weight of one sample in the mean time between starts.
 const SAMPLE_WEIGHT: f64 = 0.05;
 
@@ -28,13 +19,13 @@
 
 /// A call that waits for a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct QueuedCall {
+pub struct QueuedCall<R = Urgency> {
     /// The daemon's number for the call.
     pub number: u64,
     /// The customer that sent it.
     pub customer: CustomerId,
-    /// How urgent it is.
-    pub urgency: Urgency,
+    /// Its rank: how urgent it is.
+    pub urgency: R,
     /// The tokens that it is expected to cost, prompt and answer together.
     pub tokens: f64,
     /// The time by which it has to have started.
@@ -68,16 +59,16 @@
 /// first. In order of arrival, one customer's burst would delay all other customers.
 ///
 /// The ids of customers must keep their meaning for as long as the queue lives.
-#[derive(Clone, Debug, Default)]
-pub struct LiveQueue {
+#[derive(Clone, Debug)]
+pub struct LiveQueue<R = Urgency> {
     /// By customer id.
-    shares: Vec<Share>,
+    shares: Vec<Share<R>>,
     /// By customer id.
-    calls: Vec<CallList>,
+    calls: Vec<CallList<R>>,
     /// The customers with waiting calls.
     waiting: Vec<CustomerId>,
-    /// The number of waiting calls by urgency.
-    counts: [usize; 3],
+    /// The number of waiting calls by rank.
+    counts: RankCounts<R>,
     /// The weighted served tokens of the customer that was served last.
     last_served: f64,
     starts_since_lower: u32,
@@ -87,10 +78,26 @@
     last_start_at: Option<Timestamp>,
 }
 
-impl LiveQueue {
+impl<R> Default for LiveQueue<R> {
+    fn default() -> Self {
+        LiveQueue {
+            shares: Vec::new(),
+            calls: Vec::new(),
+            waiting: Vec::new(),
+            counts: RankCounts::default(),
+            last_served: 0.0,
+            starts_since_lower: 0,
+            start_interval_secs: 0.0,
+            starts: 0,
+            last_start_at: None,
+        }
+    }
+}
+
+impl<R: QueueRank> LiveQueue<R> {
     /// Returns the number of waiting calls.
     pub fn len(&self) -> usize {
-        self.counts.iter().sum()
+        self.counts.total() as usize
     }
 
     /// Returns whether no call waits.
@@ -111,10 +118,10 @@
     /// A call that can't start in time is rejected at once.
     pub fn push(
         &mut self,
-        mut call: QueuedCall,
+        mut call: QueuedCall<R>,
         now: Timestamp,
-    ) -> Result<Option<QueuedCall>, QueueRefusal> {
-        let max_wait = MAX_WAITS[call.urgency as usize];
+    ) -> Result<Option<QueuedCall<R>>, QueueRefusal> {
+        let max_wait = call.urgency.max_wait();
         call.deadline = call.deadline.min(now + max_wait);
         if now + self.max_wait(now) > call.deadline {
             let wait = self.expected_wait(&call, now);
@@ -135,7 +142,7 @@
     }
 
     /// Takes out the call that goes next. The caller must be able to start it.
-    pub fn pop(&mut self, now: Timestamp) -> Option<QueuedCall> {
+    pub fn pop(&mut self, now: Timestamp) -> Option<QueuedCall<R>> {
         let urgency = self.next_urgency()?;
         let customer = self.least_served(urgency)?;
         let call = self.calls[customer.index()].pop(urgency)?;
@@ -154,7 +161,7 @@
     }
 
     /// Takes out a call whose caller disconnected.
-    pub fn remove(&mut self, customer: CustomerId, number: u64) -> Option<QueuedCall> {
+    pub fn remove(&mut self, customer: CustomerId, number: u64) -> Option<QueuedCall<R>> {
         let calls = self.calls.get_mut(customer.index())?;
         let call = calls.remove(number)?;
         self.record_removal(&call);
@@ -162,11 +169,11 @@
     }
 
     /// Takes out the calls whose deadline has passed; they must be rejected.
-    pub fn take_expired(&mut self, now: Timestamp) -> Vec<QueuedCall> {
+    pub fn take_expired(&mut self, now: Timestamp) -> Vec<QueuedCall<R>> {
         let calls = self.waiting.iter().map(|it| &self.calls[it.index()]);
         let calls = calls.flat_map(CallList::iter);
         let expired = calls.filter(|it| it.deadline <= now);
-        let expired: Vec<QueuedCall> = expired.copied().collect();
+        let expired: Vec<QueuedCall<R>> = expired.copied().collect();
         for call in &expired {
             self.remove(call.customer, call.number);
         }
@@ -180,10 +187,11 @@
     /// customers that were served less may come after it. If it stayed, it would wait
     /// until its deadline only to be rejected then. The last call of each customer has
     /// the longest wait, so the search ends at the first one that can still start.
-    pub fn take_infeasible(&mut self, now: Timestamp) -> Vec<QueuedCall> {
+    pub fn take_infeasible(&mut self, now: Timestamp) -> Vec<QueuedCall<R>> {
         let mut infeasible = Vec::new();
         for customer in self.waiting.clone() {
-            for urgency in Urgency::ALL {
+            let ranks: Vec<R> = self.shares[customer.index()].counts.ranks().collect();
+            for urgency in ranks {
                 while let Some(call) = self.infeasible_last(customer, urgency, now) {
                     self.remove(customer, call.number);
                     infeasible.push(call);
@@ -196,9 +204,9 @@
     fn infeasible_last(
         &self,
         customer: CustomerId,
-        urgency: Urgency,
+        urgency: R,
         now: Timestamp,
-    ) -> Option<QueuedCall> {
+    ) -> Option<QueuedCall<R>> {
         let call = *self.calls[customer.index()].last_with(urgency)?;
         let ahead_of_it = self.shares[customer.index()]
             .count(urgency)
@@ -211,7 +219,7 @@
     ///
     /// Ahead of it are its customer's earlier calls and, of each other customer, as
     /// many calls as that customer may start before it was served more than this one.
-    pub fn expected_wait(&self, call: &QueuedCall, now: Timestamp) -> Duration {
+    pub fn expected_wait(&self, call: &QueuedCall<R>, now: Timestamp) -> Duration {
         if self.is_empty() {
             return Duration::ZERO;
         }
@@ -221,12 +229,12 @@
     }
 
     /// Returns how long a call waits behind `queued` calls of its own customer.
-    fn wait_behind(&self, queued: f64, call: &QueuedCall, now: Timestamp) -> Duration {
+    fn wait_behind(&self, queued: f64, call: &QueuedCall<R>, now: Timestamp) -> Duration {
         let own = self.shares.get(call.customer.index());
-        let own = own.copied().unwrap_or_default();
-        let served = own.served.max(self.last_served);
+        let (own_served, own_weight) = own.map_or((0.0, 1.0), |it| (it.served, it.weight));
+        let served = own_served.max(self.last_served);
         let tokens = call.tokens.max(1.0);
-        let served_at_start = served + queued * tokens / own.weight;
+        let served_at_start = served + queued * tokens / own_weight;
         let mut ahead = queued;
         for &customer in &self.waiting {
             let share = &self.shares[customer.index()];
@@ -236,20 +244,25 @@
                 ahead += starts.min(f64::from(share.count(call.urgency)));
             }
         }
-        let more_urgent: usize = self.counts[..call.urgency as usize].iter().sum();
-        let max_ahead = (ahead + 1.0) * f64::from(LOWER_URGENCY_INTERVAL);
-        let ahead = (ahead + more_urgent as f64).min(max_ahead);
+        let more_urgent = f64::from(self.counts.above(call.urgency));
+        let max_ahead = R::LOWER_RANK_INTERVAL.map_or(f64::INFINITY, f64::from) * (ahead + 1.0);
+        let ahead = (ahead + more_urgent).min(max_ahead);
         self.since_last_start(now) + Duration::from_secs_f64(ahead * self.start_interval_secs)
     }
 
     /// Returns the bytes of memory that the queue occupies.
     pub fn memory(&self) -> usize {
-        let shares = self.shares.capacity() * size_of::<Share>();
+        let shares = self.shares.capacity() * size_of::<Share<R>>();
+        let counts: usize = self.shares.iter().map(|it| it.counts.memory()).sum();
         let calls: usize = self.calls.iter().map(CallList::memory).sum();
-        size_of::<Self>() + shares + calls + self.waiting.capacity() * size_of::<CustomerId>()
+        size_of::<Self>()
+            + shares
+            + counts
+            + calls
+            + self.waiting.capacity() * size_of::<CustomerId>()
     }
 
-    fn insert(&mut self, call: QueuedCall) {
+    fn insert(&mut self, call: QueuedCall<R>) {
         let last_served = self.last_served;
         let share = self.share_mut(call.customer);
         let was_idle = share.len() == 0;
@@ -258,11 +271,11 @@
             // calls.
             share.served = share.served.max(last_served);
         }
-        share.counts[call.urgency as usize] += 1;
+        share.counts.add(call.urgency);
         if was_idle {
             self.waiting.push(call.customer);
         }
-        self.counts[call.urgency as usize] += 1;
+        self.counts.add(call.urgency);
         self.calls[call.customer.index()].push(call);
     }
 
@@ -278,24 +291,22 @@
             .map_or(Duration::ZERO, |at| now.since(at))
     }
 
-    fn next_urgency(&mut self) -> Option<Urgency> {
-        let counts = self.counts;
-        let urgencies = Urgency::ALL.into_iter();
-        let mut waiting = urgencies.filter(|&it| counts[it as usize] > 0);
+    fn next_urgency(&mut self) -> Option<R> {
+        let mut waiting = self.counts.ranks();
         let first = waiting.next()?;
-        let Some(lower) = waiting.next() else {
+        let (Some(lower), Some(interval)) = (waiting.next(), R::LOWER_RANK_INTERVAL) else {
             self.starts_since_lower = 0;
             return Some(first);
         };
         self.starts_since_lower += 1;
-        if self.starts_since_lower < LOWER_URGENCY_INTERVAL {
+        if self.starts_since_lower < interval {
             return Some(first);
         }
         self.starts_since_lower = 0;
         Some(lower)
     }
 
-    fn least_served(&self, urgency: Urgency) -> Option<CustomerId> {
+    fn least_served(&self, urgency: R) -> Option<CustomerId> {
         let mut least = None;
         let mut least_served = f64::INFINITY;
         for &customer in &self.waiting {
@@ -310,7 +321,7 @@
 
     /// Evicts the newest call of the customer with the largest share of the queue,
     /// relative to its weight, unless that is `customer` itself.
-    fn evict_for(&mut self, customer: CustomerId) -> Option<QueuedCall> {
+    fn evict_for(&mut self, customer: CustomerId) -> Option<QueuedCall<R>> {
         let own = self.share_mut(customer).queue_share(1);
         let held = |it: &CustomerId| self.shares[it.index()].queue_share(0);
         let customers = self.waiting.iter().copied();
@@ -335,10 +346,10 @@
         self.last_start_at = Some(now);
     }
 
-    fn record_removal(&mut self, call: &QueuedCall) {
-        self.counts[call.urgency as usize] -= 1;
+    fn record_removal(&mut self, call: &QueuedCall<R>) {
+        self.counts.subtract(call.urgency);
         let share = &mut self.shares[call.customer.index()];
-        share.counts[call.urgency as usize] -= 1;
+        share.counts.subtract(call.urgency);
         if share.len() == 0 {
             let mut waiting = self.waiting.iter();
             if let Some(at) = waiting.position(|&it| it == call.customer) {
@@ -351,10 +362,10 @@
         }
     }
 
-    fn share_mut(&mut self, customer: CustomerId) -> &mut Share {
+    fn share_mut(&mut self, customer: CustomerId) -> &mut Share<R> {
         let len = customer.index() + 1;
         if self.shares.len() < len {
-            self.shares.resize(len, Share::default());
+            self.shares.resize_with(len, Share::default);
             self.calls.resize_with(len, CallList::default);
         }
         &mut self.shares[customer.index()]
