Serving: live requests wait at the daemon while all servers are full

Cause: a request that waits at a server can't be overtaken by one of a higher rank, and all callers that are refused at a moment return together.

Change: with the daemon's setting live_queue, requests wait in path::start_queues, ordered by policy::overload, and refused callers are told planned times. Waiting requests are looked at when an own request ends, when a peer or a server reports, and every 20 ms. Requests that were sent to a server before, and streams that only one software may go on with, don't wait here.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -78,6 +78,8 @@
     retention_s: u64,
     /// The prefix of a route that the operators have taken away.
     removed_route: Option<&'static str>,
+    /// Whether daemons that are added from now on have a queue for live requests.
+    has_live_queue: bool,
     stop: CancellationToken,
     client: HttpClient,
 }
@@ -182,6 +184,7 @@
             version: 0,
             retention_s: 60,
             removed_route: None,
+            has_live_queue: false,
             stop,
             client: HttpClient::default(),
         };
@@ -238,6 +241,14 @@
         link_address
     }
 
+    /// Gives all daemons that are added from now on a queue for live requests, and the routes
+    /// an objective that leaves time to wait in it.
+    pub(crate) fn with_live_queue(mut self) -> Fleet {
+        self.has_live_queue = true;
+        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
+        self
+    }
+
     pub(crate) async fn with_daemons(mut self) -> Fleet {
         let fleet = &mut self;
         fleet.add_daemon("entry-1", "zone-1", true).await;
@@ -282,7 +293,8 @@
         let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
             json!({
                 "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
-                "timeout_ms": 5_000, "target_latency_ms": 500, "priority": 0, "attempts": 2,
+                "timeout_ms": 5_000, "target_latency_ms": if self.has_live_queue { 2_000 } else { 500 },
+                "priority": u32::from(prefix == "/once/"), "attempts": 2,
                 "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 300,
                 "completion_target_ms": 15_000, "retention_s": self.retention_s, "cap": token_bound,
             })
@@ -330,6 +342,9 @@
             },
             "stop_grace_s": 8, "results_kept_s": 120,
         });
+        if self.has_live_queue {
+            settings["live_queue"] = json!(true);
+        }
         if has_callers {
             settings["callers"] = json!(listen_address);
             settings["health"] = json!(health_address);
@@ -626,7 +641,9 @@
             .header("x-wait-ms", call.wait_ms)
             .header("api-key", call.key);
         for (name, value) in call.headers {
-            request = request.header(name, value);
+            if let Some(headers) = request.headers_mut() {
+                headers.insert(name, value.parse().unwrap());
+            }
         }
         request.body(MessageBody::from(call.body.to_vec())).unwrap()
     }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -27,6 +27,9 @@
     streams_taken_up: IntCounterVec,
     store_calls: IntCounterVec,
     lots: IntCounterVec,
+    waits: HistogramVec,
+    /// Live requests that wait at this daemon for a slot.
+    pub waiting: IntGauge,
     in_flight: IntGaugeVec,
     view_revision: IntGaugeVec,
     view_age: GaugeVec,
@@ -88,6 +91,15 @@
                 "What happened to lots and their items.",
                 &["event"],
             )?,
+            waits: HistogramVec::new(
+                HistogramOpts::new(
+                    "comfreyramp_waits_seconds",
+                    "How long live requests waited for a slot, by how the wait ended.",
+                )
+                .buckets(WAIT_BUCKETS.to_vec()),
+                &["end"],
+            )?,
+            waiting: IntGauge::new("comfreyramp_waiting", "Live requests that wait for a slot.")?,
             in_flight: gauge(
                 "comfreyramp_in_flight",
                 "Requests that are on servers.",
@@ -119,6 +131,8 @@
         registry.register(Box::new(metrics.streams_taken_up.clone()))?;
         registry.register(Box::new(metrics.store_calls.clone()))?;
         registry.register(Box::new(metrics.lots.clone()))?;
+        registry.register(Box::new(metrics.waits.clone()))?;
+        registry.register(Box::new(metrics.waiting.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.view_revision.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
@@ -145,6 +159,12 @@
         self.refusals.with_label_values(&[customer, cause]).inc();
     }
 
+    /// Records how long a live request waited for a slot, and how its wait ended.
+    pub fn wait_end(&self, end: &str, waited: Duration) {
+        let waits = self.waits.with_label_values(&[end]);
+        waits.observe(waited.as_secs_f64());
+    }
+
     /// Counts an attempt to have a server run a request.
     pub fn attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -42,7 +42,7 @@
     },
     lots::{AssignedLot, LedgerCache, LotCache, LotNotice, LotNotices},
     metrics::NodeMetrics,
-    path::ConnectionPool,
+    path::{ConnectionPool, StartQueues},
     settings::NodeSettings,
     suspects::SuspectTracker,
 };
@@ -135,6 +135,8 @@
     pub servers: RefCell<PlacementTable>,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
+    /// Live requests that wait while all servers are full.
+    pub start_queues: StartQueues<D>,
     /// Data of lots that was read from the store.
     pub lot_cache: RefCell<LotCache>,
     /// The last known ledgers of the tokens of customers' unfinished items.
@@ -192,6 +194,7 @@
             view_server: RefCell::default(),
             servers: RefCell::new(PlacementTable::new(PeerId::of_name(&settings.name))),
             connections: ConnectionPool::default(),
+            start_queues: StartQueues::default(),
             lot_cache: RefCell::default(),
             ledgers: LedgerCache::default(),
             lot_notices: RefCell::default(),
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -111,6 +111,7 @@
         servers.receive(peer, &message.shares, now);
         let is_regained = servers.silent_zones().contains(&message.from.zone);
         drop(servers);
+        self.start_queues.slots_changed.notify_one();
         if is_regained {
             self.update_silent_zones();
         }
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -40,7 +40,7 @@
 const MAX_TRIED_SERVERS: usize = 12;
 /// The fraction of the objective that may pass before a request starts on a server. The
 /// rest is for its first token.
-const START_FRACTION: f64 = 0.7;
+pub(super) const START_FRACTION: f64 = 0.7;
 /// A request whose caller waits for less than this fraction of the route's timeout counts as
 /// a retry: the caller has been refused before. It is served late rather than refused again.
 const RETRY_TIMEOUT_FRACTION: f64 = 0.95;
@@ -297,8 +297,8 @@
         last_event: Option<u64>,
         is_admitted: &mut bool,
     ) -> Result<Result<OpenAnswer<D>, AttemptFailure>, Refusal> {
+        let (placement, attempt) = self.find_slot().await?;
         let now = self.node.clock.now();
-        let placement = self.choose_server(now)?;
         let server = placement.server;
         self.load = placement.load;
         if !*is_admitted {
@@ -309,7 +309,8 @@
         }
         self.tried_servers.push(server);
         let request = self.build_request(server, last_event, now);
-        let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        let begin = || AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        let guard = attempt.unwrap_or_else(begin);
         self.node.report_placement(server);
         let terms = AttemptTerms {
             kind: match self.route.kind {
@@ -339,7 +340,7 @@
         Ok(result)
     }
 
-    fn choose_server(&self, now: Timestamp) -> Result<Placement, Refusal> {
+    pub(super) fn choose_server(&self, now: Timestamp) -> Result<Placement, Refusal> {
         let servers = self.node.servers.borrow();
         let mut random = rand::rng();
         let has_server = |service: &str| match self.software {
@@ -385,7 +386,7 @@
     /// Returns the final refusal of a request that no server takes. If the request may have
     /// run, the cause is always [`RefusalCause::AnswerLost`], because the given cause would
     /// state that it hasn't run.
-    fn final_refusal(&self, cause: RefusalCause, retry_after: Duration) -> Refusal {
+    pub(super) fn final_refusal(&self, cause: RefusalCause, retry_after: Duration) -> Refusal {
         match self.runs {
             0 => Refusal::new(cause).retry_after(retry_after),
             _ => RefusalCause::AnswerLost.into(),
@@ -393,7 +394,7 @@
     }
 
     /// Returns how long the request may wait for a slot on a server.
-    fn max_slot_wait(&self, now: Timestamp) -> Duration {
+    pub(super) fn max_slot_wait(&self, now: Timestamp) -> Duration {
         let passed = now.since(self.received_at);
         if self.is_retry || self.runs > 0 {
             return self.deadline.since(now).mul_f64(RETRY_WAIT_FRACTION);
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -7,6 +7,7 @@
 mod open_request;
 mod request_log;
 mod server_attempt;
+mod start_queues;
 mod stream_relay;
 mod stream_resumption;
 
@@ -17,3 +18,4 @@
 pub use server_attempt::{
     AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, open_answer,
 };
+pub use start_queues::{StartQueues, run_start_queues};
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -92,6 +92,7 @@
         self.node.metrics.in_flight(self.kind.as_str(), -1);
         self.node.load_changed.notify_one();
         self.node.bulk_work_changed.notify_one();
+        self.node.start_queues.slots_changed.notify_one();
     }
 }
 
@@ -292,6 +293,7 @@
     if let Some(report) = answer.report {
         let now = node.clock.now();
         node.servers.borrow_mut().report(guard.server, report, now);
+        node.start_queues.slots_changed.notify_one();
     }
     match answer.run {
         ExecutionStatus::NotRun => return Err(AttemptFailure::NotRun),
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -22,7 +22,7 @@
     },
     lots::{follow_retire_orders, run_lots, sweep_lots},
     node::Node,
-    path::{AnswerBody, ConnectionLimits, answer_caller, serve_connections},
+    path::{AnswerBody, ConnectionLimits, answer_caller, run_start_queues, serve_connections},
 };
 
 /// How long a stopping daemon still accepts new connections. The balancer checks
@@ -259,6 +259,7 @@
     tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
     tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
     tokio::task::spawn_local(probe_store(node.clone(), stop.clone()));
+    tokio::task::spawn_local(run_start_queues(node.clone(), stop.clone()));
     tokio::task::spawn_local(log_store_calls(node.clone(), stop.clone()));
 }
 
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -44,6 +44,10 @@
     /// not at all if it is missing.
     #[serde(default)]
     pub cold_tolerance: Option<ColdToleranceSettings>,
+    /// Whether live requests wait at the daemon while all servers are full, rather than at
+    /// servers.
+    #[serde(default)]
+    pub live_queue: bool,
     /// The least severe level that is logged: `error`, `warn`, `info` or `debug`.
     #[serde(default = "info")]
     pub log_level: String,
