--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -8,6 +8,7 @@
 mod prompt_reading;
 mod request_log;
 mod server_attempt;
+mod start_queues;
 mod stream_relay;
 mod stream_resumption;
 
@@ -18,3 +19,4 @@
 pub use server_attempt::{
     AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, open_answer,
 };
+pub use start_queues::{StartQueues, run_start_queues};
