Rates: charges from before a daemon's start are set against the tokens of that time

Cause: a daemon charges all requests of the daemons that started within 2 s before it, but its bucket starts at a fifth of the burst at its own start, without the tokens that were gained in between. During a rolling restart a customer within its rate has a debt at every daemon that starts shortly after others. Traced per entry at each wrongful refusal: the debts consisted of charges (up to 611 tokens within 1.6 s at a rate of 330), while lower_to took at most 12 tokens, unconfirmed usage withheld at most 15, and nothing was reserved for silent daemons or charged for killed ones. 403 of 432 refusals came from daemons that had been back for less than 2 s.

Change: EarlierCharges keeps what first totals charged, and refunds it up to the tokens gained since the first of these starts, once the level of a daemon that has counted for longer is known; that level is still the upper bound. Without such a daemon, nothing changes: a restart of all daemons admits what it did before.

--- a/crates/policy/src/usage/mod.rs
+++ b/crates/policy/src/usage/mod.rs
@@ -9,6 +9,7 @@
 //! partition, or while a report is in transit. [`UsageTracker`] then reserves what the
 //! silent daemons may be spending. docs/PLATFORM.md has the figures.
 
+mod earlier_charges;
 mod late_charges;
 mod peer_usage;
 mod rate_tolerance;
--- a/crates/policy/src/usage/peer_usage.rs
+++ b/crates/policy/src/usage/peer_usage.rs
@@ -54,6 +54,8 @@
     pub(super) requests: u32,
     /// When they were admitted on average; the present time if that isn't known.
     pub(super) admitted_at: Timestamp,
+    /// Whether these are all requests since the daemon's start.
+    pub(super) is_total: bool,
 }
 
 impl PeerCount {
@@ -72,6 +74,7 @@
         ReceivedSpending {
             requests,
             admitted_at,
+            is_total: false,
         }
     }
 }
@@ -176,7 +179,10 @@
                 }
                 let spending = peer_count.record(count, now);
                 self.counts.insert(index, peer_count);
-                spending
+                ReceivedSpending {
+                    is_total: self.is_counted_from_start,
+                    ..spending
+                }
             }
         }
     }
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -4,6 +4,7 @@
 
 use super::{
     CustomerLimit, PeerId, PeerIncarnation, RateTolerance, SpendingTimes, UsageBucket, UsageCount,
+    earlier_charges::EarlierCharges,
     peer_usage::{PeerUsage, RecentCount, SHARE_WINDOW},
     usage_count::clock_ticks,
 };
@@ -67,6 +68,9 @@
     /// Sorted by id.
     peers: Vec<PeerUsage>,
     started_at: Timestamp,
+    /// How long before this daemon the first one started whose requests are charged from
+    /// its start.
+    head_start: Duration,
     report_interval: Duration,
     silent_after: Duration,
     unconfirmed_after: (Duration, Duration),
@@ -96,6 +100,7 @@
     /// What all daemons admitted recently. It is kept as one count, since summing over
     /// all daemons for each message would take all of a daemon's time in a large fleet.
     all_recent: RecentCount,
+    earlier_charges: EarlierCharges,
     last_used: Timestamp,
     /// The latest retry time given to a rejected caller.
     last_retry_at: Timestamp,
@@ -114,6 +119,7 @@
             reported: 0,
             own_recent: RecentCount::default(),
             all_recent: RecentCount::default(),
+            earlier_charges: EarlierCharges::default(),
             last_used: now,
             last_retry_at: now,
         }
@@ -310,11 +316,16 @@
     pub fn receive(&mut self, peer: PeerIncarnation, counts: &[UsageCount], now: Timestamp) {
         let index = self.peer_index(peer.id, now);
         let unreported = self.unreported_span(index, peer, now);
-        let counted_for = now.since(self.started_at) + MAX_START_SPREAD;
+        let own_uptime = now.since(self.started_at);
+        let counted_for = own_uptime + MAX_START_SPREAD;
         let was_silent = self.peers[index].is_silent;
         let was_killed = self.peers[index].record_report(peer, counted_for, now);
         let is_level_complete =
             self.is_recently_started(now) && peer.uptime.is_none_or(|it| it > counted_for);
+        let head_start = peer.uptime.unwrap_or_default().saturating_sub(own_uptime);
+        if head_start <= MAX_START_SPREAD {
+            self.head_start = self.head_start.max(head_start);
+        }
         if was_killed {
             self.charge_unreported(index, unreported, now);
         }
@@ -332,11 +343,16 @@
             let bucket = &mut usage.bucket;
             bucket.fill(reserved, now);
             bucket.charge(f64::from(spent.requests), spent.admitted_at, now);
+            if spent.is_total && !head_start.is_zero() {
+                usage.earlier_charges.record(f64::from(spent.requests));
+            }
             // Requests from before this daemon started are reflected in the level of a
             // daemon that has counted for longer. The levels of daemons that started
             // together lack each other's latest requests: if each lowered its level to the
             // lowest, these requests would be charged several times.
             if is_level_complete {
+                let gained = bucket.rate() * self.head_start.as_secs_f64();
+                bucket.refund(usage.earlier_charges.refund(gained));
                 bucket.lower_to(f64::from(count.level));
             }
         }
--- a/crates/policy/src/usage/usage_bucket.rs
+++ b/crates/policy/src/usage/usage_bucket.rs
@@ -100,10 +100,16 @@
         self.late_charges.record_charge(requests, admitted_at, now);
     }
 
+    /// Returns tokens that were charged but not spent from this bucket.
+    pub fn refund(&mut self, tokens: f64) {
+        self.level = (self.level + tokens).min(self.burst);
+    }
+
     /// Refunds tokens that overflowed only because charges arrived late. All daemons
     /// have reported at `confirmed_at` or later.
     pub fn settle_late_charges(&mut self, confirmed_at: Timestamp) {
-        self.level = (self.level + self.late_charges.settle(confirmed_at)).min(self.burst);
+        let refund = self.late_charges.settle(confirmed_at);
+        self.refund(refund);
     }
 
     /// Removes tokens that silent daemons may spend.
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -7,7 +7,7 @@
 
 use comfreyramp_policy::{
     Timestamp,
-    usage::{CustomerLimit, PeerId, PeerIncarnation, UsageTracker},
+    usage::{CustomerLimit, PeerId, PeerIncarnation, UsageCount, UsageTracker},
 };
 use usage_window::max_in_window;
 
@@ -426,3 +426,51 @@
         "the others have the report"
     );
 }
+
+/// Returns the level at a daemon that has started 1.9 s after another and hears what that one
+/// admitted meanwhile, and then the level at a third daemon, which has run for a minute, if
+/// there is one.
+fn level_after_a_later_start(level_of_third: Option<f32>) -> f64 {
+    let now = Timestamp::from_micros(100_000);
+    let mut tracker = new_tracker(Timestamp::ZERO);
+    tracker.set_members(&[id(1), id(2)], Timestamp::ZERO);
+    let count = |admitted, level| UsageCount {
+        customer: CUSTOMER,
+        admitted,
+        level,
+        times: None,
+    };
+    let run = |daemon, uptime| PeerIncarnation {
+        id: id(daemon),
+        number: 1,
+        uptime: Some(uptime),
+    };
+    let own_uptime = now.since(Timestamp::ZERO);
+    let earlier = run(1, own_uptime + Duration::from_millis(1_900));
+    tracker.receive(earlier, &[count((RATE * 2.0) as u32, 0.0)], now);
+    if let Some(level) = level_of_third {
+        let oldest = run(2, Duration::from_secs(60));
+        tracker.receive(oldest, &[count(5_000, level)], now);
+    }
+    tracker.level(CUSTOMER)
+}
+
+/// A daemon that starts shortly after another charges a customer for what that one admitted
+/// before, but lacks the tokens gained meanwhile: the customer seems to have a debt although a
+/// daemon that has run for longer knows that it has none.
+#[test]
+fn requests_from_before_a_start_are_charged_to_the_tokens_of_that_time() {
+    let level = level_after_a_later_start(Some(BURST as f32));
+    assert!(level > 0.0, "{level} tokens");
+}
+
+/// The refund must not give a customer tokens that a daemon which has run for longer knows to
+/// be spent, nor any while no such daemon is heard: after a restart of all daemons, nobody
+/// knows of the debts from before.
+#[test]
+fn earlier_charges_are_refunded_only_as_far_as_an_older_daemon_knows_of_tokens() {
+    let debt = level_after_a_later_start(Some(-30.0));
+    assert!(debt <= -30.0, "{debt} tokens");
+    let unknown = level_after_a_later_start(None);
+    assert!(unknown < -RATE, "{unknown} tokens");
+}
--- a/crates/policy/tests/usage_rolling_restart.rs
+++ b/crates/policy/tests/usage_rolling_restart.rs
@@ -11,14 +11,17 @@
 
 const ENTRIES: usize = 64;
 const ZONES: usize = 3;
-const SEEDS: u64 = 3;
+const SEEDS: u64 = 6;
 /// The daemons that restart, three at a time.
 const RESTARTED: std::ops::Range<usize> = 0..28;
 const RESTART_INTERVAL: Duration = Duration::from_millis(1_200);
 const RESTART_DOWNTIME: Duration = Duration::from_millis(900);
 /// The daemons that are killed at the same moment.
 const KILLED: std::ops::Range<usize> = 28..64;
+const KILL_STEP: usize = 4;
 const KILL_DOWNTIME: Duration = Duration::from_millis(1_300);
+/// How long fleets run on after the last restart, so that 10 s after the kill are counted.
+const REMAINING_TIME: Duration = Duration::from_millis(2_800);
 /// The mean load of customers, as a fraction of their rates.
 const TYPICAL_LOAD: f64 = 0.6;
 /// At most one in this many requests of customers within their rates may be refused.
@@ -30,14 +33,16 @@
     rates.map(|it| (it, load)).collect()
 }
 
-/// Restarts daemons three at a time, and kills the others halfway.
+/// Restarts daemons three at a time, and kills the others halfway. Customers' requests are
+/// counted from the kill on.
 fn restart_and_kill(fleet: &mut UsageFleet) {
     let restarted: Vec<usize> = RESTARTED.collect();
     for (step, group) in restarted.chunks(3).enumerate() {
         for &daemon in group {
             fleet.restart(daemon, RESTART_DOWNTIME);
         }
-        if step == 4 {
+        if step == KILL_STEP {
+            fleet.forget_counts();
             for daemon in KILLED {
                 fleet.kill(daemon, KILL_DOWNTIME);
             }
@@ -46,16 +51,17 @@
     }
 }
 
-/// Daemons that have just restarted charge customers for everything that the others have
-/// ever admitted, and refuse customers within their rates for many seconds.
+/// Daemons that have just restarted charge customers for requests that the others admitted
+/// before, but lack the tokens that were gained meanwhile, and refuse customers within their
+/// rates for many seconds.
 #[test]
 fn customers_within_their_rates_are_admitted_during_a_rolling_restart() {
     let (mut sent, mut refused) = (0, 0);
     for seed in 1..=SEEDS {
         let mut fleet = UsageFleet::new(ENTRIES, ZONES, &customers(TYPICAL_LOAD), seed);
         fleet.run(Duration::from_millis(17_000 + 1_900 * seed));
-        fleet.forget_counts();
         restart_and_kill(&mut fleet);
+        fleet.run(REMAINING_TIME);
         sent += fleet.customers.iter().map(|it| it.sent).sum::<usize>();
         let wrongly = fleet.customers.iter().map(|it| it.refused_wrongly);
         refused += wrongly.sum::<usize>();
