Rates: first totals after a peer's restart are charged as of their times

Cause: when a peer's incarnation changed, the times of its totals were dropped, so that the first requests after its restart were charged as new ones. They took tokens from buckets that had been full since these requests were admitted, at every daemon.

Change: the totals and their times begin with zero, as for a daemon that is heard for the first time.

Measured: the new test fails before with 2 tokens missing.

--- a/crates/policy/src/usage/peer_usage.rs
+++ b/crates/policy/src/usage/peer_usage.rs
@@ -132,8 +132,9 @@
             self.is_counted_from_start =
                 self.has_reported || incarnation.uptime.is_some_and(|it| it <= counted_for);
             for count in &mut self.counts {
+                // Its totals begin with zero again.
                 count.admitted = 0;
-                count.times = None;
+                count.times = count.times.map(|_| SpendingTimes::default());
             }
         }
         self.last_received_at = now;
--- a/crates/policy/tests/usage_large.rs
+++ b/crates/policy/tests/usage_large.rs
@@ -323,3 +323,52 @@
         "{difference} tokens more than at its sender"
     );
 }
+
+/// A daemon is killed, and admits requests after its restart. All of them are charged as of
+/// when they were admitted: charged as new ones, they would take tokens from a bucket that has
+/// been full since, and the customer would be refused within its rate after each restart.
+#[test]
+fn the_first_report_after_a_restart_is_charged_as_of_its_times() {
+    let limit = CustomerLimit {
+        customer: CUSTOMER,
+        rate: RATE,
+        burst: BURST,
+    };
+    let new_tracker = || {
+        let mut tracker = UsageTracker::new(Timestamp::ZERO);
+        tracker.set_limits(&[limit], Timestamp::ZERO);
+        tracker.set_interval(INTERVAL);
+        tracker
+    };
+    let run = |number, uptime| PeerIncarnation {
+        id: id(1),
+        number,
+        uptime: Some(uptime),
+    };
+    let spend = |tracker: &mut UsageTracker, millis: u64| {
+        let admitted_at = Timestamp::from_micros(millis * 1_000);
+        assert!(tracker.admit(CUSTOMER, admitted_at).is_ok());
+        assert!(tracker.admit(CUSTOMER, admitted_at).is_ok());
+    };
+    let mut local = new_tracker();
+    // The daemon's first run. Its share is measured, so that some requests are taken to be
+    // unreported when it is killed.
+    let mut first = new_tracker();
+    spend(&mut first, 4_000);
+    let reported_at = Timestamp::from_micros(4_100_000);
+    let counts = first.own_counts(reported_at);
+    local.receive(run(1, Duration::from_millis(4_100)), &counts, reported_at);
+    local.tick(reported_at);
+    // The second one starts at 9 s and admits requests 0.4 s later.
+    let mut second = new_tracker();
+    spend(&mut second, 400);
+    let reported_at = Timestamp::from_micros(9_700_000);
+    let mut before = local.clone();
+    assert!(before.check(CUSTOMER, reported_at).is_ok());
+    assert_eq!(before.level(CUSTOMER), BURST, "the bucket isn't full");
+    let counts = second.own_counts(Timestamp::from_micros(700_000));
+    local.receive(run(2, Duration::from_millis(700)), &counts, reported_at);
+    local.tick(reported_at);
+    let missing = BURST - local.level(CUSTOMER);
+    assert!(missing < 1.0, "{missing} tokens missing");
+}
