Placement: servers that answer with failures get only trials

Cause: an answer with status 500 counted as an answer, and a server that gives it within a millisecond looks idle, so that it attracted load.

Change: policy::placement::server_failures weighs each failure by how the customer's requests fare at other servers. A request that fails at one server and succeeds at another is proof; one that fails at two counts against neither. Suspected servers get only trials, from requests that may run again; where most servers of a service are suspected none is avoided. Daemons report counts to each other (PeerMessage::failures). Broken connections keep ejecting servers as before.

--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -14,11 +14,14 @@
 //!   preempted where live requests need their slots.
 //! - A server that has just started gets few live requests and no items, from few daemons
 //!   ([`ColdStartLimit`]). The servers of an evacuated zone get none.
+//! - A server that fails requests of customers whose other requests succeed gets only trials,
+//!   from requests that may run again ([`PlacementTable::choose_trial`]).
 //!
 //! [`PlacementTable`] counts this daemon's requests exactly and learns those of other
 //! daemons from the reports that they send several times a second.
 
 mod cold_start;
+mod failure_table;
 mod home_set;
 mod placement_table;
 mod prompt_part;
@@ -33,6 +36,6 @@
     Placement, PlacementQuery, PlacementRefusal, PlacementTable, PreemptionOrder,
 };
 pub use prompt_part::PromptPart;
-pub use server_failures::FailureCount;
+pub use server_failures::{AnswerEvidence, FailureCount, MAX_REPORTED_FAILURES, SuspicionChange};
 pub use server_listing::ServerListing;
 pub use server_load::{LoadShare, ServerOutcomeKind, SlotReport, WorkKind};
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -8,12 +8,17 @@
     LoadShare, PromptPart, ServerListing, ServerOutcomeKind, SlotReport, WorkKind,
     cold_start::{ColdStart, ColdStartLimit},
     server_entry::{ServerEntry, cold_limit},
+    server_failures::{CustomerOutcomes, FailureRecord, UnprovenFailures},
     server_load::ServerLoad,
 };
 use crate::{ServerId, Timestamp, hash::name_hash, streams::SoftwareKey, usage::PeerId};
 
 /// How many servers of which this daemon isn't a home daemon are compared for a request.
 const DRAWN_SERVERS: usize = 2;
+/// The cost, in requests, of an idle server while others of its service fail at once: it may
+/// be idle since it fails too. It exceeds that of a server of which this daemon isn't a home
+/// daemon, since a request with a single attempt is lost at a failing one.
+const UNCHECKED_PENALTY: f64 = 2.0;
 /// How long a software counts as in use after its last server has left: longer than a stream
 /// that it began may be taken up.
 const SOFTWARE_MEMORY: Duration = Duration::from_secs(60);
@@ -78,7 +83,10 @@
     own: PeerId,
     /// Indexed by [`ServerId`]: a server that left the directory keeps its index for
     /// the requests that still run on it.
-    servers: Vec<ServerEntry>,
+    pub(super) servers: Vec<ServerEntry>,
+    /// How the customers' recent requests ended.
+    pub(super) customers: CustomerOutcomes,
+    pub(super) unproven: UnprovenFailures,
     /// The services whose servers may get few requests while they are cold, sorted by
     /// name.
     cold_limits: Vec<(String, ColdStartLimit)>,
@@ -176,6 +184,7 @@
             cold_start: former.map_or_else(ColdStart::default, |it| {
                 ColdStart::after_restart_of(&it.cold_start)
             }),
+            failures: FailureRecord::default(),
             listing: listing.clone(),
             is_listed: false,
             is_home: true,
@@ -367,12 +376,16 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<usize> {
+        let avoids_suspected = self.avoids_suspected(query.service, now);
+        let is_entry_avoided = |entry: &ServerEntry| {
+            entry.is_avoided(now) || (avoids_suspected && entry.failures.is_suspected(now))
+        };
         let is_candidate = |index: &usize| {
             let entry = &self.servers[*index];
             entry.is_usable(query.service)
                 && entry.has_software(query.software)
                 && !query.exclude.contains(&ServerId(*index as u32))
-                && entry.is_avoided(now) == is_avoided
+                && is_entry_avoided(entry) == is_avoided
                 && entry.cold_start.has_room(now)
         };
         let candidates = (0..self.servers.len()).filter(is_candidate);
@@ -381,7 +394,11 @@
         let drawn = others.choose_multiple(random, DRAWN_SERVERS).copied();
         let drawn: Vec<usize> = drawn.collect();
         let costs = homes.into_iter().chain(drawn).map(|index| {
-            let cost = self.servers[index].live_cost(query.zone, now);
+            let entry = &self.servers[index];
+            let mut cost = entry.live_cost(query.zone, now);
+            if avoids_suspected && entry.load.is_idle(now) {
+                cost += UNCHECKED_PENALTY;
+            }
             (cost + random.random_range(0.0..0.3), index)
         });
         let best = costs.min_by(|left, right| left.0.total_cmp(&right.0));
@@ -400,6 +417,7 @@
             .servers
             .iter()
             .any(|it| it.is_home && it.is_usable(query.service));
+        let avoids_suspected = self.avoids_suspected(query.service, now);
         let mut best: Option<(f64, usize)> = None;
         for (index, entry) in self.servers.iter().enumerate() {
             let id = ServerId(index as u32);
@@ -407,6 +425,7 @@
                 || !entry.has_software(query.software)
                 || query.exclude.contains(&id)
                 || entry.is_avoided(now)
+                || (avoids_suspected && entry.failures.is_suspected(now))
                 || entry.cold_start.is_cold(now)
                 || (has_home && !entry.is_home)
                 || !entry.load.may_start_bulk(now);
--- a/crates/policy/src/placement/server_entry.rs
+++ b/crates/policy/src/placement/server_entry.rs
@@ -3,6 +3,7 @@
 use super::{
     ServerListing,
     cold_start::{ColdStart, ColdStartLimit},
+    server_failures::FailureRecord,
     server_load::ServerLoad,
 };
 use crate::{Timestamp, streams::SoftwareKey};
@@ -30,6 +31,7 @@
     pub(super) may_have_restarted: bool,
     pub(super) load: ServerLoad,
     pub(super) cold_start: ColdStart,
+    pub(super) failures: FailureRecord,
     pub(super) is_listed: bool,
     /// Whether this daemon is one of its home daemons, which use it first.
     pub(super) is_home: bool,
--- a/crates/policy/src/placement/server_failures.rs
+++ b/crates/policy/src/placement/server_failures.rs
@@ -1,9 +1,74 @@
 //! Servers that answer with failures.
+//!
+//! The load pattern: a few servers of a service answer each request with status 500 within
+//! a millisecond, while their health checks pass. They look idle and would attract most
+//! requests of a peak. A failure may also be the fault of the request, of its customer or of
+//! the service, so each one is weighed by how the customer's requests fare at other servers:
+//!
+//! - A request that fails at one server and succeeds at another is proof against the first.
+//!   One that fails at two servers counts against neither.
+//! - The failure of a request with a single attempt counts as much as the customer's recent
+//!   requests to other servers succeeded. Where such failures occur at many servers and none
+//!   is proved, they count for nothing.
+//!
+//! A server's level rises with each failure, falls with each success and decays, so that no
+//! server is avoided on old evidence. Levels above a threshold make it suspected: it gets
+//! only trials, from requests that may run again. Where most servers of a service are
+//! suspected, none is avoided.
+
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
+use crate::{Timestamp, usage::PeerId};
+
+/// The most servers that a daemon reports to its peers.
+pub const MAX_REPORTED_FAILURES: usize = 16;
+/// The level from which a server is suspected.
+const SUSPECTED_LEVEL: f64 = 0.2;
+/// The part of the distance to 1 by which a failure of full weight raises the level.
+const FAILURE_STEP: f64 = 0.5;
+/// The factor of a success on the level of a server that failed every request lately: such a
+/// server seldom succeeds by chance.
+const CLEARING_FACTOR: f64 = 0.3;
+/// The factor of a success on the level of a server that also succeeds between failures.
+const MIXED_FACTOR: f64 = 0.7;
+/// How long a server counts as one that both fails and succeeds.
+const MIXED_MEMORY: Duration = Duration::from_secs(5);
+/// The time constant with which a level decays without evidence.
+const DECAY_TIME: Duration = Duration::from_secs(4);
+/// The weight of a failure whose customer has no recent requests at other servers: enough to
+/// try the server before it gets requests with a single attempt, for less than a second.
+const UNKNOWN_WEIGHT: f64 = 0.5;
+/// The weight of a customer's failure elsewhere against one of its successes elsewhere.
+const CUSTOMER_FAILURE_WEIGHT: f64 = 2.0;
+/// How long a customer's outcomes are remembered.
+const CUSTOMER_MEMORY: Duration = Duration::from_secs(60);
+/// The outcomes that are remembered of a customer.
+const CUSTOMER_OUTCOMES: usize = 8;
+/// The customers that are remembered; beyond them the one that was silent longest is dropped.
+const MAX_CUSTOMERS: usize = 1_024;
+/// The shortest time between two trials of one daemon at a server.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a server is reported to peers after a failure.
+const REPORT_TIME: Duration = Duration::from_secs(5);
+/// How long after the last failure counts start anew. It exceeds [`REPORT_TIME`] and
+/// [`PEER_MEMORY`] together, so that peers don't compare new counts with old ones.
+const COUNT_MEMORY: Duration = Duration::from_secs(10);
+/// How long a peer's counts are compared with the next ones that it reports.
+const PEER_MEMORY: Duration = Duration::from_secs(5);
+/// How long an unproven failure is remembered beside others.
+const UNPROVEN_MEMORY: Duration = Duration::from_secs(5);
+/// The number of servers with unproven failures, and without any proof among them, from which
+/// such failures count no more: servers that fail give proofs soon, since many requests may
+/// run again, while those of a faulty customer succeed nowhere.
+const MAX_UNPROVEN_SERVERS: usize = 4;
+/// The most failures, and the most successes, that are taken from one report.
+const MAX_REPORTED_CHANGE: u16 = 4;
+
 /// How a daemon's recent requests to one server ended. Daemons report it to each other for
-/// servers that failed lately.
+/// servers that failed lately. Counts grow until the server has not failed for a while, so
+/// that the next report makes up for a lost one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FailureCount {
     /// The hash of the server's name.
@@ -11,6 +76,357 @@
     /// The requests that failed at this server although their customers' requests to other
     /// servers of the service succeed.
     pub failed: u16,
+    /// Those of `failed` that then succeeded at another server.
+    pub failed_alone: u16,
     /// The requests that succeeded.
     pub succeeded: u16,
 }
+
+/// What a peer's counts say beyond those that it reported before.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct CountChange {
+    pub(super) unproven: u16,
+    pub(super) failed_alone: u16,
+    pub(super) succeeded: u16,
+}
+
+/// What an answer says of the server that gave it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerEvidence {
+    /// It answered a request successfully.
+    Succeeded,
+    /// It failed a request that isn't sent to another server.
+    Failed,
+    /// It failed a request that then succeeded at another server.
+    FailedAlone,
+    /// It failed a request that failed at another server too.
+    FailedLikeOthers,
+}
+
+impl AnswerEvidence {
+    /// Returns the evidence as a metric label.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AnswerEvidence::Succeeded => "succeeded",
+            AnswerEvidence::Failed => "failed",
+            AnswerEvidence::FailedAlone => "failed_alone",
+            AnswerEvidence::FailedLikeOthers => "failed_like_others",
+        }
+    }
+}
+
+/// A change of what is believed of a server, for the log.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SuspicionChange {
+    /// Whether the server is suspected from now on.
+    pub is_suspected: bool,
+    /// Its level from 0 (works) to 1 (fails).
+    pub level: f64,
+    /// The weight of the last failure, from 0 to 1.
+    pub weight: f64,
+    /// The requests that count as failed at this daemon, and those that succeeded since the
+    /// first of them.
+    pub counts: FailureCount,
+    /// The time since the last failure; `None` if this daemon has seen none.
+    pub failure_age: Option<Duration>,
+}
+
+/// What a daemon knows of one server's failures.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FailureRecord {
+    level: f64,
+    level_at: Timestamp,
+    /// The weight of the last failure.
+    weight: f64,
+    last_failure: Option<Timestamp>,
+    last_own_failure: Option<Timestamp>,
+    /// The last success after a failure.
+    last_success: Option<Timestamp>,
+    mixed_until: Timestamp,
+    /// When a request last failed here and succeeded at another server.
+    last_proof: Option<Timestamp>,
+    last_trial: Option<Timestamp>,
+    own: FailureCount,
+    /// The last counts of peers, sorted by peer.
+    peers: Vec<PeerCounts>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct PeerCounts {
+    peer: PeerId,
+    counts: FailureCount,
+    received_at: Timestamp,
+}
+
+impl FailureRecord {
+    /// Returns the level at present.
+    pub(super) fn level(&self, now: Timestamp) -> f64 {
+        let age = now.since(self.level_at).as_secs_f64() / DECAY_TIME.as_secs_f64();
+        self.level * (-age).exp()
+    }
+
+    /// Returns whether the server probably fails the next request.
+    pub(super) fn is_suspected(&self, now: Timestamp) -> bool {
+        // Most servers have never failed, and every decision looks at each of them.
+        self.level > 0.0 && self.level(now) >= SUSPECTED_LEVEL
+    }
+
+    /// Returns whether a request that may run again may be sent to the suspected server.
+    pub(super) fn is_trial_due(&self, now: Timestamp) -> bool {
+        self.is_suspected(now) && self.is_check_due(now)
+    }
+
+    /// Returns whether the server may be tried by requests that may run again although it
+    /// isn't suspected: nothing runs there, while other servers of its service fail at once.
+    pub(super) fn is_check_due(&self, now: Timestamp) -> bool {
+        let is_paused = |it: Timestamp| now.since(it) < TRIAL_INTERVAL;
+        !self.last_trial.is_some_and(is_paused)
+    }
+
+    pub(super) fn record_trial(&mut self, now: Timestamp) {
+        self.last_trial = Some(now);
+    }
+
+    pub(super) fn record_success(&mut self, now: Timestamp) {
+        if self.last_own_failure.is_some() {
+            self.own.succeeded = self.own.succeeded.wrapping_add(1);
+        }
+        self.apply_success(now);
+    }
+
+    /// Records a failure that counts with a weight from 0 to 1. `is_alone` says whether the
+    /// request then succeeded at another server.
+    pub(super) fn record_failure(&mut self, weight: f64, is_alone: bool, now: Timestamp) {
+        if weight <= 0.0 {
+            return;
+        }
+        if self
+            .last_own_failure
+            .is_none_or(|it| now.since(it) >= COUNT_MEMORY)
+        {
+            self.own = FailureCount::default();
+        }
+        // Peers can't weigh it, so that they are told only of failures that are hardly the
+        // customer's fault.
+        if weight >= UNKNOWN_WEIGHT {
+            self.own.failed = self.own.failed.wrapping_add(1);
+            self.own.failed_alone = self.own.failed_alone.wrapping_add(is_alone.into());
+            self.last_own_failure = Some(now);
+        }
+        self.apply_failure(weight, now);
+    }
+
+    pub(super) fn apply_failure(&mut self, weight: f64, now: Timestamp) {
+        if self
+            .last_success
+            .is_some_and(|it| now.since(it) < MIXED_MEMORY)
+        {
+            self.mixed_until = now + MIXED_MEMORY;
+        }
+        let level = self.level(now);
+        self.level = level + FAILURE_STEP * weight.min(1.0) * (1.0 - level);
+        self.level_at = now;
+        self.weight = weight;
+        self.last_failure = Some(now);
+    }
+
+    /// Records that a request failed here and succeeded at another server.
+    pub(super) fn record_proof(&mut self, now: Timestamp) {
+        self.last_proof = Some(now);
+    }
+
+    /// Records that a request failed here and at another server too. It speaks for the server
+    /// unless that is proved to fail.
+    pub(super) fn record_alike(&mut self, now: Timestamp) {
+        let is_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
+        if self.is_suspected(now) && !self.last_proof.is_some_and(is_recent) {
+            self.level = self.level(now) * CLEARING_FACTOR;
+            self.level_at = now;
+        }
+    }
+
+    pub(super) fn apply_success(&mut self, now: Timestamp) {
+        if self.last_failure.is_none() {
+            return;
+        }
+        let factor = match now < self.mixed_until {
+            true => MIXED_FACTOR,
+            false => CLEARING_FACTOR,
+        };
+        self.level = self.level(now) * factor;
+        self.level_at = now;
+        self.last_success = Some(now);
+    }
+
+    /// Takes a peer's counts, and returns what they say beyond those that it reported before.
+    pub(super) fn receive(
+        &mut self,
+        peer: PeerId,
+        counts: FailureCount,
+        now: Timestamp,
+    ) -> CountChange {
+        self.peers
+            .retain(|it| now.since(it.received_at) < PEER_MEMORY);
+        let received = PeerCounts {
+            peer,
+            counts,
+            received_at: now,
+        };
+        let former = match self.peers.binary_search_by_key(&peer, |it| it.peer) {
+            Ok(index) => std::mem::replace(&mut self.peers[index], received).counts,
+            Err(index) => {
+                self.peers.insert(index, received);
+                FailureCount::default()
+            }
+        };
+        // Counts that fell are those of another run of the peer.
+        let added = |new: u16, old: u16| match new.wrapping_sub(old) {
+            change if change <= u16::MAX / 2 => change.min(MAX_REPORTED_CHANGE),
+            _ => new.min(MAX_REPORTED_CHANGE),
+        };
+        let failed_alone = added(counts.failed_alone, former.failed_alone);
+        CountChange {
+            unproven: added(counts.failed, former.failed).saturating_sub(failed_alone),
+            failed_alone,
+            succeeded: added(counts.succeeded, former.succeeded),
+        }
+    }
+
+    /// Returns the counts that are reported to peers, and the age of the last failure, if
+    /// the server failed lately.
+    pub(super) fn report(&self, server: u64, now: Timestamp) -> Option<(Duration, FailureCount)> {
+        let age = now.since(self.last_own_failure?);
+        (age < REPORT_TIME).then_some((age, FailureCount { server, ..self.own }))
+    }
+
+    /// Describes a change since `was_suspected`, if there is one.
+    pub(super) fn change(
+        &self,
+        was_suspected: bool,
+        server: u64,
+        now: Timestamp,
+    ) -> Option<SuspicionChange> {
+        let is_suspected = self.is_suspected(now);
+        (is_suspected != was_suspected).then(|| SuspicionChange {
+            is_suspected,
+            level: self.level(now),
+            weight: self.weight,
+            counts: FailureCount { server, ..self.own },
+            failure_age: self.last_failure.map(|it| now.since(it)),
+        })
+    }
+}
+
+/// How the customers' recent requests ended, and at which servers.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CustomerOutcomes {
+    /// Sorted by customer.
+    customers: Vec<Customer>,
+}
+
+#[derive(Clone, Debug)]
+struct Customer {
+    /// The hash of the customer's name and the service.
+    key: u64,
+    /// Oldest first.
+    outcomes: Vec<Outcome>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    server: u64,
+    has_succeeded: bool,
+    at: Timestamp,
+}
+
+impl CustomerOutcomes {
+    /// Returns the weight of a customer's failure at a server, from 0 to 1, by how its recent
+    /// requests ended at other servers. `is_suspected` says which servers are suspected:
+    /// failures there say nothing of the customer.
+    pub(super) fn weight(
+        &self,
+        key: u64,
+        server: u64,
+        is_suspected: impl Fn(u64) -> bool,
+        now: Timestamp,
+    ) -> f64 {
+        let Ok(index) = self.customers.binary_search_by_key(&key, |it| it.key) else {
+            return UNKNOWN_WEIGHT;
+        };
+        let recent = self.customers[index].outcomes.iter();
+        let elsewhere =
+            recent.filter(|it| it.server != server && now.since(it.at) < CUSTOMER_MEMORY);
+        let (mut succeeded, mut failed) = (0.0, 0.0);
+        for outcome in elsewhere {
+            if outcome.has_succeeded {
+                succeeded += 1.0;
+            } else if !is_suspected(outcome.server) {
+                failed += CUSTOMER_FAILURE_WEIGHT;
+            }
+        }
+        match succeeded + failed > 0.0 {
+            true => succeeded / (succeeded + failed),
+            false => UNKNOWN_WEIGHT,
+        }
+    }
+
+    pub(super) fn record(&mut self, key: u64, server: u64, has_succeeded: bool, now: Timestamp) {
+        let outcome = Outcome {
+            server,
+            has_succeeded,
+            at: now,
+        };
+        match self.customers.binary_search_by_key(&key, |it| it.key) {
+            Ok(index) => {
+                let outcomes = &mut self.customers[index].outcomes;
+                if outcomes.len() == CUSTOMER_OUTCOMES {
+                    outcomes.remove(0);
+                }
+                outcomes.push(outcome);
+            }
+            Err(index) => {
+                let outcomes = vec![outcome];
+                self.customers.insert(index, Customer { key, outcomes });
+                self.drop_oldest();
+            }
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        if self.customers.len() <= MAX_CUSTOMERS {
+            return;
+        }
+        let last_at = |it: &Customer| it.outcomes.last().map(|it| it.at);
+        let oldest = (0..self.customers.len()).min_by_key(|it| last_at(&self.customers[*it]));
+        if let Some(oldest) = oldest {
+            self.customers.remove(oldest);
+        }
+    }
+}
+
+/// The failures of requests that weren't sent to another server, so that the server's fault
+/// isn't proved.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UnprovenFailures {
+    /// The servers, with the times of their last unproven failures.
+    servers: Vec<(u64, Timestamp)>,
+    last_proof: Option<Timestamp>,
+}
+
+impl UnprovenFailures {
+    /// Records that a request failed at one server and succeeded at another.
+    pub(super) fn record_proof(&mut self, now: Timestamp) {
+        self.last_proof = Some(now);
+    }
+
+    /// Records an unproven failure. Returns whether it counts against the server.
+    pub(super) fn record(&mut self, server: u64, now: Timestamp) -> bool {
+        self.servers
+            .retain(|it| it.0 != server && now.since(it.1) < UNPROVEN_MEMORY);
+        let is_proof_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
+        let counts = self.servers.len() < MAX_UNPROVEN_SERVERS
+            || self.last_proof.is_some_and(is_proof_recent);
+        self.servers.push((server, now));
+        counts
+    }
+}
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -225,6 +225,11 @@
         *mean_secs += HOLD_TIME_WEIGHT * (secs - *mean_secs);
     }
 
+    /// Returns whether no daemon reports a live request there.
+    pub(super) fn is_idle(&self, now: Timestamp) -> bool {
+        self.total(now).live == 0
+    }
+
     /// Returns whether a request that is sent now gets a slot at once.
     pub(super) fn has_free_slot(&self, now: Timestamp) -> bool {
         let total = self.total(now);
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -23,6 +23,7 @@
     whole: HistogramVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
+    server_failures: IntCounterVec,
     stream_ends: IntCounterVec,
     streams_taken_up: IntCounterVec,
     store_calls: IntCounterVec,
@@ -32,6 +33,8 @@
     view_age: GaugeVec,
     /// Log lines that were dropped because the writer's queue was full.
     pub dropped_lines: IntGauge,
+    /// Servers that get only trials, since they probably fail.
+    pub suspected_servers: IntGauge,
 }
 
 impl NodeMetrics {
@@ -68,6 +71,11 @@
                 "Requests sent to servers, by how it went.",
                 &["outcome"],
             )?,
+            server_failures: counter(
+                "comfreyramp_server_failures_total",
+                "Answers of servers that are failures, by what they say of the server.",
+                &["evidence"],
+            )?,
             stream_ends: counter(
                 "comfreyramp_stream_ends_total",
                 "Streams of events from servers, by framing and by how they ended.",
@@ -109,6 +117,10 @@
                 "comfreyramp_dropped_log_lines",
                 "Log lines that were dropped.",
             )?,
+            suspected_servers: IntGauge::new(
+                "comfreyramp_suspected_servers",
+                "Servers that are suspected of failing.",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.first_byte.clone()))?;
@@ -123,6 +135,8 @@
         registry.register(Box::new(metrics.view_revision.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
+        registry.register(Box::new(metrics.server_failures.clone()))?;
+        registry.register(Box::new(metrics.suspected_servers.clone()))?;
         Ok(metrics)
     }
 
@@ -150,6 +164,11 @@
         self.attempts.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts an answer of a server that is a failure.
+    pub fn server_failure(&self, evidence: &str) {
+        self.server_failures.with_label_values(&[evidence]).inc();
+    }
+
     /// Counts the end of a stream of events from a server.
     pub fn stream_end(&self, framing: &str, end: &str) {
         self.stream_ends.with_label_values(&[framing, end]).inc();
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -3,14 +3,15 @@
 //!
 //! This module has the state itself, the settings in force and the periodic work. Its
 //! submodules maintain what is known of servers (`directory`), of peers (`peers`), of lots
-//! (`lot_news`), of streams (`stream_origins`) and of the store (`store_health`), and admit
-//! requests (`admission`, `crash_records`).
+//! (`lot_news`), of streams (`stream_origins`), of the store (`store_health`) and of servers'
+//! failures (`server_failures`), and admit requests (`admission`, `crash_records`).
 
 mod admission;
 mod crash_records;
 mod directory;
 mod lot_news;
 mod peers;
+mod server_failures;
 mod store_health;
 mod stream_origins;
 
@@ -173,6 +174,7 @@
     message_number: Cell<u64>,
     prompt_reports: RefCell<PromptReports>,
     reports_requested_at: Cell<Option<Timestamp>>,
+    has_logged_failures: Cell<bool>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -218,6 +220,7 @@
             message_number: Cell::new(0),
             prompt_reports: RefCell::default(),
             reports_requested_at: Cell::default(),
+            has_logged_failures: Cell::new(false),
             settings,
             clock,
         }
@@ -321,6 +324,7 @@
             self.apply_listings();
         }
         self.update_view_age_metrics();
+        self.update_failure_metrics();
         self.metrics
             .dropped_lines
             .set(crate::logs::dropped_lines() as i64);
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -88,7 +88,7 @@
             placed,
             asks_word: false,
             parts: self.part_reports(number),
-            failures: Vec::new(),
+            failures: self.servers.borrow().own_failures(now),
             uptime_ms: u32::try_from(now.as_micros() / 1_000)
                 .unwrap_or(u32::MAX)
                 .max(1),
@@ -111,6 +111,7 @@
         servers.receive(peer, &message.shares, now);
         let is_regained = servers.silent_zones().contains(&message.from.zone);
         drop(servers);
+        self.receive_failures(peer, &message.failures);
         if is_regained {
             self.update_silent_zones();
         }
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -82,6 +82,8 @@
     pub(super) received_at: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) tried_servers: Vec<ServerId>,
+    /// The server that failed the request, until another server has answered it.
+    pub(super) failed_at: Option<ServerId>,
     /// The number of tried servers that couldn't be reached.
     unreachable_servers: usize,
     /// The number of servers that ran the request or may have run it.
@@ -197,6 +199,7 @@
         received_at,
         deadline,
         tried_servers: Vec::new(),
+        failed_at: None,
         unreachable_servers: 0,
         runs: 0,
         is_retry,
@@ -335,6 +338,8 @@
             self.progress = Some(open.progress);
             self.first_byte_at.get_or_insert(now);
             self.run_began_at = Some(now);
+            let status = open.head.status;
+            self.record_status(server, status);
         }
         Ok(result)
     }
@@ -362,6 +367,11 @@
             software: self.software,
             parts: &[],
         };
+        drop(servers);
+        if let Some(placement) = self.choose_trial(query, now) {
+            return Ok(placement);
+        }
+        let servers = self.node.servers.borrow();
         match servers.choose_live(query, now, &mut random) {
             Ok(placement) => Ok(placement),
             Err(PlacementRefusal::NoServer) => {
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -1,5 +1,6 @@
 //! The request path: from a caller's connection to a backend server and back.
 
+mod answer_evidence;
 mod connection_loop;
 mod connection_pool;
 mod front_body;
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -423,7 +423,10 @@
                 return Err(AttemptFailure::Broken);
             }
         }
-        self.guard.record_answered();
+        // A server that fails at once would seem to hold its slots for no time.
+        if !self.head.status.is_server_error() {
+            self.guard.record_answered();
+        }
         let node = self.guard.node.clone();
         let now = node.clock.now();
         node.connections
