--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -24,6 +24,7 @@
     refusals: IntCounterVec,
     attempts: IntCounterVec,
     long_prompts: IntCounterVec,
+    server_failures: IntCounterVec,
     stream_ends: IntCounterVec,
     streams_taken_up: IntCounterVec,
     store_calls: IntCounterVec,
@@ -36,6 +37,8 @@
     view_age: GaugeVec,
     /// Log lines that were dropped because the writer's queue was full.
     pub dropped_lines: IntGauge,
+    /// Servers that get only trials, since they probably fail.
+    pub suspected_servers: IntGauge,
 }
 
 impl NodeMetrics {
@@ -77,6 +80,11 @@
                 "Requests with long shared prompt parts, by what their server probably had cached.",
                 &["cached"],
             )?,
+            server_failures: counter(
+                "comfreyramp_server_failures_total",
+                "Answers of servers that are failures, by what they say of the server.",
+                &["evidence"],
+            )?,
             stream_ends: counter(
                 "comfreyramp_stream_ends_total",
                 "Streams of events from servers, by framing and by how they ended.",
@@ -127,6 +135,10 @@
                 "comfreyramp_dropped_log_lines",
                 "Log lines that were dropped.",
             )?,
+            suspected_servers: IntGauge::new(
+                "comfreyramp_suspected_servers",
+                "Servers that are suspected of failing.",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.first_byte.clone()))?;
@@ -144,6 +156,8 @@
         registry.register(Box::new(metrics.view_revision.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
+        registry.register(Box::new(metrics.server_failures.clone()))?;
+        registry.register(Box::new(metrics.suspected_servers.clone()))?;
         Ok(metrics)
     }
 
@@ -182,6 +196,11 @@
         self.long_prompts.with_label_values(&[cached]).inc();
     }
 
+    /// Counts an answer of a server that is a failure.
+    pub fn server_failure(&self, evidence: &str) {
+        self.server_failures.with_label_values(&[evidence]).inc();
+    }
+
     /// Counts the end of a stream of events from a server.
     pub fn stream_end(&self, framing: &str, end: &str) {
         self.stream_ends.with_label_values(&[framing, end]).inc();
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -84,6 +84,8 @@
     pub(super) received_at: Timestamp,
     pub(super) deadline: Timestamp,
     pub(super) tried_servers: Vec<ServerId>,
+    /// The server that failed the request, until another server has answered it.
+    pub(super) failed_at: Option<ServerId>,
     /// The number of tried servers that couldn't be reached.
     unreachable_servers: usize,
     /// The number of servers that ran the request or may have run it.
@@ -200,6 +202,7 @@
         received_at,
         deadline,
         tried_servers: Vec::new(),
+        failed_at: None,
         unreachable_servers: 0,
         runs: 0,
         is_retry,
@@ -340,6 +343,8 @@
             self.progress = Some(open.progress);
             self.first_byte_at.get_or_insert(now);
             self.run_began_at = Some(now);
+            let status = open.head.status;
+            self.record_status(server, status);
         }
         Ok(result)
     }
@@ -367,6 +372,11 @@
             software: self.software,
             parts: &self.prompt,
         };
+        drop(servers);
+        if let Some(placement) = self.choose_trial(query, now) {
+            return Ok(placement);
+        }
+        let servers = self.node.servers.borrow();
         match servers.choose_live(query, now, &mut random) {
             Ok(placement) => Ok(placement),
             Err(PlacementRefusal::NoServer) => {
