--- a/crates/policy/tests/overload_replay/mod.rs
+++ b/crates/policy/tests/overload_replay/mod.rs
@@ -159,7 +159,7 @@
         life: u32,
         has_slot: bool,
     },
-    FirstEvent {
+    FirstBytes {
         server: usize,
         daemon: usize,
         life: u32,
@@ -314,7 +314,7 @@
                     .push_back(Job { caller, has_slot });
                 self.run_server(server);
             }
-            Event::FirstEvent {
+            Event::FirstBytes {
                 server,
                 daemon,
                 life,
@@ -551,7 +551,7 @@
             let first_event = hold.min(Duration::from_millis(50)) + TRAVEL_TIME;
             self.add(
                 first_event,
-                Event::FirstEvent {
+                Event::FirstBytes {
                     server,
                     daemon,
                     life,
