Rates: peers that are heard again aren't charged from their start on

Cause: a daemon that stops leaves the store's list while it drains, and the others take it off theirs.

Change: only a peer that has run for 5 s at most is charged from its start on.

--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -53,6 +53,10 @@
 /// The longest time between the starts of daemons that start together, such as after a
 /// power loss: all of them count from the first requests of any.
 const MAX_START_SPREAD: Duration = Duration::from_secs(2);
+/// The longest run of a peer whose requests are charged from its start on when it is heard
+/// for the first time. A peer that has run for longer was known before, such as one that
+/// still reports while it leaves, and its requests were charged then.
+const MAX_FIRST_REPORT_AGE: Duration = Duration::from_secs(5);
 
 /// The longest delay after which a rejected caller is asked to retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
@@ -319,7 +323,8 @@
         let own_uptime = now.since(self.started_at);
         let counted_for = own_uptime + MAX_START_SPREAD;
         let was_silent = self.peers[index].is_silent;
-        let was_killed = self.peers[index].record_report(peer, counted_for, now);
+        let charged_for = counted_for.min(MAX_FIRST_REPORT_AGE);
+        let was_killed = self.peers[index].record_report(peer, charged_for, now);
         let is_level_complete =
             self.is_recently_started(now) && peer.uptime.is_none_or(|it| it > counted_for);
         let head_start = peer.uptime.unwrap_or_default().saturating_sub(own_uptime);
--- a/crates/policy/tests/usage_fleet/mod.rs
+++ b/crates/policy/tests/usage_fleet/mod.rs
@@ -47,6 +47,7 @@
     zone: usize,
     /// When it was started last. Its clock counts from there, as that of a real daemon does.
     booted_at: Timestamp,
+    is_leaving: bool,
     /// `None` while it runs.
     back_at: Option<Timestamp>,
 }
@@ -116,6 +117,7 @@
                 },
                 zone: index % zones,
                 booted_at: now,
+                is_leaving: false,
                 back_at: Some(now),
             });
         }
@@ -146,15 +148,22 @@
         self.daemons[daemon].back_at = Some(self.now + down);
     }
 
-    /// Stops a daemon properly: it tells the others first. It is back after `down`.
-    pub(crate) fn restart(&mut self, daemon: usize, down: Duration) {
+    /// Has a daemon leave: it tells the others and gets no new requests. They take it off
+    /// their lists, but it goes on reporting until it is killed.
+    pub(crate) fn leave(&mut self, daemon: usize) {
+        self.daemons[daemon].is_leaving = true;
         self.report(daemon);
+        let staying = (0..self.daemons.len()).filter(|it| !self.daemons[*it].is_leaving);
+        let staying: Vec<PeerId> = staying.map(id).collect();
         for other in 0..self.daemons.len() {
             if self.is_heard(daemon, other) {
-                self.daemons[other].tracker.leave(id(daemon));
+                let now = self.daemons[other].clock(self.now);
+                let others = staying.iter().copied().filter(|it| *it != id(other));
+                let tracker = &mut self.daemons[other].tracker;
+                tracker.leave(id(daemon));
+                tracker.set_members(&others.collect::<Vec<_>>(), now);
             }
         }
-        self.kill(daemon, down);
     }
 
     /// Sets the mean load of all customers, as a fraction of their rates.
@@ -195,6 +204,7 @@
                 continue;
             }
             daemon.back_at = None;
+            daemon.is_leaving = false;
             daemon.incarnation.number += 1;
             daemon.booted_at = now;
             let now = daemon.clock(now);
@@ -220,7 +230,10 @@
         let mut count = expected.floor() as usize;
         count += usize::from(self.random.random_bool(expected.fract()));
         for _ in 0..count {
-            let entry = self.random.random_range(0..self.daemons.len());
+            let mut entry = self.random.random_range(0..self.daemons.len());
+            while self.daemons[entry].is_leaving {
+                entry = self.random.random_range(0..self.daemons.len());
+            }
             self.receive_request(entry, customer);
         }
     }
--- a/crates/policy/tests/usage_rolling_restart.rs
+++ b/crates/policy/tests/usage_rolling_restart.rs
@@ -33,14 +33,19 @@
     rates.map(|it| (it, load)).collect()
 }
 
-/// Restarts daemons three at a time, and kills the others halfway. Customers' requests are
-/// counted from the kill on.
+/// Restarts daemons three at a time, each after it has drained, and kills the others halfway.
+/// Customers' requests are counted from the kill on.
 fn restart_and_kill(fleet: &mut UsageFleet) {
     let restarted: Vec<usize> = RESTARTED.collect();
+    let mut draining: &[usize] = &[];
     for (step, group) in restarted.chunks(3).enumerate() {
+        for &daemon in draining {
+            fleet.kill(daemon, RESTART_DOWNTIME);
+        }
         for &daemon in group {
-            fleet.restart(daemon, RESTART_DOWNTIME);
+            fleet.leave(daemon);
         }
+        draining = group;
         if step == KILL_STEP {
             fleet.forget_counts();
             for daemon in KILLED {
