--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -371,7 +371,7 @@
         let mut admitted = 0;
         let mut report = |tracker: &mut UsageTracker, reporting: std::ops::Range<usize>, now| {
             admitted += 1;
-            let count = |customer| comfreyramp_policy::usage::UsageCount {
+            let count = |customer| UsageCount {
                 customer,
                 admitted,
                 level: 5.0,
--- a/crates/policy/tests/usage_fleet/mod.rs
+++ b/crates/policy/tests/usage_fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A simulated fleet of hundreds of daemons that count customers' rates.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
 use std::time::Duration;
 
 use comfreyramp_policy::{
