Suspects: the times of deaths from before a daemon's start are kept

Cause: a daemon that starts imports deaths with their ages. now - age saturates at the origin of its clock, its own start, so that a death of an hour ago seemed to have been seen then. If the same server died again within the first seconds, this counted as the same death, and the request that crashed it wasn't blocked.

Measured: the new test fails before, passes now; suspects and suspects_fleet pass.

--- a/crates/policy/src/suspects/entry.rs
+++ b/crates/policy/src/suspects/entry.rs
@@ -18,12 +18,17 @@
 /// The number of deaths that block a fingerprint.
 const DEATHS_TO_BLOCK: usize = 2;
 
+/// Is added to the times of deaths: others report of deaths before this daemon's start, where
+/// its clock begins. It exceeds the age of any report and the duration of the run before.
+const HISTORY: Duration = Duration::from_secs(2 * 24 * 3600);
+
+/// The death of a server. Its times are later by [`HISTORY`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Death {
     pub(super) id: DeathId,
     pub(super) server: ServerKey,
-    pub(super) seen_at: Timestamp,
-    pub(super) run_started_at: Timestamp,
+    seen_at: Timestamp,
+    run_started_at: Timestamp,
 }
 
 /// The state of a suspect's trial on this daemon. The trial is the one further run that
@@ -139,7 +144,8 @@
 
     /// Returns whether a run was ended by one of the known deaths.
     pub(super) fn was_ended(&self, running: &Running) -> bool {
-        let ended = |it: &Death| it.server == running.server && running.started_at <= it.seen_at;
+        let ended =
+            |it: &Death| it.server == running.server && running.started_at + HISTORY <= it.seen_at;
         self.deaths.iter().any(ended)
     }
 
@@ -188,7 +194,7 @@
                 .map(|it| DeathFact {
                     id: it.id,
                     server: it.server,
-                    age: now.since(it.seen_at),
+                    age: (now + HISTORY).since(it.seen_at),
                     ran: it.seen_at.since(it.run_started_at),
                 })
                 .collect(),
@@ -198,8 +204,18 @@
 }
 
 impl Death {
+    /// Records that a server died now while it ran a request.
+    pub(super) fn of_run(running: &Running, id: DeathId, now: Timestamp) -> Self {
+        Death {
+            id,
+            server: running.server,
+            seen_at: now + HISTORY,
+            run_started_at: running.started_at + HISTORY,
+        }
+    }
+
     pub(super) fn from_fact(fact: &DeathFact, now: Timestamp) -> Self {
-        let seen_at = now - fact.age;
+        let seen_at = now + HISTORY - fact.age;
         Death {
             id: fact.id,
             server: fact.server,
--- a/crates/policy/src/suspects/suspect_table.rs
+++ b/crates/policy/src/suspects/suspect_table.rs
@@ -195,15 +195,11 @@
         let at = self.insert(running.fingerprint, now + SUSPECT_LIFETIME);
         let entry = &mut self.entries[at];
         self.detections += 1;
-        let death = Death {
-            id: DeathId {
-                seen_by: self.incarnation,
-                number: self.detections,
-            },
-            server: running.server,
-            seen_at: now,
-            run_started_at: running.started_at,
+        let id = DeathId {
+            seen_by: self.incarnation,
+            number: self.detections,
         };
+        let death = Death::of_run(running, id, now);
         let mut changed = entry.add_death(death);
         if let Some(ask) = entry.trial.started()
             && ask.server == running.server
--- a/crates/policy/tests/suspects.rs
+++ b/crates/policy/tests/suspects.rs
@@ -197,6 +197,23 @@
     ));
 }
 
+/// A daemon starts and hears of a death an hour ago, which its clock can't express. Taken as a
+/// death at its start, it would hide the next death of that server, and the request would cost
+/// a third one.
+#[test]
+fn a_death_long_before_a_start_is_not_the_next_one() {
+    let mut started = SuspectTable::new(Incarnation(2));
+    started.import(&table_after_one_death(1).export(at(3602.0)), at(0.1));
+    let mut other = SuspectTable::new(Incarnation(3));
+    other.begin(POISON, RunId(1), ServerKey(1), at(0.5));
+    other.server_died(ServerKey(1), at(1.0));
+    started.import(&other.export(at(1.0)), at(1.0));
+    assert!(matches!(
+        started.verdict(POISON, at(1.0)),
+        SuspectVerdict::Blocked(_)
+    ));
+}
+
 /// A copy of a suspect runs at a peer when the first server dies of it. The copy may
 /// kill a second server at any moment, and a trial that starts now could kill a third.
 #[test]
