--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -587,3 +587,48 @@
     assert!(has_line("lots: accepted"), "{log_lines:?}");
     assert!(!has_line("lots: accepted before"), "{log_lines:?}");
 }
+
+/// One of four engines answers each request with status 500 at once, and looks idle. Most
+/// callers whose requests have a single attempt must not get its answers, and it must be used
+/// again soon after it works.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_fails_at_once_gets_few_requests() {
+    let mut fleet = Fleet::new().await;
+    fleet.add_engine("engine-3", "zone-1", "v1").await;
+    fleet.add_engine("engine-4", "zone-2", "v1").await;
+    let fleet = fleet.with_daemons().await;
+    let send_rounds = async |name: &str, rounds: usize| -> usize {
+        let mut failed = 0;
+        for round in 0..rounds {
+            let (once, again) = (format!("{name}-once-{round}"), format!("{name}-{round}"));
+            let daemon = round % 2;
+            let (once, again) = tokio::join!(
+                fleet.send(daemon, CallerRequest::post("/once/1", &once, b"verse")),
+                fleet.send(daemon, CallerRequest::post("/drafts/1", &again, b"verse")),
+            );
+            failed += usize::from(once.unwrap().status() == StatusCode::INTERNAL_SERVER_ERROR);
+            assert_eq!(again.unwrap().status(), StatusCode::OK, "{name} {round}");
+        }
+        failed
+    };
+    assert_eq!(send_rounds("healthy", 8).await, 0);
+    fleet.servers[0].set_failing(true);
+    let failed = send_rounds("failing", 24).await;
+    assert!(failed <= 3, "{failed} of 24 requests failed");
+    fleet.servers[0].set_failing(false);
+    let is_run_once = || {
+        let arrivals = fleet.servers[0].arrivals();
+        let mut ids = arrivals.iter().map(|it| &it.request_id);
+        ids.any(|it| it.starts_with("recovered-once"))
+    };
+    // Each round takes as long as a stream, about 0.2 s.
+    let begin = std::time::Instant::now();
+    while !is_run_once() && begin.elapsed() < Duration::from_millis(2_500) {
+        assert_eq!(send_rounds("recovered", 1).await, 0);
+    }
+    assert!(
+        is_run_once(),
+        "not used {:?} after it works",
+        begin.elapsed()
+    );
+}
--- a/crates/policy/src/placement/failure_table.rs
+++ b/crates/policy/src/placement/failure_table.rs
@@ -5,7 +5,9 @@
 use super::{
     Placement, PlacementQuery, PlacementTable,
     server_entry::ServerEntry,
-    server_failures::{AnswerEvidence, FailureCount, MAX_REPORTED_FAILURES, SuspicionChange},
+    server_failures::{
+        AnswerEvidence, FailureCount, MAX_REPORTED_FAILURES, MAX_UNPROVEN_WEIGHT, SuspicionChange,
+    },
 };
 use crate::{
     ServerId, Timestamp,
@@ -35,7 +37,8 @@
                     let mut servers = self.servers.iter();
                     servers.any(|it| it.key == key && it.failures.is_suspected(now))
                 };
-                self.customers.weight(customer, server, is_suspected, now)
+                let weight = self.customers.weight(customer, server, is_suspected, now);
+                weight.min(MAX_UNPROVEN_WEIGHT)
             }
         };
         let counts = match evidence {
@@ -99,7 +102,7 @@
             }
             for _ in 0..received.unproven {
                 if self.unproven.record(counts.server, now) {
-                    record.apply_failure(1.0, now);
+                    record.apply_failure(MAX_UNPROVEN_WEIGHT, now);
                 }
             }
             for _ in 0..received.succeeded {
--- a/crates/policy/src/placement/server_failures.rs
+++ b/crates/policy/src/placement/server_failures.rs
@@ -40,6 +40,9 @@
 /// The weight of a failure whose customer has no recent requests at other servers: enough to
 /// try the server before it gets requests with a single attempt, for less than a second.
 const UNKNOWN_WEIGHT: f64 = 0.5;
+/// The highest weight of an unproven failure, and that of one that a peer reports. Without
+/// proof or another failure, a server is suspected for less than two seconds.
+pub(super) const MAX_UNPROVEN_WEIGHT: f64 = 0.6;
 /// The weight of a customer's failure elsewhere against one of its successes elsewhere.
 const CUSTOMER_FAILURE_WEIGHT: f64 = 2.0;
 /// How long a customer's outcomes are remembered.
@@ -50,9 +53,9 @@
 const MAX_CUSTOMERS: usize = 1_024;
 /// The shortest time between two trials of one daemon at a server.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
-/// How long a server is reported to peers after a failure.
+/// How long a server is reported to peers after the last news of it.
 const REPORT_TIME: Duration = Duration::from_secs(5);
-/// How long after the last failure counts start anew. It exceeds [`REPORT_TIME`] and
+/// How long after the last news counts start anew. It exceeds [`REPORT_TIME`] and
 /// [`PEER_MEMORY`] together, so that peers don't compare new counts with old ones.
 const COUNT_MEMORY: Duration = Duration::from_secs(10);
 /// How long a peer's counts are compared with the next ones that it reports.
@@ -139,7 +142,9 @@
     /// The weight of the last failure.
     weight: f64,
     last_failure: Option<Timestamp>,
-    last_own_failure: Option<Timestamp>,
+    /// When this daemon last had something to report of the server: a failure, or a success
+    /// while it was suspected.
+    last_news: Option<Timestamp>,
     /// The last success after a failure.
     last_success: Option<Timestamp>,
     mixed_until: Timestamp,
@@ -188,7 +193,11 @@
     }
 
     pub(super) fn record_success(&mut self, now: Timestamp) {
-        if self.last_own_failure.is_some() {
+        // A peer may have reported the failure, and waits to hear that the server works.
+        if self.is_suspected(now) {
+            self.begin_counts(now);
+        }
+        if self.last_news.is_some() {
             self.own.succeeded = self.own.succeeded.wrapping_add(1);
         }
         self.apply_success(now);
@@ -200,22 +209,25 @@
         if weight <= 0.0 {
             return;
         }
-        if self
-            .last_own_failure
-            .is_none_or(|it| now.since(it) >= COUNT_MEMORY)
-        {
-            self.own = FailureCount::default();
-        }
         // Peers can't weigh it, so that they are told only of failures that are hardly the
         // customer's fault.
         if weight >= UNKNOWN_WEIGHT {
+            self.begin_counts(now);
             self.own.failed = self.own.failed.wrapping_add(1);
             self.own.failed_alone = self.own.failed_alone.wrapping_add(is_alone.into());
-            self.last_own_failure = Some(now);
         }
         self.apply_failure(weight, now);
     }
 
+    /// Notes that there is something to report, and begins new counts after a while without.
+    fn begin_counts(&mut self, now: Timestamp) {
+        let is_recent = |it: Timestamp| now.since(it) < COUNT_MEMORY;
+        if !self.last_news.is_some_and(is_recent) {
+            self.own = FailureCount::default();
+        }
+        self.last_news = Some(now);
+    }
+
     pub(super) fn apply_failure(&mut self, weight: f64, now: Timestamp) {
         if self
             .last_success
@@ -292,10 +304,10 @@
         }
     }
 
-    /// Returns the counts that are reported to peers, and the age of the last failure, if
-    /// the server failed lately.
+    /// Returns the counts that are reported to peers, and the age of the last news, if there
+    /// were some lately.
     pub(super) fn report(&self, server: u64, now: Timestamp) -> Option<(Duration, FailureCount)> {
-        let age = now.since(self.last_own_failure?);
+        let age = now.since(self.last_news?);
         (age < REPORT_TIME).then_some((age, FailureCount { server, ..self.own }))
     }
 
--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -124,6 +124,7 @@
     crashes: watch::Sender<u32>,
     arrivals: Mutex<Vec<BackendArrival>>,
     is_full: AtomicBool,
+    is_failing: AtomicBool,
     ends_with_connection: AtomicBool,
     break_after: AtomicU32,
 }
@@ -150,6 +151,7 @@
             crashes: watch::Sender::new(0),
             arrivals: Mutex::default(),
             is_full: AtomicBool::new(false),
+            is_failing: AtomicBool::new(false),
             ends_with_connection: AtomicBool::new(false),
             break_after: AtomicU32::new(u32::MAX),
         });
@@ -215,6 +217,12 @@
         self.is_full.store(is_full, Ordering::SeqCst);
     }
 
+    /// Sets whether the server answers each request with status 500 at once. Its state report
+    /// stays that of a healthy server.
+    pub fn set_failing(&self, is_failing: bool) {
+        self.is_failing.store(is_failing, Ordering::SeqCst);
+    }
+
     /// Sets whether streams of events have no chunks, so that they end with their
     /// connections, as those of a server of HTTP/1.0 do.
     pub fn set_ends_with_connection(&self, ends_with_connection: bool) {
@@ -312,6 +320,8 @@
         } else if is_full {
             *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             set_header(&mut answer, "x-not-run", "1");
+        } else if self.is_failing.load(Ordering::SeqCst) {
+            *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         } else if body.as_ref() == b"impossible" {
             *answer.status_mut() = StatusCode::UNPROCESSABLE_ENTITY;
         } else if body.as_ref() == b"fails" {
