--- a/crates/policy/tests/failing_fleet/mod.rs
+++ b/crates/policy/tests/failing_fleet/mod.rs
@@ -135,7 +135,7 @@
 
 enum Event {
     Arrival,
-    FirstEvent(Box<LiveRequest>),
+    Started(Box<LiveRequest>),
     /// The end of a request in its slot.
     End(Box<LiveRequest>),
     Failure(Box<LiveRequest>),
@@ -367,7 +367,7 @@
     fn process(&mut self, event: Event) {
         match event {
             Event::Arrival => self.arrive(),
-            Event::FirstEvent(request) => {
+            Event::Started(request) => {
                 let server = request.tried[request.tried.len() - 1];
                 self.record(&request, server, AnswerEvidence::Succeeded);
                 if let Some(failed_at) = request.failed_at {
@@ -498,7 +498,7 @@
         if self.counts(&request) {
             self.figures.runs[server] += 1;
         }
-        self.schedule(FIRST_EVENT, Event::FirstEvent(request.clone()));
+        self.schedule(FIRST_EVENT, Event::Started(request.clone()));
         self.schedule(REQUEST_DURATION, Event::End(request));
     }
 
