Memory: an account of the bytes held for callers

Nothing counts the bytes that a daemon holds for callers that read slowly, so that a few customers can use up a small VM's memory.

policy::memory::MemoryAccount counts request bodies and untaken answers by customer, under one bound. Bodies have at most half of it. When it is full, large bodies of customers above their even share are refused; otherwise the slowest reader of the customer with the most bytes is ended.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,8 @@
 //! - Claims: calls that must not run twice ([`ClaimTracker`]).
 //! - [`bulk`] and [`lots`]: how much bulk work a server gets, and from which lots
 //!   ([`bulk::BulkLimiter`], [`lots::LotRanking`]).
+//! - [`memory`]: how many bytes are held for callers, and who is refused or ended when
+//!   there is no room ([`memory::MemoryAccount`]).
 //! - [`parts`]: which parts of prompts crash the servers that write an answer on them
 //!   ([`parts::PartTable`]).
 //! - [`placement`]: which server a request goes to, when it is refused instead,
@@ -36,6 +38,7 @@
 mod ids;
 pub mod lots;
 mod members;
+pub mod memory;
 pub mod parts;
 pub mod placement;
 mod queue;
