Memory: bodies and answers within a bound, slow readers ended

A daemon held request bodies, whole answers and stream chunks for callers without counting them, and the system several megabytes for each side that doesn't read.

With memory_mb in the settings, bodies, submissions of lots, whole answers and stream chunks take their bytes from policy::memory::MemoryAccount, before they are read further, and return them when they are dropped. A refused body gets 503 (cause no_memory) before its request is sent; a reader that is ended has its connection reset. hyper's buffers have at most 32 kB for each direction, and TCP_NOTSENT_LOWAT limits what the system keeps unsent to 16 kB. Small send buffers were tried first: bodies of 100 kB then took 460 ms, because of delayed acknowledgements.

--- a/crates/http/src/answer_guard.rs
+++ b/crates/http/src/answer_guard.rs
@@ -11,9 +11,12 @@
 
 use crate::{CloseGuard, guarded_socket::set_reset_on_close};
 
-/// Notes whether an answer ends with its connection.
+/// Notes whether an answer ends with its connection, and whether it is broken off.
 #[derive(Clone, Debug, Default)]
-pub struct AnswerNotes(Arc<AtomicBool>);
+pub struct AnswerNotes {
+    ends_with_connection: Arc<AtomicBool>,
+    is_broken_off: Arc<AtomicBool>,
+}
 
 impl AnswerNotes {
     /// Notes the answer to a request of this version. A caller of HTTP/1.0 gets no chunks,
@@ -21,11 +24,18 @@
     pub fn note<B: Body>(&self, version: Version, answer: &Response<B>) {
         let ends_with_connection =
             version == Version::HTTP_10 && answer.body().size_hint().exact().is_none();
-        self.0.store(ends_with_connection, Ordering::Relaxed);
+        self.ends_with_connection
+            .store(ends_with_connection, Ordering::Relaxed);
     }
 
     fn ends_with_connection(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+        self.ends_with_connection.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the daemon breaks an answer off. The socket is then closed by a reset, so
+    /// that the system doesn't keep bytes that the caller doesn't read.
+    pub fn break_off(&self) {
+        self.is_broken_off.store(true, Ordering::Relaxed);
     }
 }
 
@@ -62,4 +72,10 @@
         }
         true
     }
+
+    fn before_close(&mut self, stream: &TcpStream) {
+        if self.notes.is_broken_off.load(Ordering::Relaxed) {
+            set_reset_on_close(stream, true);
+        }
+    }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`HttpClient`] calls other servers and reports whether a failed request may
 //!   have been sent. [`ServerClient`] also makes sure that an answer is the request's.
 //! - [`MessageBody`] is the body type that the client and the server share.
+//! - [`collect_reserved`] reads a body whose bytes are reserved before they are stored.
 //! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] where its
 //!   events end, and [`AnswerProgress`] from both whether an answer has been broken off.
 //! - [`GuardedSocket`] closes a socket as its [`CloseGuard`] decides; [`AnswerGuard`]
@@ -21,6 +22,7 @@
 mod event_scanner;
 mod event_splitter;
 mod guarded_socket;
+mod reserved_body;
 mod serve;
 mod server_client;
 
@@ -33,6 +35,7 @@
 pub use event_scanner::EventScanner;
 pub use event_splitter::{EventSplitter, EventTooLong, event_data, event_id, event_text};
 pub use guarded_socket::{CloseGuard, GuardedSocket, set_reset_on_close};
+pub use reserved_body::{ByteReservation, ReservedBodyError, collect_reserved};
 pub use serve::{ServeLimits, bind, serve};
 pub use server_client::ServerClient;
 
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -39,6 +39,8 @@
 pub(crate) const KEY: &str = "key-of-press";
 /// Another key of the first customer.
 pub(crate) const SPARE_KEY: &str = "spare-key-of-press";
+/// The key of the second customer, in fleets that have one.
+pub(crate) const OTHER_KEY: &str = "key-of-post";
 /// The number of events in a complete stream.
 pub(crate) const EVENTS: u64 = 12;
 /// The longest time for which a test waits for a state to be reached.
@@ -78,6 +80,9 @@
     retention_s: u64,
     /// The prefix of a route that the operators have taken away.
     removed_route: Option<&'static str>,
+    /// The memory of the VMs of daemons that are started from now on, in megabytes. Fleets
+    /// with such a bound have a second customer.
+    memory_mb: Option<f64>,
     stop: CancellationToken,
     client: HttpClient,
 }
@@ -182,6 +187,7 @@
             version: 0,
             retention_s: 60,
             removed_route: None,
+            memory_mb: None,
             stop,
             client: HttpClient::default(),
         };
@@ -258,6 +264,18 @@
         self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
     }
 
+    /// Bounds the memory of the daemons that are started from now on, and adds a second
+    /// customer.
+    pub(crate) fn put_memory(&mut self, memory_mb: f64) {
+        self.memory_mb = Some(memory_mb);
+        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
+    }
+
+    /// Returns a daemon's process id.
+    pub(crate) fn process_id(&self, daemon: usize) -> u32 {
+        self.daemons[daemon].child.id()
+    }
+
     /// Writes operators' settings without the route with this prefix; with all routes if it
     /// is `None`.
     pub(crate) fn put_without_route(&mut self, prefix: Option<&'static str>) {
@@ -294,6 +312,13 @@
             route("/lots/", "batch", "drafts", true),
         ];
         routes.retain(|it| it["prefix"].as_str() != self.removed_route);
+        let mut tenants =
+            vec![json!({"name": "press", "api_keys": keys, "rate_per_s": rate, "burst": rate})];
+        if self.memory_mb.is_some() {
+            tenants.push(json!({
+                "name": "post", "api_keys": [OTHER_KEY], "rate_per_s": rate, "burst": rate,
+            }));
+        }
         let settings = json!({
             "version": self.version,
             "routes": routes,
@@ -305,7 +330,7 @@
                 "max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
-            "tenants": [{"name": "press", "api_keys": keys, "rate_per_s": rate, "burst": rate}],
+            "tenants": tenants,
         });
         self.store.put("op/config", settings.to_string().as_bytes());
     }
@@ -330,6 +355,9 @@
             },
             "stop_grace_s": 8, "results_kept_s": 120,
         });
+        if let Some(memory_mb) = self.memory_mb {
+            settings["memory_mb"] = json!(memory_mb);
+        }
         if has_callers {
             settings["callers"] = json!(listen_address);
             settings["health"] = json!(health_address);
--- a/crates/policy/src/memory/memory_account.rs
+++ b/crates/policy/src/memory/memory_account.rs
@@ -113,6 +113,18 @@
         self.customers.get(customer).held
     }
 
+    /// Returns the bytes of a holder.
+    pub fn bytes_of(&self, id: HolderId) -> u64 {
+        let index = self.index_of(id);
+        index.map_or(0, |it| self.holders[it].bytes)
+    }
+
+    /// Returns how long a holder's caller has taken none of its bytes.
+    pub fn idle_time(&self, id: HolderId, now: Timestamp) -> Duration {
+        let index = self.index_of(id);
+        index.map_or(Duration::ZERO, |it| now.since(self.holders[it].progress_at))
+    }
+
     /// Returns each customer's even share: the bound over the customers that have a holder.
     pub fn even_share(&self) -> u64 {
         self.bound / self.customers.len().max(1)
@@ -177,8 +189,7 @@
         if let Some(index) = self.index_of(id) {
             self.remove_bytes(index, self.holders[index].bytes, now);
             let holder = self.holders.remove(index);
-            self.customers
-                .change(holder.customer, |it| it.holders -= 1);
+            self.customers.change(holder.customer, |it| it.holders -= 1);
         }
     }
 
--- a/crates/policy/tests/memory_account.rs
+++ b/crates/policy/tests/memory_account.rs
@@ -79,7 +79,10 @@
     assert!(matches!(refused, MemoryDecision::Refused { .. }));
     assert_eq!(account.take_ended(), [readers[0]]);
     account.close(readers[0], at(1_501));
-    assert_eq!(account.take(large, BODY, at(1_501)), MemoryDecision::Granted);
+    assert_eq!(
+        account.take(large, BODY, at(1_501)),
+        MemoryDecision::Granted
+    );
 }
 
 /// Guards against a deadlock of requests that hold bodies and wait for room for their answers.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,7 +9,8 @@
 //! 3. [`fleet`]: a daemon's local view of the fleet, built from the store and from
 //!    the reports of its peers.
 //! 4. [`lots`]: lots (batch jobs), which are accepted now and run later.
-//! 5. [`run`]: startup and shutdown.
+//! 5. [`memory`]: the bytes that are held for callers, and their bound.
+//! 6. [`run`]: startup and shutdown.
 //!
 //! The decision logic is in `comfreyramp-policy`: to which server a request goes and
 //! when it is refused (`placement`), and the customers' rates (`usage`). The traits of
@@ -21,6 +22,7 @@
 pub mod fleet;
 pub mod logs;
 pub mod lots;
+pub mod memory;
 pub mod metrics;
 pub mod model;
 pub mod node;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -30,6 +30,8 @@
     in_flight: IntGaugeVec,
     view_revision: IntGaugeVec,
     view_age: GaugeVec,
+    held_bytes: IntGaugeVec,
+    ended_readers: IntCounterVec,
     /// Log lines that were dropped because the writer's queue was full.
     pub dropped_lines: IntGauge,
 }
@@ -105,6 +107,16 @@
                 ),
                 &["view"],
             )?,
+            held_bytes: gauge(
+                "comfreyramp_held_bytes",
+                "Bytes held for callers, by kind.",
+                &["kind"],
+            )?,
+            ended_readers: counter(
+                "comfreyramp_ended_readers_total",
+                "Slow readers whose connections were closed for lack of memory.",
+                &["customer"],
+            )?,
             dropped_lines: IntGauge::new(
                 "comfreyramp_dropped_log_lines",
                 "Log lines that were dropped.",
@@ -122,6 +134,8 @@
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.view_revision.clone()))?;
         registry.register(Box::new(metrics.view_age.clone()))?;
+        registry.register(Box::new(metrics.held_bytes.clone()))?;
+        registry.register(Box::new(metrics.ended_readers.clone()))?;
         registry.register(Box::new(metrics.dropped_lines.clone()))?;
         Ok(metrics)
     }
@@ -170,6 +184,20 @@
         self.in_flight.with_label_values(&[kind]).add(change);
     }
 
+    /// Sets the bytes that are held for callers: for request bodies and for answers.
+    pub fn held_bytes(&self, bodies: u64, answers: u64) {
+        let set = |kind: &str, bytes: u64| {
+            self.held_bytes.with_label_values(&[kind]).set(bytes as i64);
+        };
+        set("body", bodies);
+        set("answer", answers);
+    }
+
+    /// Counts a slow reader whose connection is closed for lack of memory.
+    pub fn ended_reader(&self, customer: &str) {
+        self.ended_readers.with_label_values(&[customer]).inc();
+    }
+
     /// Sets the store's revision that a view reflects.
     pub fn view_revision(&self, view: &str, revision: i64) {
         self.view_revision.with_label_values(&[view]).set(revision);
--- a/crates/serving/src/model/refusal.rs
+++ b/crates/serving/src/model/refusal.rs
@@ -28,6 +28,8 @@
     UnknownOrigin,
     /// All servers are full for longer than the request may wait. It hasn't run.
     Full,
+    /// The daemon has no memory left for the request's body. It hasn't run.
+    NoMemory,
     /// The request was sent to servers, and none of them ran it.
     RejectedByServers,
     /// The store doesn't answer. The request hasn't run.
@@ -59,6 +61,7 @@
             RefusalCause::NoServerOfVersion => "no_server_of_version",
             RefusalCause::UnknownOrigin => "unknown_origin",
             RefusalCause::Full => "full",
+            RefusalCause::NoMemory => "no_memory",
             RefusalCause::RejectedByServers => "turned_away",
             RefusalCause::StoreUnavailable => "store_away",
             RefusalCause::CrashesServers => "crashes_servers",
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -41,6 +41,7 @@
         ViewLags, ViewRevisions, ViewServer,
     },
     lots::{AssignedLot, LedgerCache, LotCache, LotNotice, LotNotices},
+    memory::HeldMemory,
     metrics::NodeMetrics,
     path::ConnectionPool,
     settings::NodeSettings,
@@ -133,6 +134,8 @@
     pub view_server: RefCell<ViewServer>,
     /// The servers and their load, from which the server for a request is chosen.
     pub servers: RefCell<PlacementTable>,
+    /// The account of the bytes that are held for callers.
+    pub memory: Rc<HeldMemory>,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Data of lots that was read from the store.
@@ -183,6 +186,7 @@
         if let Some(tolerance) = settings.rate_tolerance {
             usage.set_tolerance(tolerance.tolerance());
         }
+        let memory = HeldMemory::new(settings.held_bytes_bound(), clock, metrics.clone());
         Node {
             incarnation: rand::random(),
             store: RelayedStore::new(store, StoreMonitor::new(clock)),
@@ -191,7 +195,8 @@
             views: RefCell::default(),
             view_server: RefCell::default(),
             servers: RefCell::new(PlacementTable::new(PeerId::of_name(&settings.name))),
-            connections: ConnectionPool::default(),
+            connections: ConnectionPool::new(memory.is_bounded()),
+            memory: Rc::new(memory),
             lot_cache: RefCell::default(),
             ledgers: LedgerCache::default(),
             lot_notices: RefCell::default(),
--- a/crates/serving/src/path/connection_loop.rs
+++ b/crates/serving/src/path/connection_loop.rs
@@ -11,9 +11,9 @@
 
 use super::{
     AnswerBody,
-    connection_pool::{PROBE_INTERVAL, configure_socket},
+    connection_pool::{PROBE_INTERVAL, configure_socket, limit_unsent_bytes},
 };
-use crate::dialect::Dialect;
+use crate::{dialect::Dialect, memory::CallerConnection};
 
 /// The delay after a connection couldn't be accepted. Most likely the process has no file
 /// descriptors left, and retrying at once would only keep a core busy.
@@ -26,6 +26,8 @@
     pub head_bytes: usize,
     /// How long a connection may take until a whole head is received.
     pub idle_timeout: Duration,
+    /// Whether the bytes that the system keeps for callers that don't read are limited.
+    pub limits_unsent: bool,
     /// Once cancelled, answers ask callers to close their connections.
     pub closing: CancellationToken,
     /// Once cancelled, no connection is accepted, and idle connections are closed.
@@ -74,10 +76,17 @@
     if let Err(error) = configure_socket(&stream, PROBE_INTERVAL) {
         log::warn!(error:% = error; "callers: socket options can't be set");
     }
+    if limits.limits_unsent {
+        limit_unsent_bytes(&stream);
+    }
+    let caller_connection = CallerConnection::default();
+    let shared_connection = caller_connection.clone();
     let closing = limits.closing.clone();
     let notes = AnswerNotes::default();
     let socket = GuardedSocket::new(stream, AnswerGuard::new(notes.clone()));
-    let service = service_fn(move |request: Request<Incoming>| {
+    let shared_notes = notes.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(shared_connection.clone());
         let version = request.version();
         let answer = handler(request);
         let closing = closing.clone();
@@ -101,10 +110,14 @@
     // A connection that the caller breaks off is not an error of the daemon.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = caller_connection.closed() => return shared_notes.break_off(),
         () = limits.closed.cancelled() => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = caller_connection.closed() => shared_notes.break_off(),
+    }
 }
 
 /// The number of open connections.
--- a/crates/serving/src/path/connection_pool.rs
+++ b/crates/serving/src/path/connection_pool.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
+use tokio_util::task::AbortOnDropHandle;
 
 use super::open_request::OpenRequest;
 
@@ -39,6 +40,16 @@
 /// connection has to be ended by its unacknowledged bytes instead.
 pub(super) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The bytes that the system keeps unsent for a socket if the daemon's memory is bounded.
+/// 2,000 callers that don't read then take about a quarter of a VM of 160 MB.
+pub const UNSENT_BYTES: u32 = 16 << 10;
+/// The receive buffer of a connection to a server if the daemon's memory is bounded. The
+/// system doubles it, to the size with which connections usually begin.
+const RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+/// The size in bytes of hyper's buffers for a connection if the daemon's memory is bounded.
+/// They also limit the size of a head.
+pub const CONNECTION_BUFFER_BYTES: usize = 32 << 10;
+
 /// The reason why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendFailure {
@@ -58,6 +69,8 @@
     last_id: String,
     /// How long it had been idle before its current request; `None` for a new connection.
     idle: Option<Duration>,
+    /// Reads from and writes to the socket.
+    _task: AbortOnDropHandle<()>,
 }
 
 #[derive(Debug)]
@@ -72,9 +85,19 @@
 pub struct ConnectionPool {
     /// Sorted by address. For each address, the connection that was used last is last.
     idle: RefCell<Vec<(SocketAddr, Vec<IdleConnection>)>>,
+    /// Whether connections have small buffers, since the daemon's memory is bounded.
+    has_small_buffers: bool,
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections.
+    pub fn new(has_small_buffers: bool) -> Self {
+        ConnectionPool {
+            has_small_buffers,
+            ..ConnectionPool::default()
+        }
+    }
+
     /// Returns a connection to a server for the request `request_id`: one that has been idle
     /// for at most `max_idle` if there is any, else a new one. A connection whose last
     /// request had the same id isn't used: a late second answer to that one couldn't be told
@@ -101,15 +124,22 @@
         if let Err(error) = configure_socket(&stream, MAX_IDLE) {
             log::warn!(error:% = error; "servers: socket options can't be set");
         }
+        let mut builder = http1::Builder::new();
+        if self.has_small_buffers {
+            limit_unsent_bytes(&stream);
+            limit_received_bytes(&stream);
+            builder.max_buf_size(CONNECTION_BUFFER_BYTES);
+        }
         let request = OpenRequest::default();
         let socket = GuardedSocket::new(stream, request.clone());
-        let handshake = http1::handshake(TokioIo::new(socket)).await;
+        let handshake = builder.handshake(TokioIo::new(socket)).await;
         let Ok((sender, connection)) = handshake else {
             return Err(SendFailure::NotSent);
         };
-        // The task ends when the sender is dropped, or with an error that the request also
-        // returns.
-        tokio::task::spawn_local(async move {
+        // An error that ends the task is also returned to the request. If the task outlived
+        // its connection, it would keep the body of an abandoned request until the server
+        // reads it.
+        let task = tokio::task::spawn_local(async move {
             let _ = connection.await;
         });
         Ok(ServerConnection {
@@ -118,6 +148,7 @@
             request,
             last_id: request_id.to_owned(),
             idle: None,
+            _task: AbortOnDropHandle::new(task),
         })
     }
 
@@ -232,6 +263,25 @@
     }
 }
 
+/// Limits how many bytes the system keeps for the other side of a socket while it doesn't
+/// read. Otherwise these are up to several megabytes. The limit is on bytes that haven't
+/// been sent: with a small send buffer instead, each part of a message waited for a delayed
+/// acknowledgement, and a body of 100 kB took 460 ms.
+pub(super) fn limit_unsent_bytes(stream: &TcpStream) {
+    let limited = SockRef::from(stream).set_tcp_notsent_lowat(UNSENT_BYTES);
+    if let Err(error) = limited {
+        log::warn!(error:% = error; "memory: a socket's unsent bytes can't be limited");
+    }
+}
+
+/// Limits how many bytes of an answer the system keeps while its caller doesn't read it.
+fn limit_received_bytes(stream: &TcpStream) {
+    let limited = SockRef::from(stream).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    if let Err(error) = limited {
+        log::warn!(error:% = error; "memory: a socket's receive buffer can't be limited");
+    }
+}
+
 /// Sets the socket options that detect a silent connection. It is probed after it has been
 /// idle for `probe_after`.
 pub(super) fn configure_socket(stream: &TcpStream, probe_after: Duration) -> std::io::Result<()> {
--- a/crates/serving/src/path/front_body.rs
+++ b/crates/serving/src/path/front_body.rs
@@ -8,8 +8,10 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 
-use super::stream_relay::StreamRelay;
-use crate::dialect::Dialect;
+use crate::{
+    dialect::Dialect,
+    memory::{HeldData, HeldStream},
+};
 
 /// The reason why an answer to a caller is broken off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -26,9 +28,9 @@
 #[derive(Debug)]
 pub enum AnswerBody<D: Dialect> {
     /// The whole body, until it is sent; `None` if it is empty or has been sent.
-    Buffered(Option<Bytes>),
+    Buffered(Option<HeldData>),
     /// A stream that is relayed as it arrives.
-    Streaming(Box<StreamRelay<D>>),
+    Streaming(Box<HeldStream<D>>),
 }
 
 impl<D: Dialect> AnswerBody<D> {
@@ -39,18 +41,23 @@
 
     /// Returns a body that consists of `bytes`.
     pub fn whole(bytes: Bytes) -> Self {
-        AnswerBody::Buffered((!bytes.is_empty()).then_some(bytes))
+        AnswerBody::held(bytes.into())
+    }
+
+    /// Returns a body that consists of counted bytes.
+    pub fn held(data: HeldData) -> Self {
+        AnswerBody::Buffered((!data.is_empty()).then_some(data))
     }
 }
 
 impl<D: Dialect> Body for AnswerBody<D> {
-    type Data = Bytes;
+    type Data = HeldData;
     type Error = AnswerBodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+    ) -> Poll<Option<Result<Frame<HeldData>, AnswerBodyError>>> {
         match self.get_mut() {
             AnswerBody::Buffered(bytes) => Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
             AnswerBody::Streaming(relay) => {
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -3,9 +3,10 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::{AnswerProgress, BodyError, collect_limited};
+use comfreyramp_http::AnswerProgress;
 use comfreyramp_policy::{
     ServerId, Timestamp,
+    memory::HolderKind,
     parts::PartKey,
     placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, WorkKind},
     streams::SoftwareKey,
@@ -23,6 +24,10 @@
     dialect::{CallerDialect, Dialect, ServerDialect},
     fleet::{KnownCustomer, choose_service},
     lots,
+    memory::{
+        CallerConnection, HeldBody, HeldData, HeldStream, HolderLabel, read_lot_body,
+        read_request_body,
+    },
     model::{
         CallerAction, CallerHead, Refusal, RefusalCause, RequestMetadata, ResumedStream, RouteKind,
         RouteSettings,
@@ -67,7 +72,8 @@
     pub(super) customer: Option<Arc<KnownCustomer>>,
     pub(super) route: Arc<RouteSettings>,
     head: request::Parts,
-    body: Bytes,
+    body: HeldBody,
+    label: Rc<HolderLabel>,
     /// The stream of an earlier request that this one takes up.
     pub(super) resumed: Option<ResumedStream>,
     /// The software that began the stream, once the caller has an event of it. No other may
@@ -105,7 +111,8 @@
     request: Request<Incoming>,
 ) -> Response<AnswerBody<D>> {
     let received_at = node.clock.now();
-    let (head, body) = request.into_parts();
+    let (mut head, body) = request.into_parts();
+    let connection = head.extensions.remove::<CallerConnection>();
     let caller = match <D::Callers as CallerDialect>::read_head(&head) {
         Ok(caller) => caller,
         Err(fault) => {
@@ -114,7 +121,7 @@
         }
     };
     let request_id = caller.request_id.clone();
-    let answer = dispatch(&node, caller, head, body, received_at).await;
+    let answer = dispatch(&node, caller, head, body, received_at, connection).await;
     answer.unwrap_or_else(|refusal| {
         let span = node.clock.now().since(received_at);
         // `Node` counts refusals of customers over their rate itself, by customer.
@@ -142,6 +149,7 @@
     head: request::Parts,
     body: Incoming,
     received_at: Timestamp,
+    connection: Option<CallerConnection>,
 ) -> Answer<D> {
     let no_settings =
         || Refusal::new(RefusalCause::NoSettings).retry_after(UNAVAILABLE_RETRY_AFTER);
@@ -165,7 +173,8 @@
     let deadline = received_at + time_left;
     if let RouteKind::Lot(terms) = route.kind {
         let customer = customer.ok_or(RefusalCause::UnknownKey)?;
-        let body = read_body(body, limit).await?;
+        let label = holder_label(Some(&customer), &caller, connection);
+        let body = read_lot_body(&node.memory, &label, body, limit, time_left).await?;
         let submission = lots::Submission {
             lot: caller.request_id,
             customer,
@@ -173,24 +182,26 @@
             terms,
             deadline,
         };
-        return lots::accept_lot(node, submission, &body).await;
+        return lots::accept_lot(node, submission, &body.bytes).await;
     }
     if let Some(customer) = &customer {
         node.confirm_peer_usage(customer).await;
         node.check_rate(customer, &caller.request_id)?;
     }
-    let body = read_body(body, limit).await?;
+    let label = holder_label(customer.as_ref(), &caller, connection);
+    let body = read_request_body(&node.memory, &label, body, limit, time_left).await?;
     let is_retry = time_left < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
     let name = customer.as_ref().map_or("", |it| it.settings.name.as_str());
     let request = LiveRequest {
         node: node.clone(),
         request_id: caller.request_id,
-        fingerprint: fingerprint(name, head.uri.path(), &body),
+        fingerprint: fingerprint(name, head.uri.path(), &body.bytes),
         parts: <D::Servers as ServerDialect>::shared_parts(&head.headers),
         customer,
         route,
         head,
         body,
+        label,
         resumed: caller.resumed,
         software: None,
         has_told_origin: false,
@@ -208,6 +219,18 @@
     request.run().await
 }
 
+fn holder_label(
+    customer: Option<&Arc<KnownCustomer>>,
+    caller: &CallerHead,
+    connection: Option<CallerConnection>,
+) -> Rc<HolderLabel> {
+    Rc::new(HolderLabel {
+        request_id: caller.request_id.clone(),
+        customer: customer.map_or_else(String::new, |it| it.settings.name.clone()),
+        connection: connection.unwrap_or_default(),
+    })
+}
+
 fn known_customer(
     fleet: &crate::fleet::FleetView,
     caller: &CallerHead,
@@ -217,15 +240,6 @@
     customer.ok_or(RefusalCause::UnknownKey.into())
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    collect_limited(body, limit)
-        .await
-        .map_err(|error| match error {
-            BodyError::TooLong { .. } => RefusalCause::BodyTooLong.into(),
-            BodyError::Connection(_) | BodyError::Aborted(_) => RefusalCause::BadRequest.into(),
-        })
-}
-
 impl<D: Dialect> LiveRequest<D> {
     async fn run(mut self) -> Answer<D> {
         if self.node.is_suspect(self.fingerprint) {
@@ -251,7 +265,9 @@
             }
             let is_retryable_error = status.is_server_error() && self.route.kind.is_idempotent();
             let left = self.deadline.since(self.node.clock.now());
-            let reading = tokio::time::timeout(left, open.read_whole(MAX_ANSWER_BYTES)).await;
+            let mut held = self.node.memory.open(&self.label, HolderKind::Answer);
+            let reading = open.read_whole(MAX_ANSWER_BYTES, &mut held);
+            let reading = tokio::time::timeout(left, reading).await;
             let whole = reading.unwrap_or(Err(AttemptFailure::TimedOut));
             if matches!(whole, Err(failure) if failure.is_broken_off()) {
                 self.record_broken_run(server, self.written_for());
@@ -274,7 +290,7 @@
                     if head.status.is_success() {
                         self.record_finished_run();
                     }
-                    return Ok(self.return_answer(head, body));
+                    return Ok(self.return_answer(head, HeldData::whole(body, held)));
                 }
                 Err(failure) => self.check_failover(failure)?,
             }
@@ -429,7 +445,7 @@
             time_left: self.deadline.since(now),
             last_event,
         };
-        let mut request = Request::new(Full::new(self.body.clone()));
+        let mut request = Request::new(Full::new(self.body.bytes.clone()));
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = origin_form(&self.head.uri);
         *request.headers_mut() =
@@ -470,23 +486,34 @@
         Ok(())
     }
 
-    fn return_answer(&self, head: http::response::Parts, body: Bytes) -> Response<AnswerBody<D>> {
-        let mut answer = Response::new(AnswerBody::whole(body));
+    fn return_answer(
+        &self,
+        head: http::response::Parts,
+        body: HeldData,
+    ) -> Response<AnswerBody<D>> {
+        let mut answer = Response::new(AnswerBody::held(body));
         *answer.status_mut() = head.status;
         *answer.headers_mut() = <D::Servers as ServerDialect>::returned(head.headers);
         self.record_end("passed_back", head.status);
         answer
     }
 
-    fn relay(self, open: OpenAnswer<D>) -> Response<AnswerBody<D>> {
+    fn relay(mut self, open: OpenAnswer<D>) -> Response<AnswerBody<D>> {
+        if !self.route.kind.is_idempotent() {
+            self.body.release();
+        }
         let status = open.head.status;
         let headers = <D::Servers as ServerDialect>::returned(open.head.headers.clone());
         let span = self.node.clock.now().since(self.received_at);
         self.node
             .metrics
             .first_byte(self.customer_name(), "stream", span);
+        let node = self.node.clone();
+        let held = node.memory.open(&self.label, HolderKind::Answer);
+        let deadline = self.deadline;
         let relay = StreamRelay::new(self, open);
-        let mut answer = Response::new(AnswerBody::Streaming(Box::new(relay)));
+        let stream = HeldStream::new(relay, held, deadline, node.clock);
+        let mut answer = Response::new(AnswerBody::Streaming(Box::new(stream)));
         *answer.status_mut() = status;
         *answer.headers_mut() = headers;
         answer
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -11,9 +11,12 @@
 mod stream_resumption;
 
 pub use connection_loop::{ConnectionLimits, serve_connections};
-pub use connection_pool::{ConnectionPool, MAX_IDLE, SendFailure, ServerConnection};
+pub use connection_pool::{
+    CONNECTION_BUFFER_BYTES, ConnectionPool, MAX_IDLE, SendFailure, ServerConnection, UNSENT_BYTES,
+};
 pub use front_body::{AnswerBody, AnswerBodyError};
 pub use live_request::answer_caller;
 pub use server_attempt::{
     AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, open_answer,
 };
+pub use stream_relay::StreamRelay;
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::{AnswerProgress, BodyFraming, collect_limited};
+use comfreyramp_http::{
+    AnswerProgress, BodyError, BodyFraming, ByteReservation, ReservedBodyError, collect_limited,
+    collect_reserved,
+};
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
@@ -15,6 +18,7 @@
 use super::{MAX_IDLE, SendFailure, ServerConnection};
 use crate::{
     dialect::{Dialect, ServerDialect},
+    memory::HeldBytes,
     model::{ExecutionStatus, ServerAnswer},
     node::Node,
 };
@@ -401,7 +405,8 @@
         Ok(())
     }
 
-    /// Reads the complete body of at most `limit` bytes.
+    /// Reads the complete body of at most `limit` bytes, which are taken from the account by
+    /// `held` before they are read.
     ///
     /// # Errors
     ///
@@ -409,25 +414,29 @@
     pub async fn read_whole(
         mut self,
         limit: usize,
+        held: &mut HeldBytes,
     ) -> Result<(response::Parts, Bytes), AttemptFailure> {
-        let mut whole = Vec::from(self.first.take().unwrap_or_default());
-        while let Some(frame) = self.body.frame().await {
-            let Ok(frame) = frame else {
-                self.guard.record_outcome(ServerOutcomeKind::Broken);
+        let first = Vec::from(self.first.take().unwrap_or_default());
+        let mut reservation = held.for_answer();
+        // A request that has been sent is never refused for lack of memory.
+        let Ok(()) = reservation.reserve(first.len()).await;
+        let reading = collect_reserved(&mut self.body, first, limit, &mut reservation);
+        let whole = match reading.await {
+            Ok(whole) => whole,
+            Err(ReservedBodyError::Body(BodyError::TooLong { .. })) => {
                 return Err(AttemptFailure::Broken);
-            };
-            if let Ok(data) = frame.into_data() {
-                whole.extend_from_slice(&data);
             }
-            if whole.len() > limit {
+            Err(ReservedBodyError::Body(_)) => {
+                self.guard.record_outcome(ServerOutcomeKind::Broken);
                 return Err(AttemptFailure::Broken);
             }
-        }
+            Err(ReservedBodyError::Refused(never)) => match never {},
+        };
         self.guard.record_answered();
         let node = self.guard.node.clone();
         let now = node.clock.now();
         node.connections
             .put_back(self.connection, self.answer.keep_alive, now);
-        Ok((self.head, whole.into()))
+        Ok((self.head, whole))
     }
 }
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -86,7 +86,7 @@
         }
     }
 
-    pub(super) fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Chunk> {
+    pub(crate) fn poll_chunk(&mut self, context: &mut Context<'_>) -> Poll<Chunk> {
         let chunk = self.poll_stream(context);
         if chunk.is_pending() && self.deadline_timer.as_mut().poll(context).is_ready() {
             if let RelayState::Reading(reading) = &mut self.state {
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -22,7 +22,9 @@
     },
     lots::{follow_retire_orders, run_lots, sweep_lots},
     node::Node,
-    path::{AnswerBody, ConnectionLimits, answer_caller, serve_connections},
+    path::{
+        AnswerBody, CONNECTION_BUFFER_BYTES, ConnectionLimits, answer_caller, serve_connections,
+    },
 };
 
 /// How long a stopping daemon still accepts new connections. The balancer checks
@@ -56,13 +58,20 @@
     let background = CancellationToken::new();
     let closing = CancellationToken::new();
     let closed = CancellationToken::new();
+    let is_bounded = node.memory.is_bounded();
     let limits = ConnectionLimits {
-        head_bytes: MAX_HEAD_BYTES,
+        head_bytes: match is_bounded {
+            true => CONNECTION_BUFFER_BYTES,
+            false => MAX_HEAD_BYTES,
+        },
+        limits_unsent: is_bounded,
         idle_timeout: IDLE_TIMEOUT,
         closing: closing.clone(),
         closed: closed.clone(),
     };
     let internal_limits = ConnectionLimits {
+        head_bytes: MAX_HEAD_BYTES,
+        limits_unsent: false,
         closed: background.clone(),
         ..limits.clone()
     };
--- a/crates/serving/src/settings.rs
+++ b/crates/serving/src/settings.rs
@@ -44,6 +44,10 @@
     /// not at all if it is missing.
     #[serde(default)]
     pub cold_tolerance: Option<ColdToleranceSettings>,
+    /// The memory of the VM in megabytes, half of which may be held for callers; no bound if
+    /// it is missing.
+    #[serde(default)]
+    pub memory_mb: Option<f64>,
     /// The least severe level that is logged: `error`, `warn`, `info` or `debug`.
     #[serde(default = "info")]
     pub log_level: String,
@@ -137,7 +141,18 @@
 /// open requests have to end, before the process is killed.
 const MIN_STOP_GRACE: Duration = Duration::from_secs(3);
 
+/// The smallest value of `memory_mb`: half of it has room for a few bodies and answers.
+const MIN_MEMORY_MB: f64 = 2.0;
+/// The largest value of `memory_mb`: a VM with more than 16 TB is a mistake in the unit.
+const MAX_MEMORY_MB: f64 = 16e6;
+
 impl NodeSettings {
+    /// Returns the largest number of bytes that may be held for callers: half of the VM's
+    /// memory. The rest is for connections, the views of the store, lots and the system.
+    pub fn held_bytes_bound(&self) -> Option<u64> {
+        self.memory_mb.map(|it| (it * 500_000.0) as u64)
+    }
+
     /// Parses and validates a settings file.
     ///
     /// # Errors
@@ -196,6 +211,13 @@
                 "factor and requests must be 0 or more",
             ));
         }
+        if self
+            .memory_mb
+            .is_some_and(|it| !(MIN_MEMORY_MB..=MAX_MEMORY_MB).contains(&it))
+        {
+            let text = format!("must be from {MIN_MEMORY_MB} to {MAX_MEMORY_MB} megabytes");
+            findings.push(finding("memory_mb", &text));
+        }
         if !["error", "warn", "info", "debug"].contains(&self.log_level.as_str()) {
             findings.push(finding(
                 "log_level",
