Placement: requests go to engines with memory for their tokens (unproven)

A server crashes if its requests exceed its memory, and nothing adds up their tokens.

placement::TokenRoom counts this daemon's requests exactly and those of others by their counts, the mean tokens of the service's requests and two standard deviations; a request that fits nowhere goes where the fewest tokens are.

--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -74,6 +74,8 @@
     head: request::Parts,
     body: HeldBody,
     label: Rc<HolderLabel>,
+    /// The tokens that it may have on its server, if it states them.
+    pub(super) tokens: Option<u64>,
     /// The stream of an earlier request that this one takes up.
     pub(super) resumed: Option<ResumedStream>,
     /// The software that began the stream, once the caller has an event of it. No other may
@@ -199,6 +201,7 @@
         parts: <D::Servers as ServerDialect>::shared_parts(&head.headers),
         customer,
         route,
+        tokens: <D::Servers as ServerDialect>::token_usage(&head.headers),
         head,
         body,
         label,
@@ -325,7 +328,8 @@
         }
         self.tried_servers.push(server);
         let request = self.build_request(server, last_event, now);
-        let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        let mut guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
+        guard.count_tokens(self.tokens);
         self.node.report_placement(server);
         let terms = AttemptTerms {
             kind: match self.route.kind {
@@ -378,7 +382,7 @@
             software: self.software,
             parts: &[],
         };
-        match servers.choose_live(query, now, &mut random) {
+        match self.place(&servers, query, now, &mut random) {
             Ok(placement) => Ok(placement),
             Err(PlacementRefusal::NoServer) => {
                 Err(self.final_refusal(RefusalCause::RejectedByServers, UNAVAILABLE_RETRY_AFTER))
