--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -26,7 +26,6 @@
 mod server_failures;
 mod server_listing;
 mod server_load;
-mod token_room;
 
 pub use cold_start::{ColdStartLimit, ColdTolerance};
 pub use home_set::{HomePair, home_pairs};
@@ -37,4 +36,3 @@
 pub use server_failures::FailureCount;
 pub use server_listing::ServerListing;
 pub use server_load::{LoadShare, ServerOutcomeKind, SlotReport, WorkKind};
-pub use token_room::TokenRoom;
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -277,27 +277,6 @@
         listed.map(|it| (it.key, &it.listing)).collect()
     }
 
-    /// Returns the servers to which a request may go, without those that are avoided.
-    pub fn candidates(&self, query: &PlacementQuery<'_>, now: Timestamp) -> Vec<ServerId> {
-        let ids = (0..self.servers.len()).map(|it| ServerId(it as u32));
-        let is_candidate = |id: &ServerId| {
-            let entry = &self.servers[id.index()];
-            entry.is_usable(query.service)
-                && entry.has_software(query.software)
-                && !query.exclude.contains(id)
-                && !entry.is_avoided(now)
-                && entry.cold_start.has_room(now)
-        };
-        ids.filter(is_candidate).collect()
-    }
-
-    /// Returns how many live requests and items other daemons have on a server.
-    pub fn requests_of_others(&self, id: ServerId, now: Timestamp) -> u32 {
-        let load = &self.servers[id.index()].load;
-        let total = load.total(now);
-        u32::from(total.live - load.own.live) + u32::from(total.bulk - load.own.bulk)
-    }
-
     /// Returns a server's listing.
     pub fn listing(&self, id: ServerId) -> &ServerListing {
         &self.servers[id.index()].listing
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -88,10 +88,6 @@
     /// from its headers.
     fn shared_parts(headers: &HeaderMap) -> Vec<PartKey>;
 
-    /// Returns the tokens that a request may have on its server, prompt and answer together,
-    /// from its headers; `None` if they don't state it or are invalid.
-    fn token_usage(headers: &HeaderMap) -> Option<u64>;
-
     /// Builds the request for a server's report of its own state, without a host.
     fn state_query() -> Request<Bytes>;
 
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -152,12 +152,11 @@
         now: Timestamp,
     ) -> ItemPlacement {
         let software = self.held[index].items[item].progress.software;
-        let tokens = self.held[index].items[item].item.tokens;
-        let bound = software.and_then(|it| self.choose_server(route, Some(it), tokens, now));
+        let bound = software.and_then(|it| self.choose_server(route, Some(it), now));
         if let Some(server) = bound {
             return ItemPlacement::At(server);
         }
-        let other = self.choose_server(route, None, tokens, now);
+        let other = self.choose_server(route, None, now);
         let has_software = software.is_some_and(|it| self.has_software(route, it));
         let held = &mut self.held[index];
         let Some(server) = other else {
@@ -186,7 +185,6 @@
         &self,
         route: &RouteSettings,
         software: Option<SoftwareKey>,
-        tokens: u64,
         now: Timestamp,
     ) -> Option<ServerId> {
         let servers = self.node.servers.borrow();
@@ -204,12 +202,6 @@
             software,
             parts: &[],
         };
-        let room = self.node.token_room.borrow();
-        let exclude = room.servers_without_room(&query, Some(tokens), &servers, now);
-        let query = PlacementQuery {
-            exclude: &exclude,
-            ..query
-        };
         servers
             .choose_bulk(query, now, &mut random)
             .map(|it| it.server)
@@ -243,8 +235,7 @@
             "lots: an item starts"
         );
         drop(servers);
-        let mut guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Bulk);
-        guard.count_tokens(Some(run.item.tokens));
+        let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Bulk);
         let node = self.node.clone();
         let sender = self.sender.clone();
         let lot = held.id.clone();
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -25,7 +25,7 @@
 use comfreyramp_policy::{
     Timestamp,
     parts::PartTable,
-    placement::{ColdTolerance, PlacementTable, ServerListing, TokenRoom},
+    placement::{ColdTolerance, PlacementTable, ServerListing},
     streams::{OriginTable, StreamOrigin},
     usage::{PeerId, UsageTracker},
 };
@@ -136,8 +136,6 @@
     pub servers: RefCell<PlacementTable>,
     /// The account of the bytes that are held for callers.
     pub memory: Rc<HeldMemory>,
-    /// The tokens of this daemon's requests on servers.
-    pub token_room: RefCell<TokenRoom>,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
     /// Data of lots that was read from the store.
@@ -199,7 +197,6 @@
             servers: RefCell::new(PlacementTable::new(PeerId::of_name(&settings.name))),
             connections: ConnectionPool::new(memory.is_bounded()),
             memory: Rc::new(memory),
-            token_room: RefCell::default(),
             lot_cache: RefCell::default(),
             ledgers: LedgerCache::default(),
             lot_notices: RefCell::default(),
@@ -291,9 +288,6 @@
             Some((it.name.clone(), limit))
         });
         let cold_limits = cold_limits.collect();
-        let token_limits = settings.services.iter();
-        let token_limits = token_limits.filter_map(|it| Some((it.name.clone(), it.memory_tokens?)));
-        self.token_room.borrow_mut().set_limits(token_limits);
         let view = FleetView::new(settings);
         let now = self.clock.now();
         let mut servers = self.servers.borrow_mut();
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -74,8 +74,6 @@
     head: request::Parts,
     body: HeldBody,
     label: Rc<HolderLabel>,
-    /// The tokens that it may have on its server, if it states them.
-    pub(super) tokens: Option<u64>,
     /// The stream of an earlier request that this one takes up.
     pub(super) resumed: Option<ResumedStream>,
     /// The software that began the stream, once the caller has an event of it. No other may
@@ -201,7 +199,6 @@
         parts: <D::Servers as ServerDialect>::shared_parts(&head.headers),
         customer,
         route,
-        tokens: <D::Servers as ServerDialect>::token_usage(&head.headers),
         head,
         body,
         label,
@@ -328,8 +325,7 @@
         }
         self.tried_servers.push(server);
         let request = self.build_request(server, last_event, now);
-        let mut guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
-        guard.count_tokens(self.tokens);
+        let guard = AttemptGuard::begin(self.node.clone(), server, WorkKind::Live);
         self.node.report_placement(server);
         let terms = AttemptTerms {
             kind: match self.route.kind {
@@ -382,7 +378,7 @@
             software: self.software,
             parts: &[],
         };
-        match self.place(&servers, query, now, &mut random) {
+        match servers.choose_live(query, now, &mut random) {
             Ok(placement) => Ok(placement),
             Err(PlacementRefusal::NoServer) => {
                 Err(self.final_refusal(RefusalCause::RejectedByServers, UNAVAILABLE_RETRY_AFTER))
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -9,7 +9,6 @@
 mod server_attempt;
 mod stream_relay;
 mod stream_resumption;
-mod token_room;
 
 pub use connection_loop::{ConnectionLimits, serve_connections};
 pub use connection_pool::{
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -45,8 +45,6 @@
     kind: WorkKind,
     started_at: Timestamp,
     has_slot: bool,
-    /// The tokens that are counted on the server.
-    tokens: u64,
 }
 
 impl<D: Dialect> AttemptGuard<D> {
@@ -62,20 +60,9 @@
             kind,
             started_at,
             has_slot,
-            tokens: 0,
         }
     }
 
-    /// Counts the request's tokens on the server until this is dropped. A request that
-    /// doesn't state them counts as one with the mean tokens of its service.
-    pub fn count_tokens(&mut self, tokens: Option<u64>) {
-        let servers = self.node.servers.borrow();
-        let service = &servers.listing(self.server).service;
-        let mut room = self.node.token_room.borrow_mut();
-        room.end(self.server, self.tokens);
-        self.tokens = room.begin(self.server, service, tokens);
-    }
-
     /// Returns the node that sends the request.
     pub fn node(&self) -> &Rc<Node<D>> {
         &self.node
@@ -106,9 +93,6 @@
 impl<D: Dialect> Drop for AttemptGuard<D> {
     fn drop(&mut self) {
         self.node.servers.borrow_mut().end(self.server, self.kind);
-        let mut room = self.node.token_room.borrow_mut();
-        room.end(self.server, self.tokens);
-        drop(room);
         self.node.metrics.in_flight(self.kind.as_str(), -1);
         self.node.load_changed.notify_one();
         self.node.bulk_work_changed.notify_one();
