--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,10 +16,14 @@
 //! - Claims: calls that must not run twice ([`ClaimTracker`]).
 //! - [`bulk`] and [`lots`]: how much bulk work a server gets, and from which lots
 //!   ([`bulk::BulkLimiter`], [`lots::LotRanking`]).
+//! - [`memory`]: how many bytes are held for callers, and who is refused or ended when
+//!   there is no room ([`memory::MemoryAccount`]).
 //! - [`parts`]: which parts of prompts crash the servers that write an answer on them
 //!   ([`parts::PartTable`]).
 //! - [`placement`]: which server a request goes to, when it is refused instead,
 //!   and which lot items are preempted ([`placement::PlacementTable`]).
+//! - [`overload`]: which requests wait while all servers are full, and when refused
+//!   callers should return ([`overload::WaitingRequests`], [`overload::ReturnPlan`]).
 //! - [`streams`]: at which software version a stream may go on
 //!   ([`streams::OriginTable`]).
 //! - [`usage`]: enforces customers' rates by usage counts that daemons exchange
@@ -36,6 +40,8 @@
 mod ids;
 pub mod lots;
 mod members;
+pub mod memory;
+pub mod overload;
 pub mod parts;
 pub mod placement;
 mod queue;
@@ -59,7 +65,7 @@
 pub use hash::name_hash;
 pub use ids::{CustomerId, DaemonId, GroupId, Incarnation, ServerId, ServiceId, ZoneId};
 pub use members::{Heartbeat, ListedDaemon, MemberEntry, MemberEvent, MemberTable, ZoneContacts};
-pub use queue::{LiveQueue, QueueCause, QueueRefusal, QueuedCall};
+pub use queue::{LiveQueue, QueueCause, QueueRank, QueueRefusal, QueuedCall};
 pub use retries::{
     AttemptReport, FinalAnswer, FinalCause, RetryBudget, RetryDecision, RunState, SuspectVerdict,
     decide_retry,
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -5,27 +5,22 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{
-    LoadShare, ServerOutcomeKind, SlotReport, WorkKind,
+    LoadShare, PromptPart, ServerListing, ServerOutcomeKind, SlotReport, WorkKind,
     cold_start::{ColdStart, ColdStartLimit},
+    prompt_cache::PromptCache,
+    server_entry::{ServerEntry, cold_limit},
+    server_failures::{CustomerOutcomes, FailureRecord, UnprovenFailures},
     server_load::ServerLoad,
+    server_pace::{ServerPace, ServicePace, pace_of},
 };
 use crate::{ServerId, Timestamp, hash::name_hash, streams::SoftwareKey, usage::PeerId};
 
-/// The weight of a lot item against a live request when a server is chosen for a live
-/// request: the item can be preempted, which takes a moment.
-const BULK_WEIGHT: f64 = 0.15;
-/// The cost of a server in another zone, in requests. Crossing zones takes a few
-/// milliseconds, and bytes between zones are billed.
-const ZONE_PENALTY: f64 = 1.0;
-/// The cost of a server of which this daemon isn't a home daemon, in requests: about as
-/// much as a full server, since its known load is out of date.
-const NON_HOME_PENALTY: f64 = 1.5;
 /// How many servers of which this daemon isn't a home daemon are compared for a request.
 const DRAWN_SERVERS: usize = 2;
-/// Slots of each server that items leave free for live requests that arrive before the
-/// daemons have reported their counts to each other. Without them each such request
-/// preempts an item.
-const BULK_RESERVED_SLOTS: u32 = 1;
+/// The cost, in requests, of an idle server while others of its service fail at once: it may
+/// be idle since it fails too. It exceeds that of a server of which this daemon isn't a home
+/// daemon, since a request with a single attempt is lost at a failing one.
+const UNCHECKED_PENALTY: f64 = 2.0;
 /// How long a software counts as in use after its last server has left: longer than a stream
 /// that it began may be taken up.
 const SOFTWARE_MEMORY: Duration = Duration::from_secs(60);
@@ -33,39 +28,6 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1_500);
 
-/// A server as the directory lists it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServerListing {
-    /// Its name.
-    pub name: String,
-    /// The service it belongs to.
-    pub service: String,
-    /// Its zone.
-    pub zone: String,
-    /// Its address as `ip:port`.
-    pub address: String,
-    /// How many requests it runs at once.
-    pub slots: u32,
-    /// Whether it takes new requests.
-    pub is_ready: bool,
-    /// The version of its software.
-    pub version: String,
-    /// A number that changes when the server restarts under the same name.
-    pub incarnation: u64,
-    /// How much longer it stays cold, as of `revision`; `None` if its entry has no valid
-    /// time.
-    pub cold_left: Option<Duration>,
-    /// The store's revision of its entry.
-    pub revision: i64,
-}
-
-impl ServerListing {
-    /// Returns the key of the server's software.
-    pub fn software(&self) -> SoftwareKey {
-        SoftwareKey::of(&self.service, &self.version)
-    }
-}
-
 /// What a request requires of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -79,6 +41,8 @@
     pub max_wait: Duration,
     /// The only software that may answer: that which began the stream that goes on.
     pub software: Option<SoftwareKey>,
+    /// The parts of the request's prompt, in order.
+    pub parts: &'a [PromptPart],
 }
 
 /// A chosen server.
@@ -115,31 +79,20 @@
     pub items: u32,
 }
 
-#[derive(Clone, Debug)]
-struct ServerEntry {
-    listing: ServerListing,
-    key: u64,
-    software: SoftwareKey,
-    /// Whether it may have restarted, with other software, since its entry was read.
-    may_have_restarted: bool,
-    load: ServerLoad,
-    cold_start: ColdStart,
-    is_listed: bool,
-    /// Whether this daemon is one of its home daemons, which use it first.
-    is_home: bool,
-    /// Whether its zone is evacuated.
-    is_evacuated: bool,
-    /// Whether this daemon hears none of its zone's daemons any more.
-    is_in_silent_zone: bool,
-}
-
 /// The servers as one daemon knows them.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementTable {
     own: PeerId,
     /// Indexed by [`ServerId`]: a server that left the directory keeps its index for
     /// the requests that still run on it.
-    servers: Vec<ServerEntry>,
+    pub(super) servers: Vec<ServerEntry>,
+    /// The services whose servers keep prompt parts, sorted by name.
+    pub(super) prompt_caches: Vec<PromptCache>,
+    /// How the customers' recent requests ended.
+    pub(super) customers: CustomerOutcomes,
+    pub(super) unproven: UnprovenFailures,
+    /// Sorted by service.
+    service_paces: Vec<ServicePace>,
     /// The services whose servers may get few requests while they are cold, sorted by
     /// name.
     cold_limits: Vec<(String, ColdStartLimit)>,
@@ -234,9 +187,11 @@
             software: listing.software(),
             may_have_restarted: false,
             load: ServerLoad::new(listing.slots),
+            pace: ServerPace::default(),
             cold_start: former.map_or_else(ColdStart::default, |it| {
                 ColdStart::after_restart_of(&it.cold_start)
             }),
+            failures: FailureRecord::default(),
             listing: listing.clone(),
             is_listed: false,
             is_home: true,
@@ -359,6 +314,12 @@
         self.servers[id.index()].may_have_restarted = false;
     }
 
+    /// Returns how long work takes on a server, in percent of the usual time, as far as this
+    /// daemon knows.
+    pub fn pace_percent(&self, id: ServerId, now: Timestamp) -> u32 {
+        (self.servers[id.index()].pace.factor(now) * 100.0) as u32
+    }
+
     /// Returns the hash of a server's name.
     pub fn key(&self, id: ServerId) -> u64 {
         self.servers[id.index()].key
@@ -428,21 +389,37 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<usize> {
+        let avoids_suspected = self.avoids_suspected(query.service, now);
+        let is_entry_avoided = |entry: &ServerEntry| {
+            entry.is_avoided(now) || (avoids_suspected && entry.failures.is_suspected(now))
+        };
         let is_candidate = |index: &usize| {
             let entry = &self.servers[*index];
             entry.is_usable(query.service)
                 && entry.has_software(query.software)
                 && !query.exclude.contains(&ServerId(*index as u32))
-                && entry.is_avoided(now) == is_avoided
+                && is_entry_avoided(entry) == is_avoided
                 && entry.cold_start.has_room(now)
         };
+        if let Some(prompt) = self.long_prefix(query.service, query.parts) {
+            let best = self.best_for_prefix(query, prompt, is_candidate, now, random);
+            let has_room = |it: usize| self.servers[it].load.expected_wait(now) <= query.max_wait;
+            // Only the first servers of a part's order are compared, and others may have room.
+            if best.is_some_and(has_room) {
+                return best;
+            }
+        }
         let candidates = (0..self.servers.len()).filter(is_candidate);
         let (homes, others): (Vec<usize>, Vec<usize>) =
             candidates.partition(|it| self.servers[*it].is_used_first(now));
         let drawn = others.choose_multiple(random, DRAWN_SERVERS).copied();
         let drawn: Vec<usize> = drawn.collect();
         let costs = homes.into_iter().chain(drawn).map(|index| {
-            let cost = self.servers[index].live_cost(query.zone, now);
+            let entry = &self.servers[index];
+            let mut cost = entry.live_cost(query.zone, now);
+            if avoids_suspected && entry.load.is_idle(now) {
+                cost += UNCHECKED_PENALTY;
+            }
             (cost + random.random_range(0.0..0.3), index)
         });
         let best = costs.min_by(|left, right| left.0.total_cmp(&right.0));
@@ -461,6 +438,8 @@
             .servers
             .iter()
             .any(|it| it.is_home && it.is_usable(query.service));
+        let read_costs = self.bulk_read_costs(&query, now);
+        let avoids_suspected = self.avoids_suspected(query.service, now);
         let mut best: Option<(f64, usize)> = None;
         for (index, entry) in self.servers.iter().enumerate() {
             let id = ServerId(index as u32);
@@ -468,6 +447,7 @@
                 || !entry.has_software(query.software)
                 || query.exclude.contains(&id)
                 || entry.is_avoided(now)
+                || (avoids_suspected && entry.failures.is_suspected(now))
                 || entry.cold_start.is_cold(now)
                 || (has_home && !entry.is_home)
                 || !entry.load.may_start_bulk(now);
@@ -479,7 +459,12 @@
             } else {
                 0.5
             };
-            let cost = zone_penalty - entry.free_bulk_slots(now) + random.random_range(0.0..0.5);
+            let read_cost = read_costs.iter().find(|it| it.0 == index);
+            let read_cost = read_cost.map_or(0.0, |it| it.1);
+            let cost = zone_penalty - entry.free_bulk_slots(now)
+                + entry.slow_bulk_cost(now)
+                + read_cost
+                + random.random_range(0.0..0.5);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
@@ -524,6 +509,7 @@
     pub fn begin(&mut self, id: ServerId, kind: WorkKind, now: Timestamp) -> bool {
         let entry = &mut self.servers[id.index()];
         entry.cold_start.record_request(now);
+        entry.pace.record_use(now);
         let load = &mut entry.load;
         let has_slot = load.has_free_slot(now);
         match kind {
@@ -571,12 +557,20 @@
     /// to start in time, and a server that answers within 60 ms would be rejected for a
     /// queue of three.
     pub fn record_hold_time(&mut self, id: ServerId, hold_time: Duration) {
-        self.servers[id.index()].load.record_hold_time(hold_time);
+        let entry = &mut self.servers[id.index()];
+        let mean_secs = entry.load.record_hold_time(hold_time);
+        let service = pace_of(&mut self.service_paces, &entry.listing.service);
+        entry.pace.record_hold(mean_secs, hold_time, service);
     }
 
     /// Applies a server's own report.
     pub fn report(&mut self, id: ServerId, report: SlotReport, now: Timestamp) {
-        self.servers[id.index()].load.report(report, now);
+        let entry = &mut self.servers[id.index()];
+        entry.load.report(report, now);
+        if let Some(percent) = report.pace_percent {
+            let service = pace_of(&mut self.service_paces, &entry.listing.service);
+            entry.pace.report(percent, service, now);
+        }
     }
 
     /// Applies a report of another daemon: its load on servers, by the hashes of their
@@ -598,79 +592,3 @@
         used.map(|it| (it.key, it.load.own)).collect()
     }
 }
-
-impl ServerEntry {
-    /// Returns whether the entry is that of a listed server, in the same run.
-    fn is_of(&self, listing: &ServerListing) -> bool {
-        self.listing.incarnation == listing.incarnation
-            && self.listing.version == listing.version
-            && self.listing.service == listing.service
-            && self.listing.name == listing.name
-            && self.listing.address == listing.address
-    }
-
-    fn has_software(&self, software: Option<SoftwareKey>) -> bool {
-        software.is_none_or(|it| self.software == it)
-    }
-
-    fn is_usable(&self, service: &str) -> bool {
-        self.is_listed
-            && self.listing.is_ready
-            && !self.is_evacuated
-            && self.listing.service == service
-    }
-
-    /// Returns whether the server probably gives no answer.
-    fn is_avoided(&self, now: Timestamp) -> bool {
-        self.load.is_ejected(now) || self.is_in_silent_zone
-    }
-
-    /// Returns whether this daemon uses the server before others: as one of its home
-    /// daemons or, while it is cold, as one of those that may use it.
-    fn is_used_first(&self, now: Timestamp) -> bool {
-        self.is_home || self.cold_start.is_cold(now)
-    }
-
-    /// Takes the server as one that has just started, if its service limits requests to
-    /// cold servers.
-    fn assume_cold(&mut self, limits: &[(String, ColdStartLimit)], now: Timestamp) {
-        if let Some(limit) = cold_limit(limits, &self.listing.service) {
-            self.cold_start.extend(limit, limit.period, now);
-        }
-    }
-
-    fn live_cost(&self, zone: &str, now: Timestamp) -> f64 {
-        let total = self.load.total(now);
-        let live = f64::from(total.live) + self.load.surplus(now);
-        let bulk = f64::from(total.bulk);
-        let slots = f64::from(self.load.slots.max(1));
-        let used = live + BULK_WEIGHT * bulk;
-        let zone_penalty = if self.listing.zone == zone {
-            0.0
-        } else {
-            ZONE_PENALTY
-        };
-        // A full server costs more than any server in another zone.
-        let overload_penalty = (live + 1.0 - slots).max(0.0) * 4.0;
-        // Items have to be preempted there first.
-        let preemption_penalty = if live + bulk + 1.0 > slots { 1.0 } else { 0.0 };
-        let non_home_penalty = match self.is_used_first(now) {
-            true => 0.0,
-            false => NON_HOME_PENALTY,
-        };
-        used / slots * 2.0 + zone_penalty + non_home_penalty + overload_penalty + preemption_penalty
-    }
-
-    fn free_bulk_slots(&self, now: Timestamp) -> f64 {
-        let total = self.load.total(now);
-        let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
-        f64::from(self.load.slots) - f64::from(BULK_RESERVED_SLOTS) - used
-    }
-}
-
-fn cold_limit(limits: &[(String, ColdStartLimit)], service: &str) -> Option<ColdStartLimit> {
-    let index = limits
-        .binary_search_by(|it| it.0.as_str().cmp(service))
-        .ok()?;
-    Some(limits[index].1)
-}
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -67,7 +67,7 @@
 }
 
 /// A server's own report of its load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct SlotReport {
     /// Requests that hold a slot.
     pub running: u32,
@@ -75,6 +75,9 @@
     pub waiting: u32,
     /// The number of its slots.
     pub slots: u32,
+    /// How long work takes on its machine at this moment, in percent of the usual time;
+    /// `None` if the server doesn't report it.
+    pub pace_percent: Option<u32>,
 }
 
 /// One daemon's load on a server.
@@ -215,11 +218,17 @@
         self.ejected_until = now + duration.min(MAX_EJECTION_DURATION);
     }
 
-    /// Records how long a request held its slot.
-    pub(super) fn record_hold_time(&mut self, hold_time: Duration) {
+    /// Records how long a request held its slot. Returns the mean in seconds.
+    pub(super) fn record_hold_time(&mut self, hold_time: Duration) -> f64 {
         let secs = hold_time.as_secs_f64();
         let mean_secs = self.mean_hold_secs.get_or_insert(secs);
         *mean_secs += HOLD_TIME_WEIGHT * (secs - *mean_secs);
+        *mean_secs
+    }
+
+    /// Returns whether no daemon reports a live request there.
+    pub(super) fn is_idle(&self, now: Timestamp) -> bool {
+        self.total(now).live == 0
     }
 
     /// Returns whether a request that is sent now gets a slot at once.
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -4,6 +4,7 @@
 
 use super::{
     CustomerLimit, PeerId, PeerIncarnation, RateTolerance, SpendingTimes, UsageBucket, UsageCount,
+    earlier_charges::EarlierCharges,
     peer_usage::{PeerUsage, RecentCount, SHARE_WINDOW},
     usage_count::clock_ticks,
 };
@@ -23,8 +24,9 @@
 /// The fraction of its burst that a customer has at least at a daemon that has just started
 /// and doesn't know what was spent before. If all daemons restart at once, this is what can
 /// be spent twice: a larger fraction would overshoot more, a smaller one would reject
-/// requests within the customer's limit.
-const RESTART_BURST_FRACTION: f64 = 0.2;
+/// requests within the customer's limit (`tests/usage_restart.rs`,
+/// `tests/usage_rolling_restart.rs`).
+const RESTART_BURST_FRACTION: f64 = 0.15;
 
 /// The fraction of a customer's tokens that a daemon admits before it reports at once.
 /// If it always waited for the next regular report, a customer could spend all of its
@@ -52,6 +54,10 @@
 /// The longest time between the starts of daemons that start together, such as after a
 /// power loss: all of them count from the first requests of any.
 const MAX_START_SPREAD: Duration = Duration::from_secs(2);
+/// The longest run of a peer whose requests are charged from its start on when it is heard
+/// for the first time. A peer that has run for longer was known before, such as one that
+/// still reports while it leaves, and its requests were charged then.
+const MAX_FIRST_REPORT_AGE: Duration = Duration::from_secs(5);
 
 /// The longest delay after which a rejected caller is asked to retry.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3);
@@ -67,6 +73,9 @@
     /// Sorted by id.
     peers: Vec<PeerUsage>,
     started_at: Timestamp,
+    /// How long before this daemon the first one started whose requests are charged from
+    /// its start.
+    head_start: Duration,
     report_interval: Duration,
     silent_after: Duration,
     unconfirmed_after: (Duration, Duration),
@@ -96,6 +105,7 @@
     /// What all daemons admitted recently. It is kept as one count, since summing over
     /// all daemons for each message would take all of a daemon's time in a large fleet.
     all_recent: RecentCount,
+    earlier_charges: EarlierCharges,
     last_used: Timestamp,
     /// The latest retry time given to a rejected caller.
     last_retry_at: Timestamp,
@@ -114,6 +124,7 @@
             reported: 0,
             own_recent: RecentCount::default(),
             all_recent: RecentCount::default(),
+            earlier_charges: EarlierCharges::default(),
             last_used: now,
             last_retry_at: now,
         }
@@ -310,11 +321,17 @@
     pub fn receive(&mut self, peer: PeerIncarnation, counts: &[UsageCount], now: Timestamp) {
         let index = self.peer_index(peer.id, now);
         let unreported = self.unreported_span(index, peer, now);
-        let counted_since = self.started_at - MAX_START_SPREAD;
+        let own_uptime = now.since(self.started_at);
+        let counted_for = own_uptime + MAX_START_SPREAD;
         let was_silent = self.peers[index].is_silent;
-        let was_killed = self.peers[index].record_report(peer, counted_since, now);
+        let charged_for = counted_for.min(MAX_FIRST_REPORT_AGE);
+        let was_killed = self.peers[index].record_report(peer, charged_for, now);
         let is_level_complete =
-            self.is_recently_started(now) && peer.started_at.is_none_or(|it| it < counted_since);
+            self.is_recently_started(now) && peer.uptime.is_none_or(|it| it > counted_for);
+        let head_start = peer.uptime.unwrap_or_default().saturating_sub(own_uptime);
+        if head_start <= MAX_START_SPREAD {
+            self.head_start = self.head_start.max(head_start);
+        }
         if was_killed {
             self.charge_unreported(index, unreported, now);
         }
@@ -332,11 +349,16 @@
             let bucket = &mut usage.bucket;
             bucket.fill(reserved, now);
             bucket.charge(f64::from(spent.requests), spent.admitted_at, now);
+            if spent.is_total && !head_start.is_zero() {
+                usage.earlier_charges.record(f64::from(spent.requests));
+            }
             // Requests from before this daemon started are reflected in the level of a
             // daemon that has counted for longer. The levels of daemons that started
             // together lack each other's latest requests: if each lowered its level to the
             // lowest, these requests would be charged several times.
             if is_level_complete {
+                let gained = bucket.rate() * self.head_start.as_secs_f64();
+                bucket.refund(usage.earlier_charges.refund(gained));
                 bucket.lower_to(f64::from(count.level));
             }
         }
@@ -355,12 +377,9 @@
     /// Returns for how long a daemon that was killed had probably not reported: half an
     /// interval, unless it restarted sooner after its last report.
     fn unreported_span(&self, index: usize, peer: PeerIncarnation, now: Timestamp) -> Duration {
-        let last_received_at = self.peers[index].last_received_at;
-        let restarted_at = peer.started_at.unwrap_or(now);
-        restarted_at
-            .since(last_received_at)
-            .min(self.report_interval)
-            / 2
+        let unheard = now.since(self.peers[index].last_received_at);
+        let restart_delay = unheard.saturating_sub(peer.uptime.unwrap_or_default());
+        restart_delay.min(self.report_interval) / 2
     }
 
     /// Charges what a daemon that was killed probably admitted since its last report.
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -3,14 +3,16 @@
 //!
 //! This module has the state itself, the settings in force and the periodic work. Its
 //! submodules maintain what is known of servers (`directory`), of peers (`peers`), of lots
-//! (`lot_news`), of streams (`stream_origins`) and of the store (`store_health`), and admit
-//! requests (`admission`, `crash_records`).
+//! (`lot_news`), of streams (`stream_origins`), of the store (`store_health`) and of servers'
+//! failures (`server_failures`), and admit requests (`admission`, `crash_records`).
 
 mod admission;
 mod crash_records;
 mod directory;
 mod lot_news;
 mod peers;
+mod prompt_caches;
+mod server_failures;
 mod store_health;
 mod stream_origins;
 
@@ -32,7 +34,7 @@
 use comfreyramp_store::WatchBatch;
 use tokio::sync::Notify;
 
-use self::store_health::StoreHealth;
+use self::{prompt_caches::prompt_caches, store_health::StoreHealth};
 use crate::{
     clock::BootClock,
     dialect::{Dialect, FleetRecords},
@@ -41,8 +43,9 @@
         ViewLags, ViewRevisions, ViewServer,
     },
     lots::{AssignedLot, LedgerCache, LotCache, LotNotice, LotNotices},
+    memory::HeldMemory,
     metrics::NodeMetrics,
-    path::ConnectionPool,
+    path::{ConnectionPool, StartQueues},
     settings::NodeSettings,
     suspects::SuspectTracker,
 };
@@ -133,8 +136,12 @@
     pub view_server: RefCell<ViewServer>,
     /// The servers and their load, from which the server for a request is chosen.
     pub servers: RefCell<PlacementTable>,
+    /// The account of the bytes that are held for callers.
+    pub memory: Rc<HeldMemory>,
     /// Idle connections to servers.
     pub connections: ConnectionPool,
+    /// Live requests that wait while all servers are full.
+    pub start_queues: StartQueues<D>,
     /// Data of lots that was read from the store.
     pub lot_cache: RefCell<LotCache>,
     /// The last known ledgers of the tokens of customers' unfinished items.
@@ -173,6 +180,7 @@
     message_number: Cell<u64>,
     prompt_reports: RefCell<PromptReports>,
     reports_requested_at: Cell<Option<Timestamp>>,
+    has_logged_failures: Cell<bool>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -183,6 +191,7 @@
         if let Some(tolerance) = settings.rate_tolerance {
             usage.set_tolerance(tolerance.tolerance());
         }
+        let memory = HeldMemory::new(settings.held_bytes_bound(), clock, metrics.clone());
         Node {
             incarnation: rand::random(),
             store: RelayedStore::new(store, StoreMonitor::new(clock)),
@@ -191,7 +200,9 @@
             views: RefCell::default(),
             view_server: RefCell::default(),
             servers: RefCell::new(PlacementTable::new(PeerId::of_name(&settings.name))),
-            connections: ConnectionPool::default(),
+            connections: ConnectionPool::new(memory.is_bounded()),
+            start_queues: StartQueues::default(),
+            memory: Rc::new(memory),
             lot_cache: RefCell::default(),
             ledgers: LedgerCache::default(),
             lot_notices: RefCell::default(),
@@ -218,6 +229,7 @@
             message_number: Cell::new(0),
             prompt_reports: RefCell::default(),
             reports_requested_at: Cell::default(),
+            has_logged_failures: Cell::new(false),
             settings,
             clock,
         }
@@ -283,10 +295,12 @@
             Some((it.name.clone(), limit))
         });
         let cold_limits = cold_limits.collect();
+        let prompt_caches = prompt_caches(&settings);
         let view = FleetView::new(settings);
         let now = self.clock.now();
         let mut servers = self.servers.borrow_mut();
         servers.set_cold_limits(cold_limits, now);
+        servers.set_prompt_caches(prompt_caches);
         drop(servers);
         drop(views);
         self.assign_home_servers();
@@ -321,6 +335,7 @@
             self.apply_listings();
         }
         self.update_view_age_metrics();
+        self.update_failure_metrics();
         self.metrics
             .dropped_lines
             .set(crate::logs::dropped_lines() as i64);
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -88,6 +88,7 @@
             placed,
             asks_word: false,
             parts: self.part_reports(number),
+            failures: self.servers.borrow().own_failures(now),
             uptime_ms: u32::try_from(now.as_micros() / 1_000)
                 .unwrap_or(u32::MAX)
                 .max(1),
@@ -110,12 +111,14 @@
         servers.receive(peer, &message.shares, now);
         let is_regained = servers.silent_zones().contains(&message.from.zone);
         drop(servers);
+        self.start_queues.slots_changed.notify_one();
+        self.receive_failures(peer, &message.failures);
         if is_regained {
             self.update_silent_zones();
         }
         if !message.from.runs_lots {
             let mut usage = self.usage.borrow_mut();
-            usage.receive(message.sender(now), &message.timed_usage(), now);
+            usage.receive(message.sender(), &message.timed_usage(), now);
             if message.is_leaving {
                 usage.leave(peer);
             }
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_http::{AnswerProgress, BodyFraming, collect_limited};
+use comfreyramp_http::{
+    AnswerProgress, BodyError, BodyFraming, ByteReservation, ReservedBodyError, collect_limited,
+    collect_reserved,
+};
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
@@ -15,6 +18,7 @@
 use super::{MAX_IDLE, SendFailure, ServerConnection};
 use crate::{
     dialect::{Dialect, ServerDialect},
+    memory::HeldBytes,
     model::{ExecutionStatus, ServerAnswer},
     node::Node,
 };
@@ -35,12 +39,14 @@
 /// Counts a request as in flight on a server until it is dropped.
 #[derive(Debug)]
 pub struct AttemptGuard<D: Dialect> {
-    node: Rc<Node<D>>,
+    pub(super) node: Rc<Node<D>>,
     /// The server that the request is sent to.
     pub server: ServerId,
     kind: WorkKind,
-    started_at: Timestamp,
-    has_slot: bool,
+    pub(super) started_at: Timestamp,
+    pub(super) has_slot: bool,
+    /// The tokens of shared prompt parts that the server probably reads first.
+    pub(super) reading_tokens: u32,
 }
 
 impl<D: Dialect> AttemptGuard<D> {
@@ -56,6 +62,7 @@
             kind,
             started_at,
             has_slot,
+            reading_tokens: 0,
         }
     }
 
@@ -92,6 +99,7 @@
         self.node.metrics.in_flight(self.kind.as_str(), -1);
         self.node.load_changed.notify_one();
         self.node.bulk_work_changed.notify_one();
+        self.node.start_queues.slots_changed.notify_one();
     }
 }
 
@@ -292,6 +300,7 @@
     if let Some(report) = answer.report {
         let now = node.clock.now();
         node.servers.borrow_mut().report(guard.server, report, now);
+        node.start_queues.slots_changed.notify_one();
     }
     match answer.run {
         ExecutionStatus::NotRun => return Err(AttemptFailure::NotRun),
@@ -300,6 +309,9 @@
     }
     let progress = AnswerProgress::new(BodyFraming::of(&method, &head));
     let first = read_first_bytes(&mut body).await?;
+    if head.status.is_success() {
+        guard.record_first_event();
+    }
     let has_events = terms.kind == AnswerKind::Events && head.status.is_success();
     if has_events && first.is_none() && progress.is_broken_off() {
         let end = progress.end_of_body();
@@ -401,7 +413,8 @@
         Ok(())
     }
 
-    /// Reads the complete body of at most `limit` bytes.
+    /// Reads the complete body of at most `limit` bytes, which are taken from the account by
+    /// `held` before they are read.
     ///
     /// # Errors
     ///
@@ -409,25 +422,32 @@
     pub async fn read_whole(
         mut self,
         limit: usize,
+        held: &mut HeldBytes,
     ) -> Result<(response::Parts, Bytes), AttemptFailure> {
-        let mut whole = Vec::from(self.first.take().unwrap_or_default());
-        while let Some(frame) = self.body.frame().await {
-            let Ok(frame) = frame else {
-                self.guard.record_outcome(ServerOutcomeKind::Broken);
+        let first = Vec::from(self.first.take().unwrap_or_default());
+        let mut reservation = held.for_answer();
+        // A request that has been sent is never refused for lack of memory.
+        let Ok(()) = reservation.reserve(first.len()).await;
+        let reading = collect_reserved(&mut self.body, first, limit, &mut reservation);
+        let whole = match reading.await {
+            Ok(whole) => whole,
+            Err(ReservedBodyError::Body(BodyError::TooLong { .. })) => {
                 return Err(AttemptFailure::Broken);
-            };
-            if let Ok(data) = frame.into_data() {
-                whole.extend_from_slice(&data);
             }
-            if whole.len() > limit {
+            Err(ReservedBodyError::Body(_)) => {
+                self.guard.record_outcome(ServerOutcomeKind::Broken);
                 return Err(AttemptFailure::Broken);
             }
+            Err(ReservedBodyError::Refused(never)) => match never {},
+        };
+        // A server that fails at once would seem to hold its slots for no time.
+        if !self.head.status.is_server_error() {
+            self.guard.record_answered();
         }
-        self.guard.record_answered();
         let node = self.guard.node.clone();
         let now = node.clock.now();
         node.connections
             .put_back(self.connection, self.answer.keep_alive, now);
-        Ok((self.head, whole.into()))
+        Ok((self.head, whole))
     }
 }
