Queue: servers suspected of failing get their trials from daemons with a queue too

Found on reading the merge: find_slot chose servers without choose_trial, so that with live_queue a suspected server was used again only when its level had decayed.

--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -593,7 +593,17 @@
 /// again soon after it works.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_fails_at_once_gets_few_requests() {
-    let mut fleet = Fleet::new().await;
+    check_server_that_fails(Fleet::new().await).await;
+}
+
+/// The same where requests may wait at the daemon. A queue that doesn't choose servers for
+/// trials leaves the server unused after it works again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_fails_at_once_is_tried_by_daemons_with_a_queue() {
+    check_server_that_fails(Fleet::new().await.with_live_queue()).await;
+}
+
+async fn check_server_that_fails(mut fleet: Fleet) {
     fleet.add_engine("engine-3", "zone-1", "v1").await;
     fleet.add_engine("engine-4", "zone-2", "v1").await;
     let fleet = fleet.with_daemons().await;
--- a/crates/serving/src/path/start_queues.rs
+++ b/crates/serving/src/path/start_queues.rs
@@ -257,6 +257,17 @@
         let Some(service) = self.queued_service() else {
             return self.choose_server(now).map(|it| (it, None));
         };
+        let query = PlacementQuery {
+            service: &service,
+            zone: &self.node.settings.zone,
+            exclude: &[],
+            max_wait: self.max_slot_wait(now),
+            software: None,
+            parts: &self.prompt,
+        };
+        if let Some(placement) = self.choose_trial(query, now) {
+            return Ok((placement, None));
+        }
         let queues = &self.node.start_queues;
         if queues.with(&service, |it| it.waiting.is_empty())
             && let Some(placement) = choose_free(&self.node, &service, &self.prompt, now)
