Overload, rates: forecasts with their uncertainty, and reports asked for at a small fleet's start

A waiting request was removed because of the mean of a few slow starts, although it would have started in time. It is removed now only if it is late by two standard deviations of the time that the starts ahead of it take.

Up to 16 peers are asked now.

--- a/crates/policy/src/overload/waiting_requests.rs
+++ b/crates/policy/src/overload/waiting_requests.rs
@@ -79,6 +79,9 @@
 
 impl QueueRank for WaitingRank {
     const LOWER_RANK_INTERVAL: Option<u32> = None;
+    /// A request that is removed was waiting for nothing, and one that stays too long loses
+    /// the rest of its wait: it is removed only if it is likely to be late.
+    const FORECAST_DEVIATIONS: f64 = 2.0;
 
     /// A request has a latest start of its own.
     fn max_wait(self) -> Duration {
--- a/crates/policy/src/queue/live_queue.rs
+++ b/crates/policy/src/queue/live_queue.rs
@@ -13,6 +13,8 @@
 
 /// The weight of one sample in the mean time between starts.
 const SAMPLE_WEIGHT: f64 = 0.05;
+/// The number of samples that a plain mean of the same variance has.
+const MEAN_SAMPLES: f64 = 2.0 / SAMPLE_WEIGHT - 1.0;
 
 /// The shortest delay after which a rejected caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -211,7 +213,9 @@
         let ahead_of_it = self.shares[customer.index()]
             .count(urgency)
             .saturating_sub(1);
-        let wait = self.wait_behind(f64::from(ahead_of_it), &call, now);
+        let ahead = self.calls_ahead(f64::from(ahead_of_it), &call);
+        let early = self.start_deviation(ahead).mul_f64(R::FORECAST_DEVIATIONS);
+        let wait = self.wait_for_starts(ahead, now).saturating_sub(early);
         (now + wait > call.deadline).then_some(call)
     }
 
@@ -225,11 +229,12 @@
         }
         let own = self.shares.get(call.customer.index());
         let queued = own.map_or(0, |it| it.count(call.urgency));
-        self.wait_behind(f64::from(queued), call, now)
+        self.wait_for_starts(self.calls_ahead(f64::from(queued), call), now)
     }
 
-    /// Returns how long a call waits behind `queued` calls of its own customer.
-    fn wait_behind(&self, queued: f64, call: &QueuedCall<R>, now: Timestamp) -> Duration {
+    /// Returns how many calls start before a call that has `queued` calls of its own customer
+    /// ahead of it.
+    fn calls_ahead(&self, queued: f64, call: &QueuedCall<R>) -> f64 {
         let own = self.shares.get(call.customer.index());
         let (own_served, own_weight) = own.map_or((0.0, 1.0), |it| (it.served, it.weight));
         let served = own_served.max(self.last_served);
@@ -246,8 +251,19 @@
         }
         let more_urgent = f64::from(self.counts.above(call.urgency));
         let max_ahead = R::LOWER_RANK_INTERVAL.map_or(f64::INFINITY, f64::from) * (ahead + 1.0);
-        let ahead = (ahead + more_urgent).min(max_ahead);
-        self.since_last_start(now) + Duration::from_secs_f64(ahead * self.start_interval_secs)
+        (ahead + more_urgent).min(max_ahead)
+    }
+
+    fn wait_for_starts(&self, starts: f64, now: Timestamp) -> Duration {
+        self.since_last_start(now) + Duration::from_secs_f64(starts * self.start_interval_secs)
+    }
+
+    /// Returns the standard deviation of the time that so many starts take, for starts that
+    /// don't depend on each other and a mean interval that is known from a few of them.
+    fn start_deviation(&self, starts: f64) -> Duration {
+        let samples = f64::from(self.starts).clamp(1.0, MEAN_SAMPLES);
+        let intervals = (starts + starts * starts / samples).sqrt();
+        Duration::from_secs_f64(intervals * self.start_interval_secs)
     }
 
     /// Returns the bytes of memory that the queue occupies.
--- a/crates/policy/src/queue/rank.rs
+++ b/crates/policy/src/queue/rank.rs
@@ -9,6 +9,10 @@
     /// One in this many starts goes to the next lower rank if any call waits there;
     /// `None` if a lower rank starts only while no higher one waits.
     const LOWER_RANK_INTERVAL: Option<u32>;
+    /// How uncertain a forecast may be with which a waiting call is removed, in standard
+    /// deviations: it is removed if it starts too late even if the starts ahead of it take
+    /// that much less than they are expected to.
+    const FORECAST_DEVIATIONS: f64;
 
     /// Returns the longest wait of a call of this rank, whatever its deadline.
     fn max_wait(self) -> Duration;
@@ -17,6 +21,7 @@
 impl QueueRank for Urgency {
     /// Lower urgencies make progress while more urgent calls keep coming.
     const LOWER_RANK_INTERVAL: Option<u32> = Some(8);
+    const FORECAST_DEVIATIONS: f64 = 0.0;
 
     /// A person has given up after this time, and a program is better asked to retry.
     fn max_wait(self) -> Duration {
--- a/crates/policy/src/usage/usage_book.rs
+++ b/crates/policy/src/usage/usage_book.rs
@@ -42,6 +42,11 @@
 /// network partition has for what the other may admit.
 const UNHEARD_ALLOWANCE_PART: f64 = 0.7;
 
+/// The most peers that are asked for reports by a daemon that has just started. If all daemons
+/// of a fleet start together and each asks all others in every interval, the reports grow by
+/// the square of their number.
+const MAX_PEERS_ASKED_AT_START: usize = 16;
+
 /// For how many intervals after a change every report names a customer's count.
 const CHANGE_REPEAT_INTERVALS: u32 = 3;
 /// In one of how many intervals reports name it after that.
@@ -256,6 +261,12 @@
         }
     }
 
+    /// Returns whether peers may be asked for reports. While a large fleet starts, its daemons
+    /// would be busy with these reports alone.
+    fn may_request_reports(&self, now: Timestamp) -> bool {
+        !self.is_recently_started(now) || self.peers.len() <= MAX_PEERS_ASKED_AT_START
+    }
+
     /// Returns whether this daemon has just started, and doesn't know what was spent before.
     fn is_recently_started(&self, now: Timestamp) -> bool {
         now.since(self.started_at) < self.silent_after * 2
@@ -267,7 +278,7 @@
     pub fn is_rejected_as_unconfirmed(&self, customer: u64, now: Timestamp) -> bool {
         let Some(index) = self
             .find(customer)
-            .filter(|_| !self.is_recently_started(now))
+            .filter(|_| self.may_request_reports(now))
         else {
             return false;
         };
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -229,6 +229,32 @@
     }
 }
 
+/// Guards against a forecast from a few slow starts that removes a waiting request although
+/// it would start in time.
+#[test]
+fn a_few_slow_starts_remove_no_request_that_starts_in_time() {
+    let mut queue = WaitingRequests::default();
+    let mut refused = Vec::new();
+    for number in 0..9 {
+        let waiting = WaitingRequest {
+            in_time_until: after_ms(1_400),
+            latest_start: after_ms(1_400),
+            ..request(number, 0, 1)
+        };
+        queue.push(waiting, after_ms(0)).unwrap();
+    }
+    // Three starts, 120 ms apart, then one each 60 ms, as slots become free faster.
+    let starts = [740, 860, 980]
+        .into_iter()
+        .chain((1_040..1_400).step_by(60));
+    for at in starts {
+        refused.extend(queue.take_late(after_ms(at)));
+        queue.start_next(Duration::ZERO, after_ms(at), &mut refused);
+    }
+    assert!(refused.is_empty(), "{refused:?}");
+    assert!(queue.is_empty());
+}
+
 /// Guards against a returning caller that waits behind newcomers of its rank, and against one
 /// that displaces those of a higher rank.
 #[test]
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -474,3 +474,34 @@
     let unknown = level_after_a_later_start(None);
     assert!(unknown < -RATE, "{unknown} tokens");
 }
+
+/// A daemon that has just started leaves others their shares of the whole burst, although it
+/// has little of it itself. If it asked them for no report, it would refuse customers within
+/// their rates until the next ones.
+#[test]
+fn a_daemon_that_has_just_started_refuses_no_typical_customer_for_unconfirmed_usage() {
+    let start = Timestamp::from_micros(1_000_000);
+    let mut tracker = new_tracker(start);
+    tracker.set_members(&[id(1), id(2)], start);
+    let report = |tracker: &mut UsageTracker, now: Timestamp| {
+        tracker.receive(incarnation(1, 1, start).reported(now), &[], now);
+    };
+    report(&mut tracker, start + Duration::from_millis(30));
+    let interval = Duration::from_secs_f64(2.0 / RATE);
+    let mut requested = 0;
+    for number in 1..=26 {
+        let now = start + interval * number;
+        tracker.tick(now);
+        if tracker.is_rejected_as_unconfirmed(CUSTOMER, now) {
+            requested += 1;
+            assert_eq!(tracker.unconfirmed_peers(now), [id(1)]);
+            report(&mut tracker, now);
+        }
+        let admitted = tracker.admit(CUSTOMER, now);
+        assert_eq!(admitted, Ok(()), "{:?} after the start", now.since(start));
+    }
+    assert!(
+        (1..=4).contains(&requested),
+        "{requested} reports requested"
+    );
+}
