--- a/crates/serving/src/path/answer_evidence.rs
+++ b/crates/serving/src/path/answer_evidence.rs
@@ -11,8 +11,13 @@
 
 impl<D: Dialect> LiveRequest<D> {
     /// Records the status with which a server answered. A failure of a request that may run
-    /// again counts once it is known how it fares at another server.
+    /// again counts once it is known how it fares at another server. An answer that the
+    /// request's time has run out says nothing of the server: how slow it is, is learnt from
+    /// its hold times.
     pub(super) fn record_status(&mut self, server: ServerId, status: StatusCode) {
+        if status == StatusCode::GATEWAY_TIMEOUT {
+            return;
+        }
         if status.is_success() {
             self.record_evidence(server, AnswerEvidence::Succeeded);
             if let Some(failed_at) = self.failed_at.take() {
