--- a/crates/policy/tests/placement_replay/mod.rs
+++ b/crates/policy/tests/placement_replay/mod.rs
@@ -43,7 +43,9 @@
 impl LoadSteps {
     /// Returns the load at a time after the begin of the replay.
     pub(crate) fn at(self, since: Duration) -> f64 {
-        match since.as_secs_f64() % self.period_s < self.low_s {
+        let phase = since.as_secs_f64() % self.period_s;
+        debug_assert!(phase >= 0.0);
+        match phase < self.low_s {
             true => self.low,
             false => self.high,
         }
