Reads of lots: find the lots that a daemon reports no longer in one pass

Each report was searched once for each lot of the one before. Both are sorted, so that one pass over them does.

--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{MemberRecord, PeerMessage, ViewRevisions, known_member::KnownMember};
-use crate::lots::{AssignedLot, LotProgress};
+use crate::lots::AssignedLot;
 
 /// How long after its last report an unregistered daemon is forgotten. Until then this
 /// daemon keeps reporting to it: its lease may have expired because the store rejects its
@@ -221,13 +221,7 @@
         member.last_number = message.number;
         member.last_received_at = Some(now);
         member.revisions = message.revisions;
-        let mut progress = message.progress.clone();
-        progress.sort_unstable_by(|left, right| left.lot.cmp(&right.lot));
-        let previous = std::mem::replace(&mut member.progress, progress);
-        let is_dropped = |it: &&LotProgress| member.progress_of(&it.lot).is_none();
-        let dropped = previous.iter().filter(is_dropped);
-        let known = dropped.filter(|it| it.stage.knows_all_results());
-        let ran: Vec<String> = known.map(|it| it.lot.clone()).collect();
+        let ran = member.replace_progress(&message.progress);
         member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
         member.items = message.items;
