--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -661,3 +661,16 @@
     let is_proved = |it: &str| it.contains("failed_alone") && !it.ends_with(" 0");
     assert!(metrics.lines().any(is_proved), "{metrics}");
 }
+
+/// An engine answers 504, since a request's time has run out. Callers with short deadlines must
+/// not make healthy engines suspected.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_ran_out_is_no_failure_of_its_server() {
+    let fleet = Fleet::started().await;
+    let request = CallerRequest::post("/once/1", "r8", b"out of time");
+    let response = fleet.send(0, request).await.unwrap();
+    assert_eq!(response.status(), StatusCode::GATEWAY_TIMEOUT);
+    let metrics = fleet.metrics(0).await;
+    let counts = |it: &str| it.contains("server_failures") && !it.starts_with('#');
+    assert!(!metrics.lines().any(counts), "{metrics}");
+}
