--- a/crates/policy/src/placement/server_failures.rs
+++ b/crates/policy/src/placement/server_failures.rs
@@ -36,6 +36,9 @@
 const CLEARING_FACTOR: f64 = 0.2;
 /// The factor of a success on the level of a server that also succeeds between failures.
 const MIXED_FACTOR: f64 = 0.7;
+/// The failures after which a success is a recovery. A server that fails half of its requests
+/// seldom fails so many in a row.
+const MIN_FAILURES_IN_ROW: u32 = 3;
 /// How long a server counts as one that both fails and succeeds.
 const MIXED_MEMORY: Duration = Duration::from_secs(5);
 /// The time constant with which a level decays without evidence.
@@ -157,6 +160,8 @@
     /// When a success last ended the suspicion of the server, which had failed all requests.
     recovered_at: Option<Timestamp>,
     mixed_until: Timestamp,
+    /// The failures since a success last ended the server's suspicion.
+    failures_in_row: u32,
     /// When a request last failed here and succeeded at another server.
     last_proof: Option<Timestamp>,
     last_trial: Option<Timestamp>,
@@ -252,6 +257,7 @@
         self.level = level + FAILURE_STEP * weight.min(1.0) * (1.0 - level);
         self.level_at = now;
         self.weight = weight;
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
         self.last_failure = Some(now);
     }
 
@@ -277,7 +283,10 @@
 
     /// Returns whether the server works again after it had failed all requests lately.
     fn has_recovered(&self, now: Timestamp) -> bool {
-        !self.is_suspected(now) && self.is_proved(now) && now >= self.mixed_until
+        !self.is_suspected(now)
+            && self.is_proved(now)
+            && self.failures_in_row >= MIN_FAILURES_IN_ROW
+            && now >= self.mixed_until
     }
 
     /// Takes back unproven failures that occur at other servers as well.
@@ -302,6 +311,9 @@
         if was_suspected && self.has_recovered(now) {
             self.recovered_at = Some(now);
         }
+        if !self.is_suspected(now) {
+            self.failures_in_row = 0;
+        }
     }
 
     /// Takes a peer's counts, and returns what they say beyond those that it reported before.
@@ -366,7 +378,7 @@
         let is_suspected = self.is_suspected(now);
         (is_suspected != was_suspected).then(|| SuspicionChange {
             is_suspected,
-            is_recovery: self.has_recovered(now),
+            is_recovery: !is_suspected && self.recovered_at == Some(now),
             level: self.level(now),
             weight: self.weight,
             counts: FailureCount { server, ..self.own },
