--- a/crates/node/tests/failing_fleet.rs
+++ b/crates/node/tests/failing_fleet.rs
@@ -642,3 +642,35 @@
         begin.elapsed()
     );
 }
+
+/// One of two engines answers each item with status 500 at once, and has the most free slots.
+/// Items must not fail there until they are given up, and their failures must count against
+/// the engine once they succeed at the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_that_fail_at_one_server_succeed_at_another() {
+    let fleet = Fleet::started().await;
+    fleet.servers[0].set_failing(true);
+    let bodies = ["one", "two", "three", "four", "five", "six"];
+    let status = fleet.submit_lot(0, "lot-e", &bodies).await.unwrap();
+    assert_eq!(status, StatusCode::ACCEPTED);
+    let page = fleet.read_finished_lot(0, "lot-e").await;
+    for result in page["results"].as_array().unwrap() {
+        assert_eq!(result["output"], expected_output(), "{result}");
+    }
+    let metrics = fleet.metrics(2).await;
+    let is_proved = |it: &str| it.contains("failed_alone") && !it.ends_with(" 0");
+    assert!(metrics.lines().any(is_proved), "{metrics}");
+}
+
+/// An engine answers 504, since a request's time has run out. Callers with short deadlines must
+/// not make healthy engines suspected.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_time_ran_out_is_no_failure_of_its_server() {
+    let fleet = Fleet::started().await;
+    let request = CallerRequest::post("/once/1", "r8", b"out of time");
+    let response = fleet.send(0, request).await.unwrap();
+    assert_eq!(response.status(), StatusCode::GATEWAY_TIMEOUT);
+    let metrics = fleet.metrics(0).await;
+    let counts = |it: &str| it.contains("server_failures") && !it.starts_with('#');
+    assert!(!metrics.lines().any(counts), "{metrics}");
+}
--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -7,32 +7,32 @@
     reason = "a test fails where its fleet can't start"
 )]
 
+mod callers;
+mod processes;
+mod settings;
+
 use std::{
     net::SocketAddr,
-    pin::Pin,
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
-    },
+    sync::Arc,
     time::{Duration, Instant},
 };
 
-use comfreyramp_http::{
-    Body as _, Bytes, HttpClient, Incoming, MessageBody, Method, Request, Response, StatusCode,
-};
+use comfreyramp_http::{HttpClient, MessageBody, Request, StatusCode};
 use comfreyramp_standins::{
-    kv::{KvEndpoint, KvState},
+    kv::KvState,
     link::FaultLink,
     runner::{
         BackendKind, BackendOptions, BackendServer, RequestedStream, ScriptedAnswer,
         ScriptedRequest, ScriptedServer,
     },
 };
-use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
+#[allow(unused_imports, reason = "no test file uses all of this module")]
+pub(crate) use callers::{CallerRequest, Callers, item, next_bytes};
+pub(crate) use processes::DaemonProcess;
+
 /// The host of all routes.
 pub(crate) const HOST: &str = "fleet.example";
 /// The key of the first customer.
@@ -53,19 +53,6 @@
 /// The environment variable that names the folder for the complete logs of a failed test.
 const LOG_FOLDER_VARIABLE: &str = "FLEET_LOGS";
 
-/// A daemon's process, which is killed when this is dropped.
-pub(crate) struct DaemonProcess {
-    child: Child,
-    /// The address at which callers reach it; none where it serves no callers.
-    pub(crate) caller_address: Option<SocketAddr>,
-    health_address: SocketAddr,
-    peer_address: SocketAddr,
-    metrics_address: SocketAddr,
-    /// The daemon's own endpoint of the store, with its own fault injection.
-    pub(crate) store_endpoint: KvEndpoint,
-    data_folder: tempfile::TempDir,
-}
-
 /// Daemons with their store and backend servers.
 pub(crate) struct Fleet {
     pub(crate) store: Arc<KvState>,
@@ -91,70 +78,6 @@
     client: HttpClient,
 }
 
-/// Sends requests to a fleet's daemons, also while the fleet itself is borrowed mutably.
-#[derive(Clone)]
-pub(crate) struct Callers {
-    /// The address of each daemon that serves callers.
-    addresses: Vec<Option<SocketAddr>>,
-    client: HttpClient,
-}
-
-/// A request of a caller.
-pub(crate) struct CallerRequest<'a> {
-    pub(crate) method: Method,
-    pub(crate) path: &'a str,
-    pub(crate) id: &'a str,
-    pub(crate) key: &'a str,
-    /// How long the daemon may hold a read of a lot open until results arrive.
-    pub(crate) wait_ms: u64,
-    pub(crate) body: &'a [u8],
-    /// More headers, as pairs of name and value.
-    pub(crate) headers: Vec<(&'static str, String)>,
-}
-
-impl<'a> CallerRequest<'a> {
-    pub(crate) fn post(path: &'a str, id: &'a str, body: &'a [u8]) -> Self {
-        CallerRequest {
-            method: Method::POST,
-            path,
-            id,
-            key: KEY,
-            wait_ms: 300,
-            body,
-            headers: Vec::new(),
-        }
-    }
-
-    pub(crate) fn get(path: &'a str) -> Self {
-        CallerRequest {
-            method: Method::GET,
-            path,
-            id: "read",
-            key: KEY,
-            wait_ms: 300,
-            body: b"",
-            headers: Vec::new(),
-        }
-    }
-
-    pub(crate) fn key(mut self, key: &'a str) -> Self {
-        self.key = key;
-        self
-    }
-
-    /// Adds a header.
-    pub(crate) fn header(mut self, name: &'static str, value: &str) -> Self {
-        self.headers.push((name, value.to_owned()));
-        self
-    }
-
-    /// Takes up the stream that the request `first` began, after an event.
-    pub(crate) fn takes_up(self, first: &str, last_event: u64) -> Self {
-        self.header("resumes", first)
-            .header("last-event-id", &last_event.to_string())
-    }
-}
-
 impl Fleet {
     /// Starts two engines and a plain service, but no daemon.
     pub(crate) async fn new() -> Fleet {
@@ -267,245 +190,6 @@
         self
     }
 
-    /// Writes operators' settings that give the customer these keys and this rate.
-    pub(crate) fn put_settings(&mut self, keys: &[&str], rate: f64) {
-        self.put_settings_with(keys, rate, &json!(0), 0.0);
-    }
-
-    /// Writes operators' settings by which an item is given up after `retention_s` seconds.
-    pub(crate) fn put_retention(&mut self, retention_s: u64) {
-        self.retention_s = retention_s;
-        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
-    }
-
-    /// Writes operators' settings by which an engine keeps this many tokens.
-    pub(crate) fn put_engine_memory(&mut self, tokens: u32) {
-        self.engine_memory = tokens;
-        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
-    }
-
-    /// Bounds the memory of the daemons that are started from now on, and adds a second
-    /// customer.
-    pub(crate) fn put_memory(&mut self, memory_mb: f64) {
-        self.memory_mb = Some(memory_mb);
-        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
-    }
-
-    /// Returns a daemon's process id.
-    pub(crate) fn process_id(&self, daemon: usize) -> u32 {
-        self.daemons[daemon].child.id()
-    }
-
-    /// Writes operators' settings without the route with this prefix; with all routes if it
-    /// is `None`.
-    pub(crate) fn put_without_route(&mut self, prefix: Option<&'static str>) {
-        self.removed_route = prefix;
-        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
-    }
-
-    /// Writes operators' settings by which a cold engine tolerates `rate` requests a second.
-    pub(crate) fn put_cold_rate(&mut self, rate: f64) {
-        self.put_settings_with(&[KEY, SPARE_KEY], 1_000.0, &json!(0), rate);
-    }
-
-    /// Writes operators' settings that limit the waiting tokens of the customer's lots to
-    /// `token_bound`.
-    pub(crate) fn put_token_bound(&mut self, token_bound: &Value) {
-        self.put_settings_with(&[KEY, SPARE_KEY], 1_000.0, token_bound, 0.0);
-    }
-
-    fn put_settings_with(&mut self, keys: &[&str], rate: f64, token_bound: &Value, cold_rate: f64) {
-        self.version += 3;
-        let cold_start_s = if cold_rate > 0.0 { 3.0 } else { 0.0 };
-        let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
-            json!({
-                "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
-                "timeout_ms": 5_000, "target_latency_ms": if self.has_live_queue { 2_000 } else { 500 },
-                "priority": u32::from(prefix == "/once/"), "attempts": 2,
-                "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 300,
-                "completion_target_ms": 15_000, "retention_s": self.retention_s, "cap": token_bound,
-            })
-        };
-        let mut routes = vec![
-            route("/drafts/", "stream", "drafts", true),
-            route("/once/", "stream", "drafts", false),
-            route("/proofs/", "safe", "proofs", false),
-            route("/lots/", "batch", "drafts", true),
-        ];
-        routes.retain(|it| it["prefix"].as_str() != self.removed_route);
-        let mut tenants =
-            vec![json!({"name": "press", "api_keys": keys, "rate_per_s": rate, "burst": rate})];
-        if self.memory_mb.is_some() {
-            tenants.push(json!({
-                "name": "post", "api_keys": [OTHER_KEY], "rate_per_s": rate, "burst": rate,
-            }));
-        }
-        let settings = json!({
-            "version": self.version,
-            "routes": routes,
-            "services": [
-                {
-                    "name": "drafts", "cold_start_s": cold_start_s, "cold_per_s": cold_rate,
-                    "engine": {"kv_capacity": self.engine_memory},
-                },
-                {"name": "proofs"},
-            ],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
-            "tenants": tenants,
-        });
-        self.store.put("op/config", settings.to_string().as_bytes());
-    }
-
-    /// Starts a daemon that serves callers, or else one that runs lots.
-    pub(crate) async fn add_daemon(&mut self, name: &str, zone: &str, has_callers: bool) {
-        let store_endpoint = KvEndpoint::open(self.store.clone(), self.stop.clone())
-            .await
-            .unwrap();
-        let [
-            listen_address,
-            health_address,
-            peer_address,
-            metrics_address,
-        ] = unique_addresses();
-        let store = self.address_through_link(store_endpoint.address).await;
-        let mut settings = json!({
-            "name": name, "zone": zone, "peers": peer_address, "metrics": metrics_address,
-            "runs_lots": !has_callers,
-            "store": {
-                "address": store, "value_bytes": 1_048_576, "shortest_lease_s": 1.0,
-            },
-            "stop_grace_s": 8, "results_kept_s": 120,
-        });
-        if self.has_live_queue {
-            settings["live_queue"] = json!(true);
-        }
-        if let Some(memory_mb) = self.memory_mb {
-            settings["memory_mb"] = json!(memory_mb);
-        }
-        if has_callers {
-            settings["callers"] = json!(listen_address);
-            settings["health"] = json!(health_address);
-        }
-        let folder = tempfile::tempdir().unwrap();
-        std::fs::write(folder.path().join("settings"), settings.to_string()).unwrap();
-        let child = start_process(&folder);
-        let reachable_at = match has_callers {
-            true => Some(self.address_through_link(listen_address).await),
-            false => None,
-        };
-        self.daemons.push(DaemonProcess {
-            child,
-            caller_address: reachable_at,
-            health_address,
-            peer_address,
-            metrics_address,
-            store_endpoint,
-            data_folder: folder,
-        });
-    }
-
-    /// Returns the address at which callers reach an entry daemon.
-    pub(crate) fn caller_address(&self, daemon: usize) -> SocketAddr {
-        self.daemons[daemon].caller_address.unwrap()
-    }
-
-    /// Returns the address at which other daemons reach a daemon.
-    pub(crate) fn peer_address(&self, daemon: usize) -> SocketAddr {
-        self.daemons[daemon].peer_address
-    }
-
-    /// Kills a daemon without any warning, as a power failure would.
-    pub(crate) fn kill(&mut self, daemon: usize) {
-        self.daemons[daemon].child.kill().unwrap();
-        self.daemons[daemon].child.wait().unwrap();
-    }
-
-    /// Starts a daemon again that was killed.
-    pub(crate) fn restart(&mut self, daemon: usize) {
-        let child = start_process(&self.daemons[daemon].data_folder);
-        self.daemons[daemon].child = child;
-    }
-
-    /// Occupies the metrics port of a daemon that isn't running.
-    pub(crate) fn occupy_metrics_port(&self, daemon: usize) -> std::net::TcpListener {
-        std::net::TcpListener::bind(self.daemons[daemon].metrics_address).unwrap()
-    }
-
-    /// Restarts a daemon with its log written to a pipe that is never read.
-    pub(crate) fn restart_with_unread_log(&mut self, daemon: usize) {
-        self.kill(daemon);
-        let mut command = daemon_command(&self.daemons[daemon].data_folder);
-        self.daemons[daemon].child = command.stdout(Stdio::piped()).spawn().unwrap();
-    }
-
-    /// Returns the lines that all daemons logged with the id of a request, a lot or an
-    /// item.
-    pub(crate) async fn log_lines_with_id(&self, id: &str) -> Vec<Value> {
-        // Daemons buffer log lines before they write them.
-        tokio::time::sleep(Duration::from_millis(400)).await;
-        let mut found = Vec::new();
-        for daemon in &self.daemons {
-            let log = std::fs::read_to_string(daemon.data_folder.path().join("log")).unwrap();
-            let lines = log
-                .lines()
-                .filter_map(|it| serde_json::from_str::<Value>(it).ok());
-            let has_id = |it: &Value| {
-                let fields = it["kvs"].as_object();
-                fields.is_some_and(|it| it.values().any(|value| value == id))
-            };
-            found.extend(lines.filter(has_id));
-        }
-        found
-    }
-
-    /// Sends a daemon SIGTERM, which requests a graceful shutdown.
-    pub(crate) fn terminate(&self, daemon: usize) {
-        self.signal(daemon, Signal::TERM);
-    }
-
-    /// Pauses a daemon's process.
-    pub(crate) fn pause(&self, daemon: usize) {
-        self.signal(daemon, Signal::STOP);
-    }
-
-    /// Resumes a paused daemon.
-    pub(crate) fn resume(&self, daemon: usize) {
-        self.signal(daemon, Signal::CONT);
-    }
-
-    /// Fills the receive queue of a paused daemon with invalid datagrams, so that its
-    /// peers' messages from now on are dropped.
-    pub(crate) fn fill_receive_queue(&self, daemon: usize) {
-        let socket = std::net::UdpSocket::bind(("127.0.0.1", 0)).unwrap();
-        for length in [50_000, 1_000, 1] {
-            for _ in 0..1_000 {
-                socket
-                    .send_to(&vec![0xff; length], self.daemons[daemon].peer_address)
-                    .unwrap();
-            }
-        }
-    }
-
-    fn signal(&self, daemon: usize, signal: Signal) {
-        let pid = Pid::from_raw(self.daemons[daemon].child.id() as i32).unwrap();
-        kill_process(pid, signal).unwrap();
-    }
-
-    /// Waits until a daemon has exited, and returns whether it exited with success.
-    pub(crate) async fn exits_cleanly(&mut self, daemon: usize) -> bool {
-        let until = Instant::now() + WAIT_TIMEOUT;
-        loop {
-            if let Some(status) = self.daemons[daemon].child.try_wait().unwrap() {
-                return status.success();
-            }
-            assert!(Instant::now() < until, "daemon {daemon} doesn't exit");
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    }
-
     /// Starts an engine in the first zone that answers by a script until the fleet is gone,
     /// drains the first `drained` of the fleet's own engines, and waits until all daemons
     /// follow the settings and the list of servers.
@@ -578,55 +262,6 @@
             .then(|| serde_json::from_slice(response.body()).unwrap())
     }
 
-    /// Returns a sender of requests to the daemons that have been added so far.
-    pub(crate) fn callers(&self) -> Callers {
-        Callers {
-            addresses: self.daemons.iter().map(|it| it.caller_address).collect(),
-            client: self.client.clone(),
-        }
-    }
-
-    /// Sends a request to a daemon and reads the complete response. Returns an error if the
-    /// connection breaks before its end.
-    pub(crate) async fn send(
-        &self,
-        daemon: usize,
-        call: CallerRequest<'_>,
-    ) -> Result<Response<Bytes>, String> {
-        self.callers().send(daemon, call).await
-    }
-
-    /// Submits a lot, and returns the status of the response.
-    pub(crate) async fn submit_lot(
-        &self,
-        daemon: usize,
-        lot: &str,
-        bodies: &[&str],
-    ) -> Result<StatusCode, String> {
-        self.callers().submit_lot(daemon, lot, bodies).await
-    }
-
-    /// Reads a lot's results from a position on; nothing unless the status is 200.
-    pub(crate) async fn read_lot(&self, daemon: usize, lot: &str, after: usize) -> Option<Value> {
-        let path = format!("/-/lots/{lot}?after={after}");
-        let response = self.send(daemon, CallerRequest::get(&path)).await.ok()?;
-        (response.status() == StatusCode::OK)
-            .then(|| serde_json::from_slice(response.body()).unwrap())
-    }
-
-    /// Reads a lot until it has all its results.
-    pub(crate) async fn read_finished_lot(&self, daemon: usize, lot: &str) -> Value {
-        let until = Instant::now() + WAIT_TIMEOUT;
-        loop {
-            let page = self.read_lot(daemon, lot, 0).await;
-            if let Some(page) = page.filter(|it| it["next"] == it["total"]) {
-                return page;
-            }
-            assert!(Instant::now() < until, "the lot isn't finished");
-            tokio::time::sleep(Duration::from_millis(50)).await;
-        }
-    }
-
     /// Waits until a condition holds; `what` names it in the message of a failure.
     pub(crate) async fn eventually(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
         let until = Instant::now() + WAIT_TIMEOUT;
@@ -637,98 +272,6 @@
     }
 }
 
-impl Callers {
-    /// Returns a sender that opens new connections.
-    pub(crate) fn with_new_connections(mut self) -> Callers {
-        self.client = HttpClient::default();
-        self
-    }
-
-    /// Sends a request to a daemon and reads the complete response. Returns an error if the
-    /// connection breaks before its end.
-    pub(crate) async fn send(
-        &self,
-        daemon: usize,
-        call: CallerRequest<'_>,
-    ) -> Result<Response<Bytes>, String> {
-        let request = self.request(daemon, call);
-        let response = self
-            .client
-            .exchange(request, REQUEST_TIMEOUT, MAX_RESPONSE_BYTES)
-            .await;
-        response.map_err(|error| error.to_string())
-    }
-
-    /// Sends a request to a daemon and returns the response with its body unread.
-    pub(crate) async fn open(
-        &self,
-        daemon: usize,
-        call: CallerRequest<'_>,
-    ) -> Result<Response<Incoming>, String> {
-        let request = self.request(daemon, call);
-        let response = self.client.send_within(REQUEST_TIMEOUT, request).await;
-        response.map_err(|error| error.to_string())
-    }
-
-    fn request(&self, daemon: usize, call: CallerRequest<'_>) -> Request<MessageBody> {
-        let address = self.addresses[daemon].unwrap();
-        let mut request = Request::builder()
-            .method(call.method)
-            .uri(format!("http://{address}{}", call.path))
-            .header("host", HOST)
-            .header("x-request-id", call.id)
-            .header("x-deadline-ms", "5000")
-            .header("x-wait-ms", call.wait_ms)
-            .header("api-key", call.key);
-        for (name, value) in call.headers {
-            if let Some(headers) = request.headers_mut() {
-                headers.insert(name, value.parse().unwrap());
-            }
-        }
-        request.body(MessageBody::from(call.body.to_vec())).unwrap()
-    }
-
-    /// Submits a lot, and returns the status of the response.
-    pub(crate) async fn submit_lot(
-        &self,
-        daemon: usize,
-        lot: &str,
-        bodies: &[&str],
-    ) -> Result<StatusCode, String> {
-        let items: Vec<Value> = bodies
-            .iter()
-            .enumerate()
-            .map(|(number, body)| item(lot, number, body))
-            .collect();
-        let body = json!({"items": items}).to_string();
-        let path = format!("/lots/{lot}");
-        let response = self
-            .send(daemon, CallerRequest::post(&path, lot, body.as_bytes()))
-            .await?;
-        Ok(response.status())
-    }
-}
-
-/// Returns the next bytes of a response's body; nothing once it has ended or broken off.
-pub(crate) async fn next_bytes(body: &mut Incoming) -> Option<Bytes> {
-    loop {
-        let frame = std::future::poll_fn(|it| Pin::new(&mut *body).poll_frame(it)).await;
-        if let Ok(data) = frame?.ok()?.into_data() {
-            return Some(data);
-        }
-    }
-}
-
-/// Returns an item of a lot as it is submitted.
-pub(crate) fn item(lot: &str, number: usize, body: &str) -> Value {
-    use base64::Engine as _;
-    let body = base64::engine::general_purpose::STANDARD.encode(body);
-    json!({
-        "id": format!("{lot}-{number}"), "path": format!("/lots/{lot}/{number}"),
-        "headers": {"X-Model": "m"}, "body": body, "tokens": 10,
-    })
-}
-
 /// Returns the complete stream of an engine.
 pub(crate) fn expected_stream() -> String {
     stream_of(&RequestedStream::default())
@@ -750,14 +293,6 @@
     words.join("\n")
 }
 
-impl Drop for DaemonProcess {
-    fn drop(&mut self) {
-        // A process that has exited already can't be killed.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 impl Drop for Fleet {
     /// On a failed test, prints the end of each daemon's log.
     fn drop(&mut self) {
@@ -778,36 +313,3 @@
         self.stop.cancel();
     }
 }
-
-fn start_process(folder: &tempfile::TempDir) -> Child {
-    let mut options = std::fs::OpenOptions::new();
-    let log = options
-        .create(true)
-        .append(true)
-        .open(folder.path().join("log"))
-        .unwrap();
-    daemon_command(folder).stdout(log).spawn().unwrap()
-}
-
-fn daemon_command(folder: &tempfile::TempDir) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_comfreyramp-node"));
-    command
-        .arg("serve")
-        .arg("--settings")
-        .arg(folder.path().join("settings"))
-        .stdin(Stdio::null())
-        .stderr(Stdio::inherit());
-    command
-}
-
-/// Returns addresses in the loopback range that belong to one daemon alone. If all daemons
-/// shared one address, a port that was free a moment ago could be taken by a connection
-/// before the daemon listens on it.
-fn unique_addresses() -> [SocketAddr; 4] {
-    static DAEMONS: AtomicU8 = AtomicU8::new(1);
-    let daemon = DAEMONS.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    let high = 1 + (process / 250 % 250) as u8;
-    let low = (process % 250) as u8;
-    [7_001, 7_002, 7_003, 7_004].map(|port| SocketAddr::from(([127, high, low, daemon], port)))
-}
--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -14,6 +14,7 @@
 //! - [`StartRank`] orders items that wait while all slots are taken.
 //! - [`TokenLedger`] bounds the tokens of a customer's lots that wait on a route.
 //! - [`choose_runner`] gives an accepted lot to a daemon that has less to do.
+//! - [`RunnerMemory`] names the daemon to ask for a lot that no daemon reports.
 //! - [`LotAge`] proves how long the items of a lot have been kept.
 //! - [`RouteAbsence`] tells a route that was taken away from one that is missing for a
 //!   moment.
@@ -33,6 +34,7 @@
 mod result_grouping;
 mod route_absence;
 mod runner_choice;
+mod runner_memory;
 mod segment_choice;
 mod start_order;
 mod waiting_tokens;
@@ -48,6 +50,7 @@
 pub use result_grouping::ResultGrouping;
 pub use route_absence::{RouteAbsence, RouteObservation};
 pub use runner_choice::{RunnerLoad, choose_handover_target, choose_runner};
+pub use runner_memory::RunnerMemory;
 pub use segment_choice::SegmentChoice;
 pub use start_order::{ItemTimes, RunTimeEstimate, StartRank};
 pub use waiting_tokens::{LotTokenBounds, TokenLedger, TokenReturnRate, TokenVerdict, WaitingLot};
--- a/crates/policy/src/placement/failure_table.rs
+++ b/crates/policy/src/placement/failure_table.rs
@@ -33,16 +33,16 @@
             AnswerEvidence::Succeeded | AnswerEvidence::FailedLikeOthers => 0.0,
             AnswerEvidence::FailedAlone => 1.0,
             AnswerEvidence::Failed => {
-                let is_suspected = |key| {
+                let is_proved = |key| {
                     let mut servers = self.servers.iter();
-                    servers.any(|it| it.key == key && it.failures.is_suspected(now))
+                    servers.any(|it| it.key == key && it.failures.is_proved(now))
                 };
-                let weight = self.customers.weight(customer, server, is_suspected, now);
+                let weight = self.customers.weight(customer, server, is_proved, now);
                 weight.min(MAX_UNPROVEN_WEIGHT)
             }
         };
         let counts = match evidence {
-            AnswerEvidence::Failed if weight > 0.0 => self.unproven.record(server, now),
+            AnswerEvidence::Failed if weight > 0.0 => self.record_unproven(server, now),
             AnswerEvidence::FailedAlone => {
                 self.unproven.record_proof(now);
                 self.servers[id.index()].failures.record_proof(now);
@@ -61,7 +61,8 @@
         match has_succeeded {
             true => record.record_success(now),
             false if counts => record.record_failure(weight, is_alone, now),
-            false => {}
+            // Peers may not know yet that such failures occur at many servers.
+            false => record.count_failure(weight, is_alone, now),
         }
         record.change(was_suspected, server, now)
     }
@@ -86,7 +87,7 @@
         failures: &[FailureCount],
         now: Timestamp,
     ) -> Vec<(ServerId, SuspicionChange)> {
-        let mut changes = Vec::new();
+        let mut received = Vec::new();
         for counts in failures.iter().take(MAX_REPORTED_FAILURES) {
             let named = |it: &ServerEntry| it.is_listed && it.key == counts.server;
             let Some(index) = self.servers.iter().position(named) else {
@@ -94,27 +95,55 @@
             };
             let record = &mut self.servers[index].failures;
             let was_suspected = record.is_suspected(now);
-            let received = record.receive(peer, *counts, now);
-            for _ in 0..received.failed_alone {
+            received.push((index, was_suspected, record.receive(peer, *counts, now)));
+        }
+        // A proof at one server decides how unproven failures at the others count.
+        for (index, _, change) in &received {
+            for _ in 0..change.failed_alone {
                 self.unproven.record_proof(now);
-                record.record_proof(now);
-                record.apply_failure(1.0, now);
+                let entry = &mut self.servers[*index];
+                entry.failures.record_proof(now);
+                entry.failures.apply_failure(1.0, now);
             }
-            for _ in 0..received.unproven {
-                if self.unproven.record(counts.server, now) {
-                    record.apply_failure(MAX_UNPROVEN_WEIGHT, now);
+        }
+        for (index, _, change) in &received {
+            for _ in 0..change.unproven {
+                let counts = self.record_unproven(self.servers[*index].key, now);
+                let has_proof = self.unproven.has_proof(now);
+                let entry = &mut self.servers[*index];
+                // The home daemons make trials. Others would only spread the suspicion.
+                if counts && (has_proof || entry.is_used_first(now)) {
+                    entry.failures.apply_failure(MAX_UNPROVEN_WEIGHT, now);
                 }
             }
-            for _ in 0..received.succeeded {
-                record.apply_success(now);
+        }
+        let mut changes = Vec::new();
+        for (index, was_suspected, change) in received {
+            let entry = &mut self.servers[index];
+            for _ in 0..change.succeeded {
+                entry.failures.apply_success(now);
             }
-            if let Some(change) = record.change(was_suspected, counts.server, now) {
+            if let Some(change) = entry.failures.change(was_suspected, entry.key, now) {
                 changes.push((ServerId(index as u32), change));
             }
         }
         changes
     }
 
+    /// Records an unproven failure. Returns whether it counts against the server. If such
+    /// failures occur at too many servers, the former ones count no longer either.
+    fn record_unproven(&mut self, server: u64, now: Timestamp) -> bool {
+        let counts = self.unproven.record(server, now);
+        if !counts {
+            for entry in &mut self.servers {
+                if self.unproven.contains(entry.key) {
+                    entry.failures.withdraw_unproven(now);
+                }
+            }
+        }
+        counts
+    }
+
     /// Returns whether a server is suspected of failing.
     pub fn is_suspected(&self, id: ServerId, now: Timestamp) -> bool {
         self.servers[id.index()].failures.is_suspected(now)
@@ -169,7 +198,11 @@
                 && entry.load.has_free_slot(now)
         };
         let candidates = (0..self.servers.len()).filter(is_candidate);
-        let index = candidates.min_by_key(|_| random.random::<u32>())?;
+        // A suspected server waits for its trial.
+        let index = candidates.min_by_key(|it| {
+            let is_suspected = self.servers[*it].failures.is_suspected(now);
+            (!is_suspected, random.random::<u32>())
+        })?;
         let entry = &mut self.servers[index];
         entry.failures.record_trial(now);
         Some(Placement {
--- a/crates/policy/src/placement/server_failures.rs
+++ b/crates/policy/src/placement/server_failures.rs
@@ -9,7 +9,10 @@
 //!   One that fails at two servers counts against neither.
 //! - The failure of a request with a single attempt counts as much as the customer's recent
 //!   requests to other servers succeeded. Where such failures occur at many servers and none
-//!   is proved, they count for nothing.
+//!   is proved, they count for nothing, and those that counted are taken back. Without any
+//!   proof, one that a peer reports counts only at the server's home daemons.
+//! - A failure that a peer reports may be older than the server's recovery, unless the peer has
+//!   reported since.
 //!
 //! A server's level rises with each failure, falls with each success and decays, so that no
 //! server is avoided on old evidence. Levels above a threshold make it suspected: it gets
@@ -30,9 +33,12 @@
 const FAILURE_STEP: f64 = 0.5;
 /// The factor of a success on the level of a server that failed every request lately: such a
 /// server seldom succeeds by chance.
-const CLEARING_FACTOR: f64 = 0.3;
+const CLEARING_FACTOR: f64 = 0.2;
 /// The factor of a success on the level of a server that also succeeds between failures.
 const MIXED_FACTOR: f64 = 0.7;
+/// The failures after which a success is a recovery. A server that fails half of its requests
+/// seldom fails so many in a row.
+const MIN_FAILURES_IN_ROW: u32 = 3;
 /// How long a server counts as one that both fails and succeeds.
 const MIXED_MEMORY: Duration = Duration::from_secs(5);
 /// The time constant with which a level decays without evidence.
@@ -60,6 +66,8 @@
 const COUNT_MEMORY: Duration = Duration::from_secs(10);
 /// How long a peer's counts are compared with the next ones that it reports.
 const PEER_MEMORY: Duration = Duration::from_secs(5);
+/// The longest time between two reports of a peer.
+const REPORT_INTERVAL: Duration = Duration::from_millis(750);
 /// How long an unproven failure is remembered beside others.
 const UNPROVEN_MEMORY: Duration = Duration::from_secs(5);
 /// The number of servers with unproven failures, and without any proof among them, from which
@@ -123,6 +131,8 @@
 pub struct SuspicionChange {
     /// Whether the server is suspected from now on.
     pub is_suspected: bool,
+    /// Whether the server works again after it had failed all requests, as far as is known.
+    pub is_recovery: bool,
     /// Its level from 0 (works) to 1 (fails).
     pub level: f64,
     /// The weight of the last failure, from 0 to 1.
@@ -147,7 +157,11 @@
     last_news: Option<Timestamp>,
     /// The last success after a failure.
     last_success: Option<Timestamp>,
+    /// When a success last ended the suspicion of the server, which had failed all requests.
+    recovered_at: Option<Timestamp>,
     mixed_until: Timestamp,
+    /// The failures since a success last ended the server's suspicion.
+    failures_in_row: u32,
     /// When a request last failed here and succeeded at another server.
     last_proof: Option<Timestamp>,
     last_trial: Option<Timestamp>,
@@ -206,9 +220,14 @@
     /// Records a failure that counts with a weight from 0 to 1. `is_alone` says whether the
     /// request then succeeded at another server.
     pub(super) fn record_failure(&mut self, weight: f64, is_alone: bool, now: Timestamp) {
-        if weight <= 0.0 {
-            return;
+        self.count_failure(weight, is_alone, now);
+        if weight > 0.0 {
+            self.apply_failure(weight, now);
         }
+    }
+
+    /// Counts a failure for the reports to peers.
+    pub(super) fn count_failure(&mut self, weight: f64, is_alone: bool, now: Timestamp) {
         // Peers can't weigh it, so that they are told only of failures that are hardly the
         // customer's fault.
         if weight >= UNKNOWN_WEIGHT {
@@ -216,7 +235,6 @@
             self.own.failed = self.own.failed.wrapping_add(1);
             self.own.failed_alone = self.own.failed_alone.wrapping_add(is_alone.into());
         }
-        self.apply_failure(weight, now);
     }
 
     /// Notes that there is something to report, and begins new counts after a while without.
@@ -239,6 +257,7 @@
         self.level = level + FAILURE_STEP * weight.min(1.0) * (1.0 - level);
         self.level_at = now;
         self.weight = weight;
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
         self.last_failure = Some(now);
     }
 
@@ -250,13 +269,33 @@
     /// Records that a request failed here and at another server too. It speaks for the server
     /// unless that is proved to fail.
     pub(super) fn record_alike(&mut self, now: Timestamp) {
-        let is_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
-        if self.is_suspected(now) && !self.last_proof.is_some_and(is_recent) {
+        if self.is_suspected(now) && !self.is_proved(now) {
             self.level = self.level(now) * CLEARING_FACTOR;
             self.level_at = now;
         }
     }
 
+    /// Returns whether a request lately failed here and succeeded at another server.
+    pub(super) fn is_proved(&self, now: Timestamp) -> bool {
+        let is_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
+        self.last_proof.is_some_and(is_recent)
+    }
+
+    /// Returns whether the server works again after it had failed all requests lately.
+    fn has_recovered(&self, now: Timestamp) -> bool {
+        !self.is_suspected(now)
+            && self.is_proved(now)
+            && self.failures_in_row >= MIN_FAILURES_IN_ROW
+            && now >= self.mixed_until
+    }
+
+    /// Takes back unproven failures that occur at other servers as well.
+    pub(super) fn withdraw_unproven(&mut self, now: Timestamp) {
+        if !self.is_proved(now) {
+            self.level = 0.0;
+        }
+    }
+
     pub(super) fn apply_success(&mut self, now: Timestamp) {
         if self.last_failure.is_none() {
             return;
@@ -265,9 +304,16 @@
             true => MIXED_FACTOR,
             false => CLEARING_FACTOR,
         };
+        let was_suspected = self.is_suspected(now);
         self.level = self.level(now) * factor;
         self.level_at = now;
         self.last_success = Some(now);
+        if was_suspected && self.has_recovered(now) {
+            self.recovered_at = Some(now);
+        }
+        if !self.is_suspected(now) {
+            self.failures_in_row = 0;
+        }
     }
 
     /// Takes a peer's counts, and returns what they say beyond those that it reported before.
@@ -284,11 +330,14 @@
             counts,
             received_at: now,
         };
-        let former = match self.peers.binary_search_by_key(&peer, |it| it.peer) {
-            Ok(index) => std::mem::replace(&mut self.peers[index], received).counts,
+        let (former, former_at) = match self.peers.binary_search_by_key(&peer, |it| it.peer) {
+            Ok(index) => {
+                let former = std::mem::replace(&mut self.peers[index], received);
+                (former.counts, Some(former.received_at))
+            }
             Err(index) => {
                 self.peers.insert(index, received);
-                FailureCount::default()
+                (FailureCount::default(), None)
             }
         };
         // Counts that fell are those of another run of the peer.
@@ -296,9 +345,17 @@
             change if change <= u16::MAX / 2 => change.min(MAX_REPORTED_CHANGE),
             _ => new.min(MAX_REPORTED_CHANGE),
         };
-        let failed_alone = added(counts.failed_alone, former.failed_alone);
+        // The failures may be older than the recovery unless the peer has reported since.
+        let is_old = self.recovered_at.is_some_and(|it| {
+            now.since(it) < REPORT_INTERVAL && former_at.is_none_or(|former_at| former_at < it)
+        });
+        let failed = match is_old {
+            true => 0,
+            false => added(counts.failed, former.failed),
+        };
+        let failed_alone = added(counts.failed_alone, former.failed_alone).min(failed);
         CountChange {
-            unproven: added(counts.failed, former.failed).saturating_sub(failed_alone),
+            unproven: failed - failed_alone,
             failed_alone,
             succeeded: added(counts.succeeded, former.succeeded),
         }
@@ -321,6 +378,7 @@
         let is_suspected = self.is_suspected(now);
         (is_suspected != was_suspected).then(|| SuspicionChange {
             is_suspected,
+            is_recovery: !is_suspected && self.recovered_at == Some(now),
             level: self.level(now),
             weight: self.weight,
             counts: FailureCount { server, ..self.own },
@@ -353,13 +411,14 @@
 
 impl CustomerOutcomes {
     /// Returns the weight of a customer's failure at a server, from 0 to 1, by how its recent
-    /// requests ended at other servers. `is_suspected` says which servers are suspected:
-    /// failures there say nothing of the customer.
+    /// requests ended at other servers. `is_proved` says which servers are proved to fail:
+    /// failures there say nothing of the customer. Those at servers that are suspected without
+    /// proof do, since the suspicion may rest on them alone.
     pub(super) fn weight(
         &self,
         key: u64,
         server: u64,
-        is_suspected: impl Fn(u64) -> bool,
+        is_proved: impl Fn(u64) -> bool,
         now: Timestamp,
     ) -> f64 {
         let Ok(index) = self.customers.binary_search_by_key(&key, |it| it.key) else {
@@ -372,7 +431,7 @@
         for outcome in elsewhere {
             if outcome.has_succeeded {
                 succeeded += 1.0;
-            } else if !is_suspected(outcome.server) {
+            } else if !is_proved(outcome.server) {
                 failed += CUSTOMER_FAILURE_WEIGHT;
             }
         }
@@ -435,10 +494,19 @@
     pub(super) fn record(&mut self, server: u64, now: Timestamp) -> bool {
         self.servers
             .retain(|it| it.0 != server && now.since(it.1) < UNPROVEN_MEMORY);
-        let is_proof_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
-        let counts = self.servers.len() < MAX_UNPROVEN_SERVERS
-            || self.last_proof.is_some_and(is_proof_recent);
+        let counts = self.servers.len() < MAX_UNPROVEN_SERVERS || self.has_proof(now);
         self.servers.push((server, now));
         counts
     }
+
+    /// Returns whether a server was proved to fail lately.
+    pub(super) fn has_proof(&self, now: Timestamp) -> bool {
+        let is_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
+        self.last_proof.is_some_and(is_recent)
+    }
+
+    /// Returns whether a server has a recent unproven failure.
+    pub(super) fn contains(&self, server: u64) -> bool {
+        self.servers.iter().any(|it| it.0 == server)
+    }
 }
--- a/crates/policy/src/usage/mod.rs
+++ b/crates/policy/src/usage/mod.rs
@@ -9,8 +9,10 @@
 //! partition, or while a report is in transit. [`UsageTracker`] then reserves what the
 //! silent daemons may be spending. docs/PLATFORM.md has the figures.
 
+mod customer_usage;
 mod earlier_charges;
 mod late_charges;
+mod peer_shares;
 mod peer_usage;
 mod rate_tolerance;
 mod speak_schedule;
--- a/crates/policy/tests/cold_fleet/mod.rs
+++ b/crates/policy/tests/cold_fleet/mod.rs
@@ -5,15 +5,16 @@
 use comfreyramp_policy::{
     ServerId, Timestamp,
     placement::{
-        ColdTolerance, HomePair, LoadShare, PlacementQuery, PlacementTable, ServerListing,
-        ServerOutcomeKind, WorkKind, home_pairs,
+        ColdTolerance, PlacementQuery, PlacementTable, ServerListing, ServerOutcomeKind, WorkKind,
     },
     usage::PeerId,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use crate::placement_replay::{FAR_INTERVAL, NEAR_INTERVAL, even_homes, listing, query};
+
 const ZONES: usize = 3;
-const SLOTS: u32 = 8;
+const SLOTS: usize = 8;
 const STEP: Duration = Duration::from_millis(5);
 const RUN_DURATION: Duration = Duration::from_secs(16);
 const REQUEST_DURATION: Duration = Duration::from_millis(720);
@@ -36,9 +37,6 @@
 const MAX_NEWS_DELAY: Duration = Duration::from_millis(800);
 /// How long a restarted daemon has no lists.
 const LISTING_DELAY: Duration = Duration::from_millis(300);
-const NEAR_REPORT_INTERVAL: Duration = Duration::from_millis(60);
-const FAR_REPORT_INTERVAL: Duration = Duration::from_millis(750);
-const DAEMONS_PER_SERVER: usize = 4;
 /// How often a request is tried at once, and how long its caller waits before it returns
 /// to another daemon.
 const MAX_TRIES: usize = 12;
@@ -130,7 +128,6 @@
     runs: Vec<Run>,
     /// Callers that return, with how often they were refused.
     returning: Vec<(Duration, usize, u32)>,
-    homes: Vec<HomePair>,
     revision: i64,
     outcome: Outcome,
 }
@@ -165,7 +162,6 @@
             news: Vec::new(),
             runs: Vec::new(),
             returning: Vec::new(),
-            homes: Vec::new(),
             revision: 1,
             outcome: Outcome {
                 most_in_a_second: 0,
@@ -273,15 +269,11 @@
             let name_suffix = if keeps_name { 0 } else { restarts };
             ServerListing {
                 name: format!("server-{number}-{name_suffix}"),
-                service: "drafts".to_owned(),
                 zone: server.zone.to_string(),
-                address: format!("10.0.0.{number}:80"),
-                slots: SLOTS,
-                is_ready: true,
-                version: "v1".to_owned(),
                 incarnation: restarts,
                 cold_left: Some(server.cold_until.saturating_sub(self.now)),
                 revision: self.revision,
+                ..listing(number, SLOTS)
             }
         });
         listings.collect()
@@ -308,12 +300,8 @@
 
     fn deliver_news(&mut self) {
         let now = self.now;
-        let (due, later) = std::mem::take(&mut self.news)
-            .into_iter()
-            .partition(|it| it.at <= now);
-        self.news = later;
-        let due: Vec<News> = due;
-        for news in due {
+        let due = self.news.extract_if(.., |it| it.at <= now);
+        for news in due.collect::<Vec<_>>() {
             let daemon = &mut self.daemons[news.daemon];
             daemon.is_listed |= !daemon.listings.is_empty();
             self.apply_listings(news.daemon, news.listings);
@@ -348,11 +336,8 @@
         let of_zone: Vec<PeerId> = of_zone.collect();
         let near = table.listed().into_iter().filter(|it| it.1.zone == zone);
         let near: Vec<u64> = near.map(|it| it.0).collect();
-        let pairs = home_pairs(&near, &of_zone, DAEMONS_PER_SERVER);
+        let pairs = even_homes(&near, &of_zone);
         table.set_homes(|server| pairs.contains(&(server, own)));
-        self.homes.extend(pairs);
-        self.homes.sort_unstable();
-        self.homes.dedup();
         daemon.listings = listings;
     }
 
@@ -391,11 +376,11 @@
                 let turn = |at: Duration| (at + offset).as_micros() / interval.as_micros();
                 turn(before) != turn(self.now)
             };
-            let (near_due, far_due) = (is_due(NEAR_REPORT_INTERVAL), is_due(FAR_REPORT_INTERVAL));
+            let (near_due, far_due) = (is_due(NEAR_INTERVAL), is_due(FAR_INTERVAL));
             if !near_due && !far_due {
                 continue;
             }
-            let shares: Vec<(u64, LoadShare)> = self.daemons[from].table.own_shares();
+            let shares = self.daemons[from].table.own_shares();
             for to in 0..self.daemons.len() {
                 let is_same_zone = self.daemons[to].zone == self.daemons[from].zone;
                 let is_cut = self.is_cut(self.daemons[from].zone, self.daemons[to].zone);
@@ -439,12 +424,8 @@
         let offered = (self.outcome.offered - offered_before) as f64;
         self.outcome.allowed += offered.min(self.capacity());
         let now = self.now;
-        let (due, later) = std::mem::take(&mut self.returning)
-            .into_iter()
-            .partition(|it| it.0 <= now);
-        self.returning = later;
-        let due: Vec<(Duration, usize, u32)> = due;
-        for (_, daemon, refusals) in due {
+        let due = self.returning.extract_if(.., |it| it.0 <= now);
+        for (_, daemon, refusals) in due.collect::<Vec<_>>() {
             self.send_request(daemon, refusals);
         }
     }
@@ -452,7 +433,7 @@
     /// Returns how many requests may be served in a step.
     fn capacity(&self) -> f64 {
         let rate = |server: &Server| {
-            let by_slots = f64::from(SLOTS) / REQUEST_DURATION.as_secs_f64();
+            let by_slots = SLOTS as f64 / REQUEST_DURATION.as_secs_f64();
             match (server.is_up, self.now < server.cold_until) {
                 (false, _) => 0.0,
                 (true, true) => by_slots.min(LIMIT as f64),
@@ -477,15 +458,12 @@
     fn send_request(&mut self, number: usize, refusals: u32) {
         let local = self.local_time(number);
         let zone = self.daemons[number].zone;
+        let own_zone = zone.to_string();
         let mut tried: Vec<ServerId> = Vec::new();
         while tried.len() < MAX_TRIES {
             let query = PlacementQuery {
-                service: "drafts",
-                zone: &zone.to_string(),
                 exclude: &tried,
-                max_wait: Duration::from_millis(210),
-                software: None,
-                parts: &[],
+                ..query(&own_zone, Duration::from_millis(210))
             };
             let table = &mut self.daemons[number].table;
             let Ok(placement) = table.choose_live(query, local, &mut self.random) else {
--- a/crates/policy/tests/failing_fleet/mod.rs
+++ b/crates/policy/tests/failing_fleet/mod.rs
@@ -110,6 +110,8 @@
     /// The time from the end of the fault until half of the servers that had failed got a
     /// request with a single attempt.
     pub(crate) used_after: Duration,
+    /// The reports that daemons sent to all others since a server had recovered.
+    pub(crate) urgent_reports: usize,
 }
 
 impl Figures {
@@ -186,6 +188,7 @@
         total.avoided_mean += figures.avoided_mean / count;
         total.recovered_after = total.recovered_after.max(figures.recovered_after);
         total.used_after = total.used_after.max(figures.used_after);
+        total.urgent_reports += figures.urgent_reports;
         total.runs.resize(SERVERS, 0);
         for (sum, runs) in total.runs.iter_mut().zip(&figures.runs) {
             *sum += runs;
@@ -199,7 +202,7 @@
     fn describe(&self) -> String {
         format!(
             "{} of {} with one attempt failed ({:.1} in 1,000), {} of {} with two, {} refused, \
-             avoided {:.4} on average and {:.3} at most, trusted again after {:?}, used after {:?}",
+             avoided {:.4} on average and {:.3} at most, trusted again after {:?}, used after {:?}, {} urgent reports",
             self.single_failed,
             self.single,
             self.single_failed_per_1000(),
@@ -210,6 +213,7 @@
             self.avoided_most,
             self.recovered_after,
             self.used_after,
+            self.urgent_reports,
         )
     }
 }
@@ -552,7 +556,13 @@
         }
         let customer = format!("customer-{}", request.customer);
         let now = self.now;
-        self.tables[request.daemon].record_answer(server, &customer, evidence, now);
+        let table = &mut self.tables[request.daemon];
+        let change = table.record_answer(server, &customer, evidence, now);
+        if change.is_some_and(|it| it.is_recovery) {
+            let peers: Vec<usize> = (0..DAEMONS).filter(|it| *it != request.daemon).collect();
+            self.figures.urgent_reports += 1;
+            self.send_report(request.daemon, &peers);
+        }
     }
 
     /// Has the daemon report to those with which it shares servers.
--- a/crates/policy/tests/overload.rs
+++ b/crates/policy/tests/overload.rs
@@ -2,6 +2,7 @@
 //! daemon, and where refused callers are told planned times.
 
 mod overload_replay;
+mod placement_replay;
 
 use std::time::Duration;
 
--- a/crates/policy/tests/overload_replay/mod.rs
+++ b/crates/policy/tests/overload_replay/mod.rs
@@ -1,29 +1,29 @@
 //! A replay, on virtual time, of daemons whose servers get more live requests than fit.
 
-use std::{
-    cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
-    time::Duration,
-};
+use std::{collections::VecDeque, time::Duration};
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
     overload::{ReturnPlan, ReturnQuery, TimeLeft, WaitingRequest, WaitingRequests, has_live_room},
-    placement::{
-        Placement, PlacementQuery, PlacementRefusal, PlacementTable, ServerListing, SlotReport,
-        WorkKind,
-    },
-    usage::PeerId,
+    placement::{Placement, PlacementRefusal, ServerListing, WorkKind},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use crate::placement_replay::{
+    Daemons, EventQueue, FAR_INTERVAL, LIVE_STEPS, LoadSteps, listing, peer, query, slot_report,
+    zone_name,
+};
+
 const DAEMONS: usize = 8;
 /// How old a daemon's count of another daemon's requests becomes.
-const REPORT_INTERVAL: Duration = Duration::from_millis(750);
+const REPORT_INTERVAL: Duration = FAR_INTERVAL;
 /// The time in which a request or an answer travels between a daemon and a server.
 const TRAVEL_TIME: Duration = Duration::from_millis(1);
 /// The load's phases: their lengths and rates relative to the mean.
-const PHASES: [(f64, f64); 2] = [(3.4, 0.38), (2.4, 1.87)];
+const STEPS: LoadSteps = LoadSteps {
+    low: 0.38,
+    ..LIVE_STEPS
+};
 /// Four times both phases.
 const RUN_DURATION: Duration = Duration::from_millis(23_200);
 /// The fractions are those of `live_request.rs`.
@@ -149,7 +149,7 @@
     is_settled: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     Arrival,
     Attempt(usize),
@@ -195,8 +195,8 @@
     waiting: VecDeque<Job>,
 }
 
-struct Daemon {
-    table: PlacementTable,
+/// The requests that wait at a daemon, and the returns that it has planned.
+struct LiveQueue {
     waiting: WaitingRequests,
     plan: ReturnPlan,
 }
@@ -206,10 +206,11 @@
     way: Way,
     load: f64,
     now: Timestamp,
-    sequence: u64,
-    events: BinaryHeap<Reverse<(Timestamp, u64, Event)>>,
+    events: EventQueue<Event>,
     servers: Vec<Server>,
-    daemons: Vec<Daemon>,
+    daemons: Daemons,
+    /// One of each daemon.
+    queues: Vec<LiveQueue>,
     callers: Vec<Caller>,
     random: StdRng,
     /// Increases with each restart of all machines.
@@ -227,10 +228,10 @@
             way,
             load,
             now: begin,
-            sequence: 0,
-            events: BinaryHeap::new(),
+            events: EventQueue::new(),
             servers: Vec::new(),
-            daemons: Vec::new(),
+            daemons: Daemons::new(Vec::new(), &[], begin),
+            queues: Vec::new(),
             callers: Vec::new(),
             random: StdRng::seed_from_u64(seed),
             life: 0,
@@ -251,7 +252,7 @@
     }
 
     pub(crate) fn run(mut self) -> Report {
-        while let Some(Reverse((time, _, event))) = self.events.pop() {
+        while let Some((time, event)) = self.events.pop() {
             if time.since(self.begin) > RUN_DURATION + self.shape.timeout * 2 {
                 break;
             }
@@ -262,30 +263,19 @@
     }
 
     fn add(&mut self, delay: Duration, event: Event) {
-        self.sequence += 1;
-        let entry = (self.now + delay, self.sequence, event);
-        self.events.push(Reverse(entry));
+        self.events.add(self.now + delay, event);
     }
 
     fn start_machines(&mut self) {
-        let listings: Vec<ServerListing> = (0..self.shape.servers).map(listing_of).collect();
-        let listings: Vec<ServerListing> = listings
-            .into_iter()
-            .map(|it| ServerListing {
-                slots: self.shape.slots as u32,
-                ..it
-            })
+        let listings: Vec<ServerListing> = (0..self.shape.servers)
+            .map(|it| listing(it, self.shape.slots))
             .collect();
-        let daemon = |number: usize| {
-            let mut table = PlacementTable::new(peer(number));
-            table.set_listings(&listings, self.now);
-            Daemon {
-                table,
-                waiting: WaitingRequests::default(),
-                plan: ReturnPlan::default(),
-            }
+        self.daemons = Daemons::new((0..DAEMONS).map(peer).collect(), &listings, self.now);
+        let queue = |_| LiveQueue {
+            waiting: WaitingRequests::default(),
+            plan: ReturnPlan::default(),
         };
-        self.daemons = (0..DAEMONS).map(daemon).collect();
+        self.queues = (0..DAEMONS).map(queue).collect();
         let server = |_| Server {
             running: 0,
             waiting: VecDeque::new(),
@@ -320,15 +310,8 @@
                 life,
             } if life == self.life => {
                 let state = &self.servers[server];
-                let report = SlotReport {
-                    running: state.running as u32,
-                    waiting: state.waiting.len() as u32,
-                    slots: self.shape.slots as u32,
-                    pace_percent: None,
-                };
-                self.daemons[daemon]
-                    .table
-                    .report(ServerId(server as u32), report, self.now);
+                let report = slot_report(state.running, state.waiting.len(), self.shape.slots);
+                self.daemons.tables[daemon].report(ServerId(server as u32), report, self.now);
                 self.dispatch(daemon);
             }
             Event::End { server, life } if life == self.life => {
@@ -341,7 +324,7 @@
                 life,
                 held,
             } if life == self.life => {
-                let table = &mut self.daemons[daemon].table;
+                let table = &mut self.daemons.tables[daemon];
                 table.end(ServerId(server as u32), WorkKind::Live);
                 if let Some(held) = held {
                     table.record_hold_time(ServerId(server as u32), held);
@@ -349,11 +332,8 @@
                 self.dispatch(daemon);
             }
             Event::Report { daemon } => {
-                let shares = self.daemons[daemon].table.own_shares();
+                self.daemons.report_to_all(daemon, self.now);
                 for other in (0..DAEMONS).filter(|it| *it != daemon) {
-                    self.daemons[other]
-                        .table
-                        .receive(peer(daemon), &shares, self.now);
                     self.dispatch(other);
                 }
                 self.add(REPORT_INTERVAL, Event::Report { daemon });
@@ -380,14 +360,7 @@
         if since >= RUN_DURATION {
             return;
         }
-        let mut phase = since.as_secs_f64() % (PHASES[0].0 + PHASES[1].0);
-        let mut factor = PHASES[0].1;
-        if phase >= PHASES[0].0 {
-            phase -= PHASES[0].0;
-            factor = PHASES[1].1;
-        }
-        debug_assert!(phase >= 0.0);
-        let rate = self.shape.capacity() * self.load * factor;
+        let rate = self.shape.capacity() * self.load * STEPS.at(since);
         let gap = -(1.0 - self.random.random::<f64>()).ln() / rate;
         self.add(Duration::from_secs_f64(gap), Event::Arrival);
         let mut drawn = self.random.random_range(0.0..CUSTOMER_LOADS.iter().sum());
@@ -431,14 +404,14 @@
             }
             return;
         }
-        if self.daemons[daemon].waiting.is_empty()
+        if self.queues[daemon].waiting.is_empty()
             && let Ok(placement) = self.choose(daemon, max_wait)
             && has_live_room(placement.expected_wait)
         {
             return self.send(number, placement);
         }
         let request = self.request(number);
-        match self.daemons[daemon].waiting.push(request, self.now) {
+        match self.queues[daemon].waiting.push(request, self.now) {
             Ok(evicted) => {
                 if let Some(evicted) = evicted {
                     self.refuse(evicted as usize, Duration::from_millis(500));
@@ -486,15 +459,9 @@
     }
 
     fn choose(&mut self, daemon: usize, max_wait: Duration) -> Result<Placement, Duration> {
-        let query = PlacementQuery {
-            service: "service",
-            zone: "zone-1",
-            exclude: &[],
-            max_wait,
-            software: None,
-            parts: &[],
-        };
-        let table = &self.daemons[daemon].table;
+        let zone = zone_name(0);
+        let query = query(&zone, max_wait);
+        let table = &self.daemons.tables[daemon];
         match table.choose_live(query, self.now, &mut self.random) {
             Ok(placement) => Ok(placement),
             Err(PlacementRefusal::Full { retry_after, .. }) => Err(retry_after),
@@ -505,7 +472,7 @@
     /// Starts what can start at a daemon, and refuses what can't start in time any more.
     fn dispatch(&mut self, daemon: usize) {
         let mut late = Vec::new();
-        while !self.daemons[daemon].waiting.is_empty() {
+        while !self.queues[daemon].waiting.is_empty() {
             let Ok(placement) = self.choose(daemon, Duration::MAX) else {
                 break;
             };
@@ -513,23 +480,22 @@
             if !has_live_room(placement.expected_wait) {
                 break;
             }
-            let waiting = &mut self.daemons[daemon].waiting;
+            let waiting = &mut self.queues[daemon].waiting;
             if let Some(next) = waiting.start_next(placement.expected_wait, now, &mut late) {
                 self.send(next as usize, placement);
             }
         }
-        late.extend(self.daemons[daemon].waiting.take_late(self.now));
+        late.extend(self.queues[daemon].waiting.take_late(self.now));
         for number in late {
             self.refuse(number as usize, twice(Duration::ZERO));
         }
     }
 
     fn send(&mut self, number: usize, placement: Placement) {
-        let daemon = &mut self.daemons[self.callers[number].daemon];
-        daemon.plan.record_start(self.now);
-        let has_slot = daemon
-            .table
-            .begin(placement.server, WorkKind::Live, self.now);
+        let daemon = self.callers[number].daemon;
+        self.queues[daemon].plan.record_start(self.now);
+        let table = &mut self.daemons.tables[daemon];
+        let has_slot = table.begin(placement.server, WorkKind::Live, self.now);
         let event = Event::ServerArrival {
             server: placement.server.index(),
             caller: number,
@@ -591,7 +557,7 @@
                 priority: caller.rank,
                 time_left: self.time_left(number),
             };
-            let plan = &mut self.daemons[caller.daemon].plan;
+            let plan = &mut self.queues[caller.daemon].plan;
             let time = plan.plan(query, self.now, &mut self.random);
             delay = time.delay;
             self.callers[number].was_promised = time.is_promised;
@@ -630,22 +596,3 @@
 fn twice(excess: Duration) -> Duration {
     (excess * 2).clamp(Duration::from_millis(250), Duration::from_millis(1_500))
 }
-
-fn listing_of(number: usize) -> ServerListing {
-    ServerListing {
-        name: format!("server-{number}"),
-        service: "service".to_owned(),
-        zone: "zone-1".to_owned(),
-        address: format!("10.0.0.{number}:80"),
-        slots: 1,
-        is_ready: true,
-        version: "v1".to_owned(),
-        incarnation: 1,
-        cold_left: Some(Duration::ZERO),
-        revision: 1,
-    }
-}
-
-fn peer(daemon: usize) -> PeerId {
-    PeerId::of_name(&format!("entry-{daemon}"))
-}
--- a/crates/policy/tests/placement_cold.rs
+++ b/crates/policy/tests/placement_cold.rs
@@ -8,6 +8,7 @@
 )]
 
 mod cold_fleet;
+mod placement_replay;
 
 use std::time::Duration;
 
--- a/crates/policy/tests/placement_load.rs
+++ b/crates/policy/tests/placement_load.rs
@@ -4,13 +4,16 @@
 //! Live load is 0.38 of the mean for 3.4 s, then 1.87 of it for 2.4 s. At the height of
 //! a step it takes nearly all slots; otherwise most slots are free for lots.
 
+mod placement_replay;
+
 use std::time::Duration;
 
 use comfreyramp_policy::{
     ServerId, Timestamp, name_hash,
-    placement::{LoadShare, PlacementQuery, PlacementTable, ServerListing, WorkKind},
+    placement::{LoadShare, ServerListing, WorkKind},
     usage::PeerId,
 };
+use placement_replay::{Daemons, LIVE_STEPS, listing, query};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const SERVERS: usize = 12;
@@ -46,7 +49,7 @@
 
 struct LoadReplay {
     now: Timestamp,
-    tables: Vec<PlacementTable>,
+    daemons: Daemons,
     servers: Vec<Vec<Job>>,
     /// The items that wait at each daemon that runs lots: their remaining run time.
     waiting: Vec<Vec<Duration>>,
@@ -56,28 +59,15 @@
 
 impl LoadReplay {
     fn new(seed: u64) -> Self {
-        let listings: Vec<ServerListing> = (0..SERVERS)
-            .map(|number| ServerListing {
-                name: format!("server-{number}"),
-                service: "drafts".to_owned(),
-                zone: format!("zone-{}", number % 3),
-                address: format!("10.0.0.{number}:80"),
-                slots: SLOTS as u32,
-                is_ready: true,
-                version: "v1".to_owned(),
-                incarnation: 1,
-                cold_left: Some(Duration::ZERO),
-                revision: 1,
-            })
-            .collect();
-        let tables = (0..ENTRIES + RUNNERS).map(|daemon| {
-            let mut table = PlacementTable::new(PeerId(daemon as u64 + 1));
-            table.set_listings(&listings, Timestamp::ZERO);
-            table
-        });
+        let server_listing = |number: usize| ServerListing {
+            zone: format!("zone-{}", number % 3),
+            ..listing(number, SLOTS)
+        };
+        let listings: Vec<ServerListing> = (0..SERVERS).map(server_listing).collect();
+        let ids = (1..=(ENTRIES + RUNNERS) as u64).map(PeerId).collect();
         LoadReplay {
             now: Timestamp::from_micros(1_000_000),
-            tables: tables.collect(),
+            daemons: Daemons::new(ids, &listings, Timestamp::ZERO),
             servers: vec![Vec::new(); SERVERS],
             waiting: vec![Vec::new(); RUNNERS],
             random: StdRng::seed_from_u64(seed),
@@ -94,7 +84,9 @@
             self.live_arrivals(self.now.since(begin));
             if self.now.since(reported_at) >= REPORT_INTERVAL {
                 reported_at = self.now;
-                self.report_shares();
+                for daemon in 0..self.daemons.len() {
+                    self.daemons.report_to_all(daemon, self.now);
+                }
                 self.preempt_items();
             }
             self.start_items();
@@ -119,7 +111,7 @@
                 .extract_if(.., |it| it.left.is_zero())
                 .collect();
             for job in ended {
-                let table = &mut self.tables[job.daemon];
+                let table = &mut self.daemons.tables[job.daemon];
                 table.end(ServerId(server as u32), job.kind);
                 match job.kind {
                     WorkKind::Live => table.record_hold_time(ServerId(server as u32), LIVE_TIME),
@@ -130,23 +122,15 @@
     }
 
     fn live_arrivals(&mut self, since: Duration) {
-        let phase = since.as_secs_f64() % 5.8;
-        let factor = if phase < 3.4 { 0.383 } else { 1.87 };
-        let expected = LIVE_RATE * factor * STEP.as_secs_f64();
+        let expected = LIVE_RATE * LIVE_STEPS.at(since) * STEP.as_secs_f64();
         let mut count = usize::from(self.random.random::<f64>() < expected.fract());
         count += expected.floor() as usize;
         for _ in 0..count {
             let daemon = self.random.random_range(0..ENTRIES);
             let zone = format!("zone-{}", daemon % 3);
-            let query = PlacementQuery {
-                service: "drafts",
-                zone: &zone,
-                exclude: &[],
-                max_wait: MAX_LIVE_WAIT,
-                software: None,
-                parts: &[],
-            };
-            match self.tables[daemon].choose_live(query, self.now, &mut self.random) {
+            let query = query(&zone, MAX_LIVE_WAIT);
+            let table = &self.daemons.tables[daemon];
+            match table.choose_live(query, self.now, &mut self.random) {
                 Ok(placement) => self.send(daemon, placement.server, WorkKind::Live, LIVE_TIME),
                 Err(_) => self.outcome.refused += 1,
             }
@@ -154,7 +138,7 @@
     }
 
     fn send(&mut self, daemon: usize, server: ServerId, kind: WorkKind, left: Duration) {
-        self.tables[daemon].begin(server, kind, self.now);
+        self.daemons.tables[daemon].begin(server, kind, self.now);
         self.servers[server.index()].push(Job {
             daemon,
             kind,
@@ -164,18 +148,9 @@
         });
     }
 
-    fn report_shares(&mut self) {
-        for from in 0..self.tables.len() {
-            let shares = self.tables[from].own_shares();
-            for to in (0..self.tables.len()).filter(|it| *it != from) {
-                self.tables[to].receive(PeerId(from as u64 + 1), &shares, self.now);
-            }
-        }
-    }
-
     fn preempt_items(&mut self) {
         for daemon in ENTRIES..ENTRIES + RUNNERS {
-            for order in self.tables[daemon].preemption_orders(self.now) {
+            for order in self.daemons.tables[daemon].preemption_orders(self.now) {
                 let server = order.server.index();
                 for _ in 0..order.items {
                     let jobs = &mut self.servers[server];
@@ -184,7 +159,7 @@
                         break;
                     };
                     let job = jobs.remove(position);
-                    self.tables[daemon].end(order.server, WorkKind::Bulk);
+                    self.daemons.tables[daemon].end(order.server, WorkKind::Bulk);
                     self.waiting[daemon - ENTRIES].push(job.left);
                 }
             }
@@ -196,15 +171,8 @@
         for runner in 0..RUNNERS {
             let daemon = ENTRIES + runner;
             loop {
-                let query = PlacementQuery {
-                    service: "drafts",
-                    zone: "zone-0",
-                    exclude: &[],
-                    max_wait: Duration::ZERO,
-                    software: None,
-                    parts: &[],
-                };
-                let table = &self.tables[daemon];
+                let query = query("zone-0", Duration::ZERO);
+                let table = &self.daemons.tables[daemon];
                 let placement = table.choose_bulk(query, self.now, &mut self.random);
                 let Some(placement) = placement else {
                     break;
@@ -252,7 +220,7 @@
     replay.send(0, ServerId(3), WorkKind::Live, LIVE_TIME);
     let expected = LoadShare { live: 1, bulk: 0 };
     assert_eq!(
-        replay.tables[0].own_shares(),
+        replay.daemons.tables[0].own_shares(),
         vec![(name_hash("server-3"), expected)]
     );
 }
--- a/crates/policy/tests/placement_pace.rs
+++ b/crates/policy/tests/placement_pace.rs
@@ -2,24 +2,21 @@
 //! steps: servers that always take longer, machines that are slowed now and then, and
 //! servers that are slow for seconds.
 
+mod placement_replay;
+
 use std::time::Duration;
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    placement::{
-        HomePair, PlacementQuery, PlacementTable, ServerListing, SlotReport, WorkKind, home_pairs,
-    },
-    usage::PeerId,
+    placement::{ServerListing, SlotReport, WorkKind},
 };
+use placement_replay::{Daemons, LIVE_STEPS, even_homes, listing, query, slot_report, zone_name};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const SERVERS: usize = 24;
 const SLOTS: usize = 8;
 const ENTRIES: usize = 21;
-const DAEMONS_PER_SERVER: usize = 4;
 const TICK: Duration = Duration::from_millis(2);
-const NEAR_INTERVAL: Duration = Duration::from_millis(60);
-const FAR_INTERVAL: Duration = Duration::from_millis(750);
 const MAX_WAIT: Duration = Duration::from_millis(210);
 const MAX_FIRST: Duration = Duration::from_millis(300);
 /// The time to the first event and to the last one at the usual pace.
@@ -68,8 +65,7 @@
     reports_pace: bool,
     runs_items: bool,
     now: Timestamp,
-    tables: Vec<PlacementTable>,
-    homes: Vec<HomePair>,
+    daemons: Daemons,
     servers: Vec<Server>,
     mean_rate: f64,
     random: StdRng,
@@ -81,38 +77,13 @@
     item_times: Vec<Duration>,
 }
 
-fn peer(daemon: usize) -> PeerId {
-    PeerId::of_name(&format!("entry-{daemon}"))
-}
-
 impl PaceReplay {
     fn new(pattern: Pattern, seed: u64, reports_pace: bool) -> Self {
-        let listings: Vec<ServerListing> = (0..SERVERS)
-            .map(|number| ServerListing {
-                name: format!("server-{seed}-{number}"),
-                service: "drafts".to_owned(),
-                zone: "zone-1".to_owned(),
-                address: format!("10.0.0.{number}:80"),
-                slots: SLOTS as u32,
-                is_ready: true,
-                version: "v1".to_owned(),
-                incarnation: 1,
-                cold_left: Some(Duration::ZERO),
-                revision: 1,
-            })
-            .collect();
-        let keys: Vec<u64> = listings
-            .iter()
-            .map(|it| PeerId::of_name(&it.name).0)
-            .collect();
-        let daemons: Vec<PeerId> = (0..ENTRIES).map(peer).collect();
-        let homes = home_pairs(&keys, &daemons, DAEMONS_PER_SERVER);
-        let table = |own: usize| {
-            let mut table = PlacementTable::new(peer(own));
-            table.set_listings(&listings, Timestamp::ZERO);
-            table.set_homes(|server| homes.contains(&(server, peer(own))));
-            table
+        let server_listing = |number: usize| ServerListing {
+            name: format!("server-{seed}-{number}"),
+            ..listing(number, SLOTS)
         };
+        let listings: Vec<ServerListing> = (0..SERVERS).map(server_listing).collect();
         let server = |number: usize| Server {
             pace: match pattern {
                 Pattern::Uneven if number.is_multiple_of(3) => 1.3,
@@ -135,8 +106,7 @@
             reports_pace,
             runs_items: false,
             now: Timestamp::from_micros(1_000_000),
-            tables: (0..ENTRIES).map(table).collect(),
-            homes,
+            daemons: Daemons::in_zones(&[0; ENTRIES], &listings, even_homes),
             servers: (0..SERVERS).map(server).collect(),
             mean_rate: high_rate / 1.87,
             random: StdRng::seed_from_u64(seed),
@@ -150,20 +120,15 @@
 
     fn run(mut self) -> Self {
         let begin = self.now;
-        let intervals = [NEAR_INTERVAL, FAR_INTERVAL];
-        let mut due: Vec<[Timestamp; 2]> = (0..ENTRIES)
-            .map(|_| intervals.map(|it| begin + it.mul_f64(self.random.random::<f64>())))
-            .collect();
-        let near: Vec<Vec<usize>> = (0..ENTRIES).map(|it| self.near_peers(it)).collect();
+        self.daemons.start_reports(begin, &mut self.random);
         while self.now.since(begin) < RUN_DURATION {
             self.now = self.now + TICK;
-            let since = self.now.since(begin).as_secs_f64();
+            let since = self.now.since(begin);
             for server in 0..SERVERS {
-                self.set_pace(server, since);
+                self.set_pace(server, since.as_secs_f64());
                 self.run_server(server);
             }
-            let factor = if since % 5.8 < 3.4 { 0.383 } else { 1.87 };
-            let expected = self.mean_rate * factor * TICK.as_secs_f64();
+            let expected = self.mean_rate * LIVE_STEPS.at(since) * TICK.as_secs_f64();
             if self.random.random_bool(expected.min(1.0)) {
                 self.arrival();
             }
@@ -171,14 +136,7 @@
                 if self.runs_items {
                     self.start_items(daemon);
                 }
-                if self.now >= due[daemon][1] {
-                    due[daemon][1] = self.now + FAR_INTERVAL;
-                    self.report_shares(daemon, &(0..ENTRIES).collect::<Vec<_>>());
-                }
-                if self.now >= due[daemon][0] {
-                    due[daemon][0] = self.now + NEAR_INTERVAL;
-                    self.report_shares(daemon, &near[daemon]);
-                }
+                self.daemons.send_due_reports(daemon, self.now);
             }
         }
         self
@@ -192,42 +150,28 @@
     }
 
     fn start_items(&mut self, daemon: usize) {
+        let zone = zone_name(0);
         while self.items[daemon] < ITEMS_PER_DAEMON {
-            let query = PlacementQuery {
-                service: "drafts",
-                zone: "zone-1",
-                exclude: &[],
-                max_wait: Duration::ZERO,
-                software: None,
-                parts: &[],
-            };
-            let table = &mut self.tables[daemon];
+            let query = query(&zone, Duration::ZERO);
+            let table = &mut self.daemons.tables[daemon];
             let Some(placement) = table.choose_bulk(query, self.now, &mut self.random) else {
                 break;
             };
             let has_slot = table.begin(placement.server, WorkKind::Bulk, self.now);
             self.items[daemon] += 1;
-            self.servers[placement.server.index()].waiting.push(Job {
-                daemon,
-                kind: WorkKind::Bulk,
-                arrived: self.now,
-                has_slot,
-                done: Duration::ZERO,
-                has_begun: false,
-            });
+            self.add_job(placement.server, daemon, WorkKind::Bulk, has_slot);
         }
     }
 
-    fn near_peers(&self, own: usize) -> Vec<usize> {
-        let of_own = self.homes.iter().filter(|it| it.1 == peer(own));
-        let servers: Vec<u64> = of_own.map(|it| it.0).collect();
-        let shares = |other: usize| {
-            let of_other = self.homes.iter().filter(|it| it.1 == peer(other));
-            of_other.map(|it| it.0).any(|it| servers.contains(&it))
-        };
-        (0..ENTRIES)
-            .filter(|it| *it != own && shares(*it))
-            .collect()
+    fn add_job(&mut self, server: ServerId, daemon: usize, kind: WorkKind, has_slot: bool) {
+        self.servers[server.index()].waiting.push(Job {
+            daemon,
+            kind,
+            arrived: self.now,
+            has_slot,
+            done: Duration::ZERO,
+            has_begun: false,
+        });
     }
 
     fn set_pace(&mut self, number: usize, since: f64) {
@@ -254,10 +198,8 @@
             server.running.push(job);
         }
         let report = SlotReport {
-            running: server.running.len() as u32,
-            waiting: server.waiting.len() as u32,
-            slots: SLOTS as u32,
             pace_percent: self.reports_pace.then_some((server.pace * 100.0) as u32),
+            ..slot_report(server.running.len(), server.waiting.len(), SLOTS)
         };
         let id = ServerId(number as u32);
         for job in &mut server.running {
@@ -266,7 +208,7 @@
                 job.has_begun = true;
                 self.all += 1;
                 self.late += usize::from(self.now.since(job.arrived) > MAX_FIRST);
-                self.tables[job.daemon].report(id, report, self.now);
+                self.daemons.tables[job.daemon].report(id, report, self.now);
             }
         }
         let is_done = |it: &mut Job| match it.kind {
@@ -276,7 +218,7 @@
         let ended = server.running.extract_if(.., is_done);
         for job in ended.collect::<Vec<_>>() {
             server.served += 1;
-            let table = &mut self.tables[job.daemon];
+            let table = &mut self.daemons.tables[job.daemon];
             table.end(id, job.kind);
             if job.kind == WorkKind::Bulk {
                 self.items[job.daemon] -= 1;
@@ -289,42 +231,17 @@
 
     fn arrival(&mut self) {
         let daemon = self.random.random_range(0..ENTRIES);
-        let query = PlacementQuery {
-            service: "drafts",
-            zone: "zone-1",
-            exclude: &[],
-            max_wait: MAX_WAIT,
-            software: None,
-            parts: &[],
-        };
-        let table = &mut self.tables[daemon];
-        let Ok(placement) = table.choose_live(query, self.now, &mut self.random) else {
+        let zone = zone_name(0);
+        let query = query(&zone, MAX_WAIT);
+        let placed = self
+            .daemons
+            .place_live(daemon, query, self.now, &mut self.random);
+        let Some((server, has_slot)) = placed else {
             self.refused += 1;
             return;
         };
-        let server = placement.server;
-        let has_slot = table.begin(server, WorkKind::Live, self.now);
-        let key = table.key(server);
-        self.servers[server.index()].waiting.push(Job {
-            daemon,
-            kind: WorkKind::Live,
-            arrived: self.now,
-            has_slot,
-            done: Duration::ZERO,
-            has_begun: false,
-        });
-        if !self.homes.contains(&(key, peer(daemon))) {
-            let is_home = |it: &usize| self.homes.contains(&(key, peer(*it)));
-            let homes: Vec<usize> = (0..ENTRIES).filter(is_home).collect();
-            self.report_shares(daemon, &homes);
-        }
-    }
-
-    fn report_shares(&mut self, from: usize, to: &[usize]) {
-        let shares = self.tables[from].own_shares();
-        for to in to.iter().filter(|it| **it != from) {
-            self.tables[*to].receive(peer(from), &shares, self.now);
-        }
+        self.add_job(server, daemon, WorkKind::Live, has_slot);
+        self.daemons.report_placement(daemon, server, self.now);
     }
 }
 
--- a/crates/policy/tests/placement_prompts.rs
+++ b/crates/policy/tests/placement_prompts.rs
@@ -6,26 +6,22 @@
     reason = "a test fails where something is missing"
 )]
 
+mod placement_replay;
+
 use std::time::Duration;
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
     parts::PartKey,
-    placement::{
-        HomePair, PlacementQuery, PlacementTable, PromptCacheSettings, PromptPart, ServerListing,
-        SlotReport, WorkKind, home_pairs,
-    },
-    usage::PeerId,
+    placement::{PlacementQuery, PromptCacheSettings, PromptPart, ServerListing, WorkKind},
 };
+use placement_replay::{Daemons, LIVE_STEPS, even_homes, listing, query, slot_report, zone_name};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const SLOTS: usize = 8;
 const ENTRIES: usize = 25;
 const ZONES: usize = 3;
-const DAEMONS_PER_SERVER: usize = 4;
 const TICK: Duration = Duration::from_millis(1);
-const NEAR_INTERVAL: Duration = Duration::from_millis(60);
-const FAR_INTERVAL: Duration = Duration::from_millis(750);
 const OBJECTIVE: Duration = Duration::from_millis(300);
 const MAX_PAUSE: Duration = Duration::from_millis(250);
 const MAX_WAIT: Duration = Duration::from_millis(210);
@@ -146,8 +142,7 @@
 
 struct PromptReplay {
     now: Timestamp,
-    tables: Vec<PlacementTable>,
-    homes: Vec<HomePair>,
+    daemons: Daemons,
     engines: Vec<Engine>,
     prompts: Vec<Vec<PromptPart>>,
     /// How often each prompt is drawn, cumulated.
@@ -158,14 +153,6 @@
     max_own: u32,
 }
 
-fn zone_name(zone: usize) -> String {
-    format!("zone-{}", zone + 1)
-}
-
-fn peer(daemon: usize) -> PeerId {
-    PeerId::of_name(&format!("entry-{daemon}"))
-}
-
 /// Returns parts whose sizes and popularity are skewed; a third of them follow another one.
 fn draw_prompts(shape: Shape, random: &mut StdRng) -> Vec<Vec<PromptPart>> {
     let mut sizes: Vec<f64> = (0..shape.parts)
@@ -200,40 +187,23 @@
 impl PromptReplay {
     fn new(shape: Shape, seed: u64, uses_parts: bool) -> Self {
         let mut random = StdRng::seed_from_u64(seed);
-        let listings: Vec<ServerListing> = (0..shape.servers)
-            .map(|number| ServerListing {
-                name: format!("server-{seed}-{number}"),
-                service: "drafts".to_owned(),
-                zone: zone_name(number % ZONES),
-                address: format!("10.0.0.{number}:80"),
-                slots: SLOTS as u32,
-                is_ready: true,
-                version: "v1".to_owned(),
-                incarnation: 1,
-                cold_left: Some(Duration::ZERO),
-                revision: 1,
-            })
-            .collect();
-        let mut homes = Vec::new();
-        for zone in 0..ZONES {
-            let of_zone = listings.iter().filter(|it| it.zone == zone_name(zone));
-            let servers: Vec<u64> = of_zone.map(|it| PeerId::of_name(&it.name).0).collect();
-            let daemons: Vec<PeerId> = (zone..ENTRIES).step_by(ZONES).map(peer).collect();
-            homes.extend(home_pairs(&servers, &daemons, DAEMONS_PER_SERVER));
-        }
-        let table = |own: usize| {
-            let mut table = PlacementTable::new(peer(own));
-            table.set_listings(&listings, Timestamp::ZERO);
-            table.set_homes(|server| homes.contains(&(server, peer(own))));
-            if uses_parts {
+        let server_listing = |number: usize| ServerListing {
+            name: format!("server-{seed}-{number}"),
+            zone: zone_name(number % ZONES),
+            ..listing(number, SLOTS)
+        };
+        let listings: Vec<ServerListing> = (0..shape.servers).map(server_listing).collect();
+        let zone_of: Vec<usize> = (0..ENTRIES).map(|it| it % ZONES).collect();
+        let mut daemons = Daemons::in_zones(&zone_of, &listings, even_homes);
+        if uses_parts {
+            for table in &mut daemons.tables {
                 table.set_prompt_caches(vec![PromptCacheSettings {
                     service: "drafts".to_owned(),
                     memory_tokens: shape.memory,
                     objective: OBJECTIVE,
                 }]);
             }
-            table
-        };
+        }
         let prompts = draw_prompts(shape, &mut random);
         let mut sum = 0.0;
         let popularity = (0..prompts.len()).map(|rank| {
@@ -251,8 +221,7 @@
         let now = Timestamp::from_micros(1_000_000);
         PromptReplay {
             now,
-            tables: (0..ENTRIES).map(table).collect(),
-            homes,
+            daemons,
             engines: (0..shape.servers).map(engine).collect(),
             prompts,
             popularity,
@@ -265,55 +234,23 @@
 
     fn run(mut self) -> Outcome {
         let begin = self.now;
-        let intervals = [NEAR_INTERVAL, FAR_INTERVAL];
-        let mut due: Vec<[Timestamp; 2]> = (0..ENTRIES)
-            .map(|_| intervals.map(|it| begin + it.mul_f64(self.random.random::<f64>())))
-            .collect();
-        let near: Vec<Vec<usize>> = (0..ENTRIES).map(|it| self.near_peers(it)).collect();
+        self.daemons.start_reports(begin, &mut self.random);
         while self.now.since(begin) < RUN_DURATION {
             self.now = self.now + TICK;
             for server in 0..self.engines.len() {
                 self.run_engine(server);
             }
-            let phase = self.now.since(begin).as_secs_f64() % 5.8;
-            let factor = if phase < 3.4 { 0.383 } else { 1.87 };
+            let factor = LIVE_STEPS.at(self.now.since(begin));
             if self.random.random_bool(RATE * factor * TICK.as_secs_f64()) {
                 self.arrival();
             }
             for daemon in 0..ENTRIES {
-                if self.now >= due[daemon][1] {
-                    due[daemon][1] = self.now + FAR_INTERVAL;
-                    self.report_shares(daemon, &(0..ENTRIES).collect::<Vec<_>>());
-                }
-                if self.now >= due[daemon][0] {
-                    due[daemon][0] = self.now + NEAR_INTERVAL;
-                    self.report_shares(daemon, &near[daemon]);
-                }
+                self.daemons.send_due_reports(daemon, self.now);
             }
         }
         self.outcome
     }
 
-    fn near_peers(&self, own: usize) -> Vec<usize> {
-        let shares = |server: u64, other: usize| self.homes.contains(&(server, peer(other)));
-        let of_own: Vec<u64> = self
-            .homes
-            .iter()
-            .filter(|it| it.1 == peer(own))
-            .map(|it| it.0)
-            .collect();
-        (0..ENTRIES)
-            .filter(|it| *it != own && of_own.iter().any(|server| shares(*server, *it)))
-            .collect()
-    }
-
-    fn report_shares(&mut self, from: usize, to: &[usize]) {
-        let shares = self.tables[from].own_shares();
-        for to in to.iter().filter(|it| **it != from) {
-            self.tables[*to].receive(peer(from), &shares, self.now);
-        }
-    }
-
     fn arrival(&mut self) {
         let daemon = self.random.random_range(0..ENTRIES);
         let is_long = self.random.random_bool(LONG_FRACTION);
@@ -336,32 +273,24 @@
         prompt.push(own);
         let zone = zone_name(daemon % ZONES);
         let query = PlacementQuery {
-            service: "drafts",
-            zone: &zone,
-            exclude: &[],
-            max_wait: MAX_WAIT,
-            software: None,
             parts: &prompt,
+            ..query(&zone, MAX_WAIT)
         };
-        let placement = self.tables[daemon].choose_live(query, self.now, &mut self.random);
+        let table = &mut self.daemons.tables[daemon];
+        let placement = table.choose_live(query, self.now, &mut self.random);
         let is_counted = self.now >= self.counts_from;
         let Ok(placement) = placement else {
             self.outcome.refused += usize::from(is_counted);
             return;
         };
         let server = placement.server;
-        let reading = self.tables[daemon].begin_prompt(server, &prompt, self.now);
+        let reading = table.begin_prompt(server, &prompt, self.now);
         let expected = reading.map_or(0, |it| it.tokens);
-        let has_slot = self.tables[daemon].begin(server, WorkKind::Live, self.now);
+        let has_slot = table.begin(server, WorkKind::Live, self.now);
         if is_counted {
-            self.outcome.crossed += usize::from(self.tables[daemon].listing(server).zone != zone);
-        }
-        let key = self.tables[daemon].key(server);
-        if !self.homes.contains(&(key, peer(daemon))) {
-            let is_home = |it: &usize| self.homes.contains(&(key, peer(*it)));
-            let homes: Vec<usize> = (0..ENTRIES).filter(is_home).collect();
-            self.report_shares(daemon, &homes);
+            self.outcome.crossed += usize::from(table.listing(server).zone != zone);
         }
+        self.daemons.report_placement(daemon, server, self.now);
         self.engines[server.index()].waiting.push(Job {
             daemon,
             arrived: self.now,
@@ -422,19 +351,14 @@
                     job.last_event = at;
                 }
             }
-            let report = SlotReport {
-                running: engine.running.len() as u32,
-                waiting: engine.waiting.len() as u32,
-                slots: SLOTS as u32,
-                pace_percent: None,
-            };
+            let report = slot_report(engine.running.len(), engine.waiting.len(), SLOTS);
             let ended: Vec<Job> = engine
                 .running
                 .extract_if(.., |it| it.events >= EVENTS)
                 .collect();
             let id = ServerId(server as u32);
             for job in first {
-                let table = &mut self.tables[job.daemon];
+                let table = &mut self.daemons.tables[job.daemon];
                 table.report(id, report, self.now);
                 let elapsed = job.first.unwrap() + NETWORK_TIME;
                 if job.has_slot {
@@ -448,7 +372,7 @@
     }
 
     fn end(&mut self, id: ServerId, job: &Job) {
-        let table = &mut self.tables[job.daemon];
+        let table = &mut self.daemons.tables[job.daemon];
         table.end(id, WorkKind::Live);
         if job.has_slot {
             table.record_hold_time(id, self.now.since(job.arrived));
@@ -535,15 +459,11 @@
         let daemon = number as usize % ENTRIES;
         let zone = zone_name(daemon % ZONES);
         let query = PlacementQuery {
-            service: "drafts",
-            zone: &zone,
-            exclude: &[],
-            max_wait: MAX_WAIT,
-            software: None,
             parts: &parts,
+            ..query(&zone, MAX_WAIT)
         };
         let choose = |replay: &mut PromptReplay| {
-            let table = &mut replay.tables[daemon];
+            let table = &mut replay.daemons.tables[daemon];
             let bulk = table.choose_bulk(query, now, &mut replay.random);
             let live = table.choose_live(query, now, &mut replay.random);
             if let Ok(placement) = live {
@@ -561,7 +481,10 @@
 #[test]
 fn the_time_to_read_follows_first_events() {
     for token_micros in [2.0_f64, 7.0, 40.0] {
-        let mut table = PromptReplay::new(SHAPES[0], 7, true).tables.remove(0);
+        let mut table = PromptReplay::new(SHAPES[0], 7, true)
+            .daemons
+            .tables
+            .remove(0);
         let parts = [(1, 20_000), (2, 100)].map(|(key, tokens)| PromptPart {
             key: PartKey(key),
             tokens,
--- a/crates/serving/src/fleet/known_member.rs
+++ b/crates/serving/src/fleet/known_member.rs
@@ -93,6 +93,24 @@
             || self.listed_incarnation == Some(self.record.incarnation)
     }
 
+    /// Replaces the progress that it reports. Returns the lots that it reports no longer and
+    /// of which it knew all results.
+    pub(super) fn replace_progress(&mut self, reported: &[LotProgress]) -> Vec<String> {
+        let mut progress = reported.to_vec();
+        progress.sort_unstable_by(|left, right| left.lot.cmp(&right.lot));
+        let mut dropped = std::mem::replace(&mut self.progress, progress);
+        // Both lists are sorted, so that one pass over them finds what is missing. They
+        // arrive several times a second from each daemon.
+        let mut current = self.progress.iter().peekable();
+        let is_dropped = |it: &LotProgress| {
+            while current.next_if(|next| next.lot < it.lot).is_some() {}
+            current.peek().is_none_or(|next| next.lot != it.lot)
+        };
+        dropped.retain(is_dropped);
+        dropped.retain(|it| it.stage.knows_all_results());
+        dropped.into_iter().map(|it| it.lot).collect()
+    }
+
     /// Returns the progress that it reports of a lot.
     pub(super) fn progress_of(&self, lot: &str) -> Option<&LotProgress> {
         let index = self
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -4,7 +4,7 @@
 
 use comfreyramp_policy::{
     Timestamp, ZoneContacts,
-    lots::was_out_of_contact,
+    lots::{RunnerMemory, was_out_of_contact},
     placement::{HomePair, home_pairs},
     streams::{KeeperCandidate, KeeperCounts, StreamKey, choose_keepers},
     usage::PeerId,
@@ -12,6 +12,7 @@
 use rand::{Rng, seq::IndexedRandom};
 
 use super::{MemberRecord, PeerMessage, ViewRevisions, known_member::KnownMember};
+use crate::lots::AssignedLot;
 
 /// How long after its last report an unregistered daemon is forgotten. Until then this
 /// daemon keeps reporting to it: its lease may have expired because the store rejects its
@@ -79,6 +80,8 @@
     /// Where this daemon placed lots within the last report interval: the daemon, the number
     /// of items and the time.
     pub(super) recent_placements: Vec<(PeerId, u32, Timestamp)>,
+    /// The daemons that were asked to run lots, or ran them and no longer report them.
+    pub(super) runner_memory: RunnerMemory,
 }
 
 impl MemberList {
@@ -91,6 +94,7 @@
             last_reconnected_at: None,
             zone_contacts: ZoneContacts::default(),
             recent_placements: Vec::new(),
+            runner_memory: RunnerMemory::default(),
         }
     }
 
@@ -217,14 +221,18 @@
         member.last_number = message.number;
         member.last_received_at = Some(now);
         member.revisions = message.revisions;
-        member.progress.clone_from(&message.progress);
-        member
-            .progress
-            .sort_unstable_by(|left, right| left.lot.cmp(&right.lot));
+        let ran = member.replace_progress(&message.progress);
         member.reaches_store = message.reaches_store;
         member.is_leaving = message.is_leaving;
         member.items = message.items;
         let id = member.id;
+        for lot in &ran {
+            self.runner_memory.note_ran(lot, id, now);
+        }
+        for assigned in &message.placed {
+            let AssignedLot { lot, runner } = assigned;
+            self.runner_memory.note_assigned(lot, *runner, now);
+        }
         self.zone_contacts.note(&message.from.zone, now);
         if is_reconnected {
             self.last_reconnected_at = Some(now);
--- a/crates/serving/src/fleet/member_lots.rs
+++ b/crates/serving/src/fleet/member_lots.rs
@@ -4,7 +4,10 @@
 
 use comfreyramp_policy::{
     Timestamp,
-    lots::{RunnerConfirmation, RunnerLoad, choose_handover_target, choose_runner, home_daemon},
+    lots::{
+        RunnerConfirmation, RunnerLoad, RunnerMemory, choose_handover_target, choose_runner,
+        home_daemon,
+    },
     usage::PeerId,
 };
 use rand::Rng;
@@ -68,6 +71,21 @@
         Some(runner.record.address)
     }
 
+    /// Returns the address of a daemon that no longer reports a lot that it ran, or doesn't
+    /// report yet a lot that it was asked to run. It may have a complete copy of the lot.
+    pub fn remembered_runner(&self, lot: &str, now: Timestamp) -> Option<SocketAddr> {
+        let id = self.runner_memory.runner_to_ask(lot, now)?;
+        let index = self.members.binary_search_by_key(&id, |it| it.id).ok()?;
+        let member = &self.members[index];
+        let is_reporting = member.reported_within(self.reporting_timeout(), now);
+        is_reporting.then_some(member.record.address)
+    }
+
+    /// Returns the daemons that are remembered because they ran lots or were asked to.
+    pub fn runner_memory(&mut self) -> &mut RunnerMemory {
+        &mut self.runner_memory
+    }
+
     /// Returns the last report of the daemon that knows all results of a lot. Reports of a
     /// former incarnation are dropped together with it.
     pub fn runner_confirmation(&self, lot: &str) -> Option<RunnerConfirmation> {
--- a/crates/serving/src/lots/accept.rs
+++ b/crates/serving/src/lots/accept.rs
@@ -80,11 +80,10 @@
     check_items::<D>(&submission, &lot)?;
     let id = submission.lot.clone();
     let accepted = || Ok(<D::Callers as CallerDialect>::lot_accepted().map(AnswerBody::whole));
-    if node
-        .lot_cache
-        .borrow()
-        .belongs_to(&submission.lot, &submission.customer.settings.name)
-    {
+    // A lot that is known only from its acceptance here is announced again, if the store
+    // still has it open: the first notices may all have been lost.
+    let customer = &submission.customer.settings.name;
+    if node.lot_cache.borrow().is_confirmed_of(&id, customer) {
         return accepted();
     }
     let Some(tokens) = lot.tokens() else {
@@ -154,7 +153,9 @@
 ) -> Result<AcceptOutcome, StoreError> {
     let shared = node.clone();
     let writing = tokio::task::spawn_local(async move {
-        let batch = lot_batch(&shared, &submission, &lot, tokens);
+        let requested_at = shared.clock.now();
+        let head = lot_head(&shared, &submission, lot.items.len());
+        let batch = lot_batch(&shared, &submission.lot, &head, &lot, tokens);
         let outcome = match submission.terms.max_unfinished_tokens {
             None => write_unbounded(&shared, &submission, batch).await?,
             Some(bound) => {
@@ -162,6 +163,11 @@
             }
         };
         if let AcceptOutcome::Written(revision) = outcome {
+            // Readers that come before the lot is claimed needn't list it.
+            let now = shared.clock.now();
+            let mut cache = shared.lot_cache.borrow_mut();
+            cache.add_accepted(&submission.lot, head, requested_at, now);
+            drop(cache);
             note_accepted(&shared, &submission, lot.items.len(), revision);
         }
         Ok(outcome)
@@ -329,34 +335,36 @@
     AcceptOutcome::Known
 }
 
-fn lot_batch<D: Dialect>(
-    node: &Node<D>,
-    submission: &Submission,
-    lot: &NewLot,
-    tokens: u64,
-) -> WriteBatch {
-    let id = &submission.lot;
+fn lot_head<D: Dialect>(node: &Node<D>, submission: &Submission, total: usize) -> LotHead {
     let submitted = unix_millis();
-    let due = submitted + submission.terms.due_after.as_millis() as u64;
-    let head = LotHead {
+    LotHead {
         customer: submission.customer.settings.name.clone(),
         host: submission.route.host.clone(),
-        total: lot.items.len(),
+        total,
         attempts: submission.route.attempts,
         submitted,
-        due,
+        due: submitted + submission.terms.due_after.as_millis() as u64,
         given_up: submitted + submission.terms.give_up_after.as_millis() as u64,
         route: submission.route.name.clone(),
         settings: node.fleet().map_or(0, |it| it.settings.version),
-    };
+    }
+}
+
+fn lot_batch<D: Dialect>(
+    node: &Node<D>,
+    id: &str,
+    head: &LotHead,
+    lot: &NewLot,
+    tokens: u64,
+) -> WriteBatch {
     let put = |key, value| Write::Put {
         key,
         value,
         lease: None,
     };
     let mut then = vec![
-        put(keys::head(id), to_json(&head)),
-        put(keys::open(id), to_json(&OpenMark::new(&head, tokens))),
+        put(keys::head(id), to_json(head)),
+        put(keys::open(id), to_json(&OpenMark::new(head, tokens))),
     ];
     let packs = pack_items(&lot.items, node.settings.store.value_bytes);
     for (number, pack) in packs.into_iter().enumerate() {
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -11,7 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    item_run::{ItemOutcome, ItemProgress},
+    item_run::{ItemFailure, ItemOutcome, ItemProgress},
     keys,
     notices::ReportBasis,
     records::{AgeRecord, DamagedRecord, ItemFaults, LotHead, OpenMark, from_json, from_packed},
@@ -62,6 +62,7 @@
     pub(super) item: Rc<LotItem>,
     pub(super) phase: ItemPhase,
     pub(super) progress: ItemProgress,
+    pub(super) failed_at: ItemFailure,
     route_absence: RouteAbsence,
     faults: u32,
     /// Number of faults of this item that the store has recorded.
@@ -502,6 +503,7 @@
             recorded_faults: faults,
             breaks: 0,
             unproven: 0,
+            failed_at: ItemFailure::default(),
             version_missed_since: None,
         }
     }
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -1,11 +1,15 @@
 //! Runs one item of a lot on a server.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use comfreyramp_http::{
     AnswerEnd, AnswerProgress, BodyFraming, EventSplitter, event_id, event_text,
 };
-use comfreyramp_policy::{placement::ServerOutcomeKind, streams::SoftwareKey};
+use comfreyramp_policy::{
+    ServerId, Timestamp,
+    placement::{AnswerEvidence, ServerOutcomeKind},
+    streams::SoftwareKey,
+};
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
 use tokio_util::sync::CancellationToken;
@@ -23,6 +27,14 @@
 /// Longest silence between two events.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// How long after an item's failure its success at another server is proof against the first.
+/// An item may wait long for its next run, and the server may have recovered since.
+const MAX_PROOF_AGE: Duration = Duration::from_secs(2);
+
+/// The server at which an item failed, and when, until it is known how the item fares at
+/// another server.
+pub(super) type ItemFailure = Rc<Cell<Option<(ServerId, Timestamp)>>>;
+
 /// What was read of an item's event stream so far.
 #[derive(Clone, Debug, Default)]
 pub(super) struct ItemProgress {
@@ -44,6 +56,7 @@
     pub(super) host: String,
     pub(super) customer: String,
     pub(super) progress: ItemProgress,
+    pub(super) failed_at: ItemFailure,
     /// Time until the item is given up.
     pub(super) time_left: Duration,
     /// Cancelled when the item is preempted or its lot is closed.
@@ -129,6 +142,7 @@
         }
         Err(_) => return ItemOutcome::NotRun(run.progress),
     };
+    run.record_status(node, server, open.head.status);
     match open.head.status.is_success() {
         true => {
             let began_at = node.clock.now();
@@ -147,6 +161,38 @@
     }
 }
 
+impl ItemRun {
+    /// Records the status with which a server answered. As for live requests, a failure counts
+    /// once it is known how the item fares at another server, and one for lack of time says
+    /// nothing of the server.
+    fn record_status<D: Dialect>(&self, node: &Node<D>, server: ServerId, status: StatusCode) {
+        if status == StatusCode::GATEWAY_TIMEOUT {
+            return;
+        }
+        let now = node.clock.now();
+        let record = |server: ServerId, evidence: AnswerEvidence| {
+            node.record_answer(&self.item.id, server, &self.customer, evidence);
+        };
+        let is_recent = |at: Timestamp| now.since(at) < MAX_PROOF_AGE;
+        let failed_at = self.failed_at.get().filter(|it| is_recent(it.1));
+        let failed_elsewhere = failed_at.map(|it| it.0).filter(|it| *it != server);
+        if status.is_success() {
+            self.failed_at.set(None);
+            record(server, AnswerEvidence::Succeeded);
+            if let Some(former) = failed_elsewhere {
+                record(former, AnswerEvidence::FailedAlone);
+            }
+        } else if status.is_server_error() {
+            self.failed_at.set(Some((server, now)));
+            if let Some(former) = failed_elsewhere {
+                self.failed_at.set(None);
+                record(former, AnswerEvidence::FailedLikeOthers);
+                record(server, AnswerEvidence::FailedLikeOthers);
+            }
+        }
+    }
+}
+
 /// Reads an answer without success to its end. Only a whole one says anything about the
 /// item, and its connection isn't used again: a server that answers twice would answer the
 /// item's next run with the same failure.
--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -13,8 +13,9 @@
 };
 use crate::model::{ItemResult, LotPage};
 
-/// Maximum number of cached lots.
-const MAX_LOTS: usize = 64;
+/// Maximum number of cached lots. They include those that this daemon accepted and that
+/// have no results yet; with 64, a burst of these would evict the results of others.
+const MAX_LOTS: usize = 256;
 /// Maximum size of the cached results in bytes, so that a daemon on a small VM isn't killed
 /// for lack of memory.
 const MAX_BYTES: usize = 12 << 20;
@@ -24,6 +25,8 @@
 /// Where the last confirmation of a cached lot came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopySource {
+    /// The write by which this daemon accepted the lot.
+    Acceptance,
     /// The store.
     Store,
     /// Another daemon, at this address.
@@ -33,6 +36,7 @@
 impl fmt::Display for CopySource {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            CopySource::Acceptance => formatter.write_str("acceptance"),
             CopySource::Store => formatter.write_str("store"),
             CopySource::Daemon(address) => address.fmt(formatter),
         }
@@ -149,7 +153,8 @@
 
     /// Appends results, after which the copy holds `groups` groups.
     fn append(&mut self, results: Vec<ItemResult>, groups: usize) {
-        self.bytes += results.iter().map(|it| it.output.len()).sum::<usize>();
+        let size = |it: &ItemResult| it.output.len() + it.id.len() + size_of::<ItemResult>();
+        self.bytes += results.iter().map(size).sum::<usize>();
         self.results.extend(results);
         self.groups = groups;
     }
@@ -190,11 +195,38 @@
         self.get(lot).is_some_and(|it| it.head.customer == customer)
     }
 
+    /// Returns whether a lot belongs to a customer and was confirmed by the store or by
+    /// another daemon since it was accepted here.
+    pub fn is_confirmed_of(&self, lot: &str, customer: &str) -> bool {
+        let known = self.get(lot);
+        known.is_some_and(|it| it.source != CopySource::Acceptance)
+            && self.belongs_to(lot, customer)
+    }
+
     /// Returns the key after which the store may hold more of a cached lot.
     pub fn last_key(&self, lot: &str) -> Option<String> {
         self.get(lot).map(CachedLot::last_key)
     }
 
+    /// Adds a lot that this daemon has just accepted, without results. The store didn't hold
+    /// it at `requested_at`, when its write began, so that it certainly had none.
+    pub fn add_accepted(
+        &mut self,
+        lot: &str,
+        head: LotHead,
+        requested_at: Timestamp,
+        now: Timestamp,
+    ) {
+        let Err(index) = self.index_of(lot) else {
+            return;
+        };
+        let mut known = CachedLot::new(lot, head, requested_at);
+        known.source = CopySource::Acceptance;
+        known.used_at = now;
+        self.lots.insert(index, known);
+        self.evict();
+    }
+
     /// Adds what the store holds after [`LotCache::last_key`], requested at `requested_at`.
     /// Returns whether the cached lot now matches the store. It doesn't if the store has no
     /// such lot, or if the copy was evicted since the request: the answer then has no head,
--- a/crates/serving/src/lots/peer_read.rs
+++ b/crates/serving/src/lots/peer_read.rs
@@ -1,6 +1,6 @@
 //! Reads results from the daemon that runs their lot, which saves a call to the store.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use comfreyramp_http::MessageBody;
@@ -35,15 +35,46 @@
     Some(serde_json::to_vec(&sent).unwrap_or_default().into())
 }
 
-/// Requests the results that are missing here from the daemon that runs a lot. Returns
-/// whether they were received.
+/// What became of a request to the daemon that runs a lot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunnerAnswer {
+    /// The copy here now has all results that the other daemon knew of.
+    Received,
+    /// The daemon has no complete copy, or one that doesn't fit the copy here.
+    Refused,
+    /// The daemon didn't answer.
+    Silent,
+}
+
+/// Requests the results that are missing here from the daemon that runs a lot, or from the
+/// one that is remembered for it if none reports it. Returns whether they were received.
 ///
 /// All results received are in the store already: that daemon adds results to its own copy
 /// only once they are written.
 pub(super) async fn request_from_runner<D: Dialect>(node: &Rc<Node<D>>, lot: &str) -> bool {
-    let Some(peer) = node.lot_runner(lot) else {
+    if let Some(peer) = node.lot_runner(lot) {
+        return request_from(node, lot, peer).await == RunnerAnswer::Received;
+    }
+    let Some(peer) = node.remembered_runner(lot) else {
         return false;
     };
+    let answer = request_from(node, lot, peer).await;
+    let event = match answer {
+        RunnerAnswer::Received => "remembered_runner_answered",
+        RunnerAnswer::Refused => {
+            node.note_refusing_runner(lot);
+            "remembered_runner_refused"
+        }
+        RunnerAnswer::Silent => {
+            node.note_silent_runner(lot);
+            "remembered_runner_silent"
+        }
+    };
+    node.metrics.lot(event, 1);
+    answer == RunnerAnswer::Received
+}
+
+async fn request_from<D: Dialect>(node: &Rc<Node<D>>, lot: &str, peer: SocketAddr) -> RunnerAnswer {
     let requested_at = node.clock.now();
     let after = node
         .lot_cache
@@ -52,7 +83,7 @@
         .map_or(0, |it| it.results.len());
     let request = Request::get(format!("http://{peer}{LOT_PATH}{lot}/{after}"));
     let Ok(request) = request.body(MessageBody::empty()) else {
-        return false;
+        return RunnerAnswer::Refused;
     };
     let answer = node
         .peer_client
@@ -62,14 +93,14 @@
         Ok(answer) if answer.status() == StatusCode::OK => {
             serde_json::from_slice::<SentLot>(answer.body())
         }
-        Ok(_) => return false,
+        Ok(_) => return RunnerAnswer::Refused,
         Err(error) => {
             log::info!(lot = lot, peer:% = peer, error:% = error; "lots: no answer from the daemon that runs the lot");
-            return false;
+            return RunnerAnswer::Silent;
         }
     };
     let now = node.clock.now();
-    match sent {
+    let is_received = match sent {
         Ok(sent) => node
             .lot_cache
             .borrow_mut()
@@ -78,5 +109,9 @@
             log::warn!(lot = lot, error:% = error; "lots: the answer of the daemon that runs the lot can't be parsed");
             false
         }
+    };
+    match is_received {
+        true => RunnerAnswer::Received,
+        false => RunnerAnswer::Refused,
     }
 }
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -33,6 +33,8 @@
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Interval at which a waiting reader checks for new results.
 const POLL_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which a waiting reader asks the daemon that is about to claim the lot.
+const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a reader may retry while the store can't be reached.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Maximum number of attempts to write a lot's end record.
@@ -76,6 +78,13 @@
         requested_at,
     };
     let deadline = requested_at + wait.min(MAX_WAIT);
+    while !is_cached(node, lot)
+        && node.clock.now() < deadline
+        && node.is_about_to_be_claimed(lot)
+        && !request_from_runner(node, lot).await
+    {
+        tokio::time::sleep(CLAIM_POLL_INTERVAL).await;
+    }
     ensure_known(node, customer, lot).await?;
     loop {
         // A reader that starts again at an earlier position also gets new results, not just
@@ -113,6 +122,10 @@
     cache.get(lot).map(CachedLot::state)
 }
 
+fn is_cached<D: Dialect>(node: &Node<D>, lot: &str) -> bool {
+    node.lot_cache.borrow().get(lot).is_some()
+}
+
 fn serves<D: Dialect>(node: &Node<D>, lot: &str, reader: ReaderPosition) -> bool {
     copy_state(node, lot).is_some_and(|it| it.serves(reader))
 }
@@ -139,7 +152,8 @@
     let is_behind = || copy_state(node, lot).is_some_and(|it| it.is_behind(reader));
     let confirmation = node.runner_confirmation(lot);
     let runner_has_it = confirmation.is_some_and(|it| it.results >= reader.after);
-    let tries_runner = runner_has_it || !is_behind();
+    // A remembered runner reports nothing; what it sends decides.
+    let tries_runner = runner_has_it || !is_behind() || node.remembered_runner(lot).is_some();
     if tries_runner
         && request_from_runner(node, lot).await
         && !is_behind()
@@ -198,8 +212,7 @@
     if !keys::is_usable_id(lot) {
         return Err(RefusalCause::NoSuchLot.into());
     }
-    let is_known = node.lot_cache.borrow().get(lot).is_some();
-    if !is_known && !request_from_runner(node, lot).await {
+    if !is_cached(node, lot) && !request_from_runner(node, lot).await {
         refresh_from_store(node, lot).await?;
     }
     match node.lot_cache.borrow().belongs_to(lot, customer) {
--- a/crates/serving/src/lots/worker/items.rs
+++ b/crates/serving/src/lots/worker/items.rs
@@ -154,11 +154,20 @@
     ) -> ItemPlacement {
         let software = self.held[index].items[item].progress.software;
         let prompt = prompt_of::<D>(&self.held[index].items[item].item);
-        let bound = software.and_then(|it| self.choose_server(route, Some(it), &prompt, now));
+        let failed_at = self.held[index].items[item].failed_at.get().map(|it| it.0);
+        // Another server shows whether the item or the server failed. A server that fails at
+        // once has free slots, and would otherwise get all of the item's runs.
+        let choose = |software| {
+            let other = failed_at.and_then(|it| {
+                self.choose_server(route, software, std::slice::from_ref(&it), &prompt, now)
+            });
+            other.or_else(|| self.choose_server(route, software, &[], &prompt, now))
+        };
+        let bound = software.and_then(|it| choose(Some(it)));
         if let Some(server) = bound {
             return ItemPlacement::At(server);
         }
-        let other = self.choose_server(route, None, &prompt, now);
+        let other = choose(None);
         let has_software = software.is_some_and(|it| self.has_software(route, it));
         let held = &mut self.held[index];
         let Some(server) = other else {
@@ -187,6 +196,7 @@
         &self,
         route: &RouteSettings,
         software: Option<SoftwareKey>,
+        exclude: &[ServerId],
         prompt: &[PromptPart],
         now: Timestamp,
     ) -> Option<ServerId> {
@@ -200,7 +210,7 @@
         let query = PlacementQuery {
             service,
             zone: &self.node.settings.zone,
-            exclude: &[],
+            exclude,
             max_wait: Duration::ZERO,
             software,
             parts: prompt,
@@ -218,6 +228,7 @@
             host: held.head.host.clone(),
             customer: held.head.customer.clone(),
             progress: held.items[item].progress.clone(),
+            failed_at: held.items[item].failed_at.clone(),
             time_left: held.time_left(now),
             stop: stop.clone(),
         };
--- a/crates/serving/src/lots/worker/mod.rs
+++ b/crates/serving/src/lots/worker/mod.rs
@@ -63,7 +63,8 @@
     /// Sorted by due time, the earliest first.
     held: Vec<HeldLot>,
     candidates: LotCandidates,
-    /// Lots that had no items left when they were claimed, and when that was found.
+    /// Lots that this daemon finished or that had no items left when it claimed them, and
+    /// when that was found.
     exhausted: Vec<(String, Timestamp)>,
     running: usize,
     run_times: RunTimeEstimate,
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -47,6 +47,9 @@
                 if held.stored_results >= held.head.total {
                     log::info!(lot = lot, results = held.stored_results; "lots: finished");
                     self.held.remove(index);
+                    // Otherwise a repeated notice of its acceptance would make this daemon
+                    // claim it again, since only peers receive the report of its end.
+                    self.exhausted.push((lot.to_owned(), now));
                 }
             }
             WriteAnswer::Fenced => self.lose_claim(index, now),
--- a/crates/serving/src/node/lot_news.rs
+++ b/crates/serving/src/node/lot_news.rs
@@ -61,6 +61,9 @@
             self.lot_inbox.borrow_mut().placed.push(placed.clone());
         }
         let now = self.clock.now();
+        let mut members = self.members.borrow_mut();
+        members.runner_memory().note_assigned(lot, runner, now);
+        drop(members);
         self.lot_notices.borrow_mut().add_assignment(placed, now);
         self.report_lot(LotNotice::Accepted(lot.to_owned()));
     }
@@ -103,6 +106,36 @@
         self.members.borrow().lot_runner(lot, self.clock.now())
     }
 
+    /// Returns the address of a daemon that ran a lot and reports it no longer, or that was
+    /// asked to run it.
+    pub fn remembered_runner(&self, lot: &str) -> Option<SocketAddr> {
+        let now = self.clock.now();
+        self.members.borrow().remembered_runner(lot, now)
+    }
+
+    /// Whether a lot that no daemon has run yet is about to be claimed by the daemon that it
+    /// is assigned to, and that daemon can be asked for it. A lot that was handed over may
+    /// have results, but then the daemon that left it reports it.
+    pub fn is_about_to_be_claimed(&self, lot: &str) -> bool {
+        let now = self.clock.now();
+        let mut members = self.members.borrow_mut();
+        members.runner_report(lot, now).is_none()
+            && members.remembered_runner(lot, now).is_some()
+            && members.runner_memory().is_about_to_claim(lot, now)
+    }
+
+    /// Records that a remembered runner of a lot didn't answer.
+    pub fn note_silent_runner(&self, lot: &str) {
+        let now = self.clock.now();
+        let mut members = self.members.borrow_mut();
+        members.runner_memory().note_silent(lot, now);
+    }
+
+    /// Records that a remembered runner of a lot has no complete copy of it.
+    pub fn note_refusing_runner(&self, lot: &str) {
+        self.members.borrow_mut().runner_memory().note_refused(lot);
+    }
+
     /// Whether a peer reports that it ran a lot to its end.
     pub fn is_reported_finished(&self, lot: &str) -> bool {
         self.members.borrow().is_reported_finished(lot)
--- a/crates/serving/src/node/server_failures.rs
+++ b/crates/serving/src/node/server_failures.rs
@@ -29,6 +29,10 @@
         }
         if let Some(change) = change {
             log_change(&servers, server, change, request_id);
+            // The first success after a server's recovery ends its suspicion everywhere.
+            if change.is_recovery {
+                self.urgent_report_due.notify_one();
+            }
             drop(servers);
             self.update_failure_metrics();
         }
@@ -78,6 +82,7 @@
     log::info!(
         server = servers.listing(server).name,
         request = request_id,
+        is_recovery = change.is_recovery,
         level = change.level,
         weight = change.weight,
         failed = change.counts.failed,
--- a/crates/serving/tests/lot_cache.rs
+++ b/crates/serving/tests/lot_cache.rs
@@ -106,7 +106,7 @@
         cache.last_key("lot-0").is_some(),
         "the next request starts after this key"
     );
-    for number in 1..=64 {
+    for number in 1..=256 {
         let lot = format!("lot-{number}");
         let later = now + std::time::Duration::from_millis(number);
         cache.add_stored(&lot, &[head(&lot)], later, later).unwrap();
--- a/crates/serving/tests/member_list.rs
+++ b/crates/serving/tests/member_list.rs
@@ -450,3 +450,34 @@
         assert!(known.iter().all(|it| homes.contains(it)));
     }
 }
+
+/// A daemon reports a finished lot for some seconds. A reader that comes later has to know
+/// which daemon ran it, but not one that left it, whose copy may lack results.
+#[test]
+fn the_last_runner_of_a_lot_is_remembered_when_it_reports_it_no_longer() {
+    let lots = |names: &[(&str, LotStage)]| -> Vec<LotProgress> {
+        let lots = names.iter().map(|(lot, stage)| LotProgress {
+            lot: (*lot).to_owned(),
+            results: 3,
+            stage: *stage,
+        });
+        lots.collect()
+    };
+    let now = Timestamp::from_micros(1_000_000);
+    let mut members = MemberList::new("entry-1");
+    let reported = [
+        ("lot-3", LotStage::Finished),
+        ("lot-1", LotStage::Finished),
+        ("lot-2", LotStage::Left),
+        ("lot-4", LotStage::Finished),
+    ];
+    members.receive(&message(1, lots(&reported)), now);
+    assert_eq!(members.remembered_runner("lot-1", now), None);
+    members.receive(&message(2, lots(&[("lot-3", LotStage::Finished)])), now);
+    let address = Some(([127, 0, 0, 1], 7000).into());
+    let is_remembered = ["lot-1", "lot-2", "lot-3", "lot-4"]
+        .map(|lot| members.remembered_runner(lot, now) == address);
+    assert_eq!(is_remembered, [true, false, false, true]);
+    let silent = now + Duration::from_secs(4);
+    assert_eq!(members.remembered_runner("lot-1", silent), None);
+}
--- a/crates/standins/src/kv/endpoint.rs
+++ b/crates/standins/src/kv/endpoint.rs
@@ -1,6 +1,10 @@
 //! An HTTP endpoint of the store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use comfreyramp_http::{
     Incoming, MessageBody, Method, Request, Response, StatusCode, bind, collect_limited, serve,
@@ -14,6 +18,8 @@
 };
 use crate::{process::stand_in_limits, response::json_response};
 
+/// The path of lists of keys.
+const RANGE_PATH: &str = "/-/kv-range";
 /// The longest request body that is read, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 20;
 /// The interval at which a waiting watch checks for expired leases, and a held answer for
@@ -27,6 +33,8 @@
     pub faults: Arc<KvFaults>,
     /// The address at which it listens.
     pub address: SocketAddr,
+    /// The prefixes that were listed, in order, with those whose calls were rejected.
+    listed: Arc<Mutex<Vec<String>>>,
 }
 
 impl KvEndpoint {
@@ -40,9 +48,16 @@
         let address = listener.local_addr()?;
         let faults = Arc::new(KvFaults::default());
         let shared = faults.clone();
+        let listed = Arc::<Mutex<Vec<String>>>::default();
+        let recorded = listed.clone();
         tokio::spawn(serve(listener, stand_in_limits(), stop, move |request| {
             let state = state.clone();
             let faults = shared.clone();
+            if request.uri().path() == RANGE_PATH {
+                let prefix = query_field(&request, "prefix");
+                let mut listed = recorded.lock().unwrap_or_else(PoisonError::into_inner);
+                listed.push(prefix);
+            }
             async move {
                 let call = faults.begin_call();
                 let answer = answer(&state, &faults, request).await;
@@ -52,10 +67,28 @@
                 answer
             }
         }));
-        Ok(KvEndpoint { faults, address })
+        Ok(KvEndpoint {
+            faults,
+            address,
+            listed,
+        })
+    }
+
+    /// Returns how many lists of keys under `prefix` have been requested here.
+    pub fn list_count(&self, prefix: &str) -> usize {
+        let listed = self.listed.lock().unwrap_or_else(PoisonError::into_inner);
+        listed.iter().filter(|it| it.starts_with(prefix)).count()
     }
 }
 
+/// Returns a field of a request's query, or an empty text.
+fn query_field(request: &Request<Incoming>, name: &str) -> String {
+    let fields = request.uri().query().unwrap_or_default().split('&');
+    let mut named = fields.filter_map(|it| it.split_once('='));
+    let found = named.find(|it| it.0 == name);
+    found.map_or_else(String::new, |it| it.1.to_owned())
+}
+
 async fn answer(
     state: &Arc<KvState>,
     faults: &KvFaults,
@@ -65,15 +98,10 @@
         return json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
     }
     let path = request.uri().path().to_owned();
-    let query = request.uri().query().unwrap_or_default().to_owned();
-    let field = |name: &str| {
-        let fields = query.split('&').filter_map(|it| it.split_once('='));
-        let mut named = fields.filter(|it| it.0 == name);
-        named.next().map_or(String::new(), |it| it.1.to_owned())
-    };
+    let field = |name: &str| query_field(&request, name);
     match (request.method(), path.as_str()) {
         (&Method::GET, "/-/kv-key") => read_key(state, &field("key")),
-        (&Method::GET, "/-/kv-range") => {
+        (&Method::GET, RANGE_PATH) => {
             let (items, revision) = state.range(&field("prefix"), &field("after"));
             let body = json!({"items": items, "has_more": false, "store_revision": revision});
             json_response(StatusCode::OK, &body)
--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -324,6 +324,8 @@
             *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         } else if body.as_ref() == b"impossible" {
             *answer.status_mut() = StatusCode::UNPROCESSABLE_ENTITY;
+        } else if body.as_ref() == b"out of time" {
+            *answer.status_mut() = StatusCode::GATEWAY_TIMEOUT;
         } else if body.as_ref() == b"fails" {
             *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         } else {
