Placement, lots, memory: work done twice, and code written twice

A waiting request without a prompt gets the server that was found for it, and isn't placed a second time.

Which statuses say that a server fails is decided in one place for live requests and items. A lot's body is read by the function for live bodies. The check of customers' limits in two tests of rates is one method with the same bound.

--- a/crates/policy/src/placement/failure_table.rs
+++ b/crates/policy/src/placement/failure_table.rs
@@ -9,25 +9,21 @@
         AnswerEvidence, FailureCount, MAX_REPORTED_FAILURES, MAX_UNPROVEN_WEIGHT, SuspicionChange,
     },
 };
-use crate::{
-    ServerId, Timestamp,
-    hash::{mix, name_hash},
-    usage::PeerId,
-};
+use crate::{ServerId, Timestamp, hash::mix, usage::PeerId};
 
 impl PlacementTable {
-    /// Records what the answer to a request of a customer says of a server. Returns whether
-    /// the server is now suspected, if that has changed.
+    /// Records what the answer to a request of a customer, the hash of whose name is given,
+    /// says of a server. Returns whether the server is now suspected, if that has changed.
     pub fn record_answer(
         &mut self,
         id: ServerId,
-        customer: &str,
+        customer: u64,
         evidence: AnswerEvidence,
         now: Timestamp,
     ) -> Option<SuspicionChange> {
         let entry = &self.servers[id.index()];
         let server = entry.key;
-        let customer = mix(name_hash(customer) ^ mix(name_hash(&entry.listing.service)));
+        let customer = mix(customer ^ entry.service_key);
         let was_suspected = entry.failures.is_suspected(now);
         let weight = match evidence {
             AnswerEvidence::Succeeded | AnswerEvidence::FailedLikeOthers => 0.0,
--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -13,7 +13,12 @@
     server_load::ServerLoad,
     server_pace::{ServerPace, ServicePace, pace_of},
 };
-use crate::{ServerId, Timestamp, hash::name_hash, streams::SoftwareKey, usage::PeerId};
+use crate::{
+    ServerId, Timestamp,
+    hash::{mix, name_hash},
+    streams::SoftwareKey,
+    usage::PeerId,
+};
 
 /// How many servers of which this daemon isn't a home daemon are compared for a request.
 const DRAWN_SERVERS: usize = 2;
@@ -184,6 +189,7 @@
             .find(|it| it.listing.name == listing.name);
         let entry = ServerEntry {
             key: name_hash(&listing.name),
+            service_key: mix(name_hash(&listing.service)),
             software: listing.software(),
             may_have_restarted: false,
             load: ServerLoad::new(listing.slots),
--- a/crates/policy/src/placement/server_entry.rs
+++ b/crates/policy/src/placement/server_entry.rs
@@ -33,6 +33,8 @@
 pub(super) struct ServerEntry {
     pub(super) listing: ServerListing,
     pub(super) key: u64,
+    /// The hash of its service's name, mixed. It is kept, since each answer is weighed by it.
+    pub(super) service_key: u64,
     pub(super) software: SoftwareKey,
     /// Whether it may have restarted, with other software, since its entry was read.
     pub(super) may_have_restarted: bool,
--- a/crates/policy/tests/failing_fleet/mod.rs
+++ b/crates/policy/tests/failing_fleet/mod.rs
@@ -8,7 +8,7 @@
 };
 
 use comfreyramp_policy::{
-    ServerId, Timestamp,
+    ServerId, Timestamp, name_hash,
     placement::{
         AnswerEvidence, FailureCount, HomePair, LoadShare, PlacementQuery, PlacementTable,
         ServerListing, ServerOutcomeKind, WorkKind, home_pairs,
@@ -554,10 +554,10 @@
         ) {
             return;
         }
-        let customer = format!("customer-{}", request.customer);
+        let customer = name_hash(&format!("customer-{}", request.customer));
         let now = self.now;
         let table = &mut self.tables[request.daemon];
-        let change = table.record_answer(server, &customer, evidence, now);
+        let change = table.record_answer(server, customer, evidence, now);
         if change.is_some_and(|it| it.is_recovery) {
             let peers: Vec<usize> = (0..DAEMONS).filter(|it| *it != request.daemon).collect();
             self.figures.urgent_reports += 1;
--- a/crates/policy/tests/usage_fleet/mod.rs
+++ b/crates/policy/tests/usage_fleet/mod.rs
@@ -13,6 +13,8 @@
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use crate::usage_window::max_in_window;
+
 /// The interval of a daemon's reports.
 const INTERVAL: Duration = Duration::from_millis(750);
 const STEP: Duration = Duration::from_millis(10);
@@ -297,6 +299,21 @@
         }
     }
 
+    /// Asserts that no customer got more than its limit allows in any window.
+    pub(crate) fn assert_within_tolerance(&self, seed: u64) {
+        for customer in &self.customers {
+            let limit = customer.limit;
+            let in_window = limit.rate * TOLERANCE.window.as_secs_f64() + limit.burst;
+            let bound = in_window * (1.0 + TOLERANCE.fraction) + TOLERANCE.requests;
+            let admitted = max_in_window(&customer.admitted);
+            assert!(
+                admitted as f64 <= bound,
+                "seed {seed}, rate {}: {admitted} of {bound}",
+                limit.rate
+            );
+        }
+    }
+
     fn is_heard(&self, from: usize, to: usize) -> bool {
         let (sender, receiver) = (&self.daemons[from], &self.daemons[to]);
         let is_cut = |zone: usize| self.cut_zone == Some(zone);
--- a/crates/policy/tests/usage_restart.rs
+++ b/crates/policy/tests/usage_restart.rs
@@ -6,8 +6,7 @@
 
 use std::time::Duration;
 
-use usage_fleet::{TOLERANCE, UsageFleet};
-use usage_window::max_in_window;
+use usage_fleet::UsageFleet;
 
 const ENTRIES: usize = 165;
 const ZONES: usize = 5;
@@ -62,17 +61,7 @@
         fleet.set_load(HOT_LOAD);
         fault(&mut fleet);
         fleet.run(Duration::from_secs(7));
-        for customer in &fleet.customers {
-            let limit = customer.limit;
-            let in_window = limit.rate * TOLERANCE.window.as_secs_f64() + limit.burst;
-            let bound = in_window * (1.0 + TOLERANCE.fraction) + TOLERANCE.requests;
-            let admitted = max_in_window(&customer.admitted);
-            assert!(
-                admitted as f64 <= bound,
-                "seed {seed}, rate {}: {admitted} of {bound}",
-                limit.rate
-            );
-        }
+        fleet.assert_within_tolerance(seed);
     }
 }
 
--- a/crates/policy/tests/usage_rolling_restart.rs
+++ b/crates/policy/tests/usage_rolling_restart.rs
@@ -6,8 +6,7 @@
 
 use std::time::Duration;
 
-use usage_fleet::{TOLERANCE, UsageFleet};
-use usage_window::max_in_window;
+use usage_fleet::UsageFleet;
 
 const ENTRIES: usize = 64;
 const ZONES: usize = 3;
@@ -85,16 +84,6 @@
         let mut fleet = UsageFleet::new(ENTRIES, ZONES, &customers(7.5 * TYPICAL_LOAD), seed);
         fleet.run(Duration::from_millis(1_900 * seed));
         restart_and_kill(&mut fleet);
-        for customer in &fleet.customers {
-            let limit = customer.limit;
-            let in_window = limit.rate * TOLERANCE.window.as_secs_f64() + limit.burst;
-            let bound = in_window * (1.0 + TOLERANCE.fraction) + TOLERANCE.requests;
-            let admitted = max_in_window(&customer.admitted);
-            assert!(
-                admitted as f64 <= bound,
-                "seed {seed}, rate {}: {admitted} of {bound}",
-                limit.rate
-            );
-        }
+        fleet.assert_within_tolerance(seed);
     }
 }
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -6,7 +6,7 @@
     AnswerEnd, AnswerProgress, BodyFraming, EventSplitter, event_id, event_text,
 };
 use comfreyramp_policy::{
-    ServerId, Timestamp,
+    ServerId, Timestamp, name_hash,
     placement::{AnswerEvidence, ServerOutcomeKind},
     streams::SoftwareKey,
 };
@@ -18,7 +18,10 @@
     dialect::{Dialect, ServerDialect},
     model::{LotItem, RequestMetadata},
     node::Node,
-    path::{AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, open_answer},
+    path::{
+        AnswerKind, AttemptFailure, AttemptGuard, AttemptTerms, OpenAnswer, has_server_succeeded,
+        open_answer,
+    },
 };
 
 /// Longest wait for the first event. It is longer than for live requests, because the item
@@ -163,26 +166,26 @@
 
 impl ItemRun {
     /// Records the status with which a server answered. As for live requests, a failure counts
-    /// once it is known how the item fares at another server, and one for lack of time says
-    /// nothing of the server.
+    /// once it is known how the item fares at another server.
     fn record_status<D: Dialect>(&self, node: &Node<D>, server: ServerId, status: StatusCode) {
-        if status == StatusCode::GATEWAY_TIMEOUT {
+        let Some(has_succeeded) = has_server_succeeded(status) else {
             return;
-        }
+        };
+        let customer = name_hash(&self.customer);
         let now = node.clock.now();
         let record = |server: ServerId, evidence: AnswerEvidence| {
-            node.record_answer(&self.item.id, server, &self.customer, evidence);
+            node.record_answer(&self.item.id, server, customer, evidence);
         };
         let is_recent = |at: Timestamp| now.since(at) < MAX_PROOF_AGE;
         let failed_at = self.failed_at.get().filter(|it| is_recent(it.1));
         let failed_elsewhere = failed_at.map(|it| it.0).filter(|it| *it != server);
-        if status.is_success() {
+        if has_succeeded {
             self.failed_at.set(None);
             record(server, AnswerEvidence::Succeeded);
             if let Some(former) = failed_elsewhere {
                 record(former, AnswerEvidence::FailedAlone);
             }
-        } else if status.is_server_error() {
+        } else {
             self.failed_at.set(Some((server, now)));
             if let Some(former) = failed_elsewhere {
                 self.failed_at.set(None);
--- a/crates/serving/src/memory/request_body.rs
+++ b/crates/serving/src/memory/request_body.rs
@@ -45,40 +45,11 @@
 pub async fn read_request_body(
     memory: &Rc<HeldMemory>,
     label: &Rc<HolderLabel>,
-    body: Incoming,
-    limit: usize,
-    time_left: Duration,
-) -> Result<HeldBody, Refusal> {
-    let held = memory.open(label, HolderKind::Body);
-    read_body(memory, held, body, limit, time_left).await
-}
-
-/// Reads the body of a submission of a lot within `time_left`.
-///
-/// # Errors
-///
-/// As [`read_request_body`].
-pub async fn read_lot_body(
-    memory: &Rc<HeldMemory>,
-    label: &Rc<HolderLabel>,
-    body: Incoming,
-    limit: usize,
-    time_left: Duration,
-) -> Result<HeldBody, Refusal> {
-    let held = memory.open(label, HolderKind::Body);
-    let mut whole = read_body(memory, held, body, limit, time_left).await?;
-    let copies = whole.bytes.len() * (LOT_COPIES - 1);
-    comfreyramp_http::ByteReservation::reserve(&mut whole.held.for_body(), copies).await?;
-    Ok(whole)
-}
-
-async fn read_body(
-    memory: &HeldMemory,
-    mut held: HeldBytes,
     mut body: Incoming,
     limit: usize,
     time_left: Duration,
 ) -> Result<HeldBody, Refusal> {
+    let mut held = memory.open(label, HolderKind::Body);
     let reading = async {
         let mut reservation = held.for_body();
         collect_reserved(&mut body, Vec::new(), limit, &mut reservation).await
@@ -104,6 +75,24 @@
     }
 }
 
+/// Reads the body of a submission of a lot within `time_left`.
+///
+/// # Errors
+///
+/// As [`read_request_body`].
+pub async fn read_lot_body(
+    memory: &Rc<HeldMemory>,
+    label: &Rc<HolderLabel>,
+    body: Incoming,
+    limit: usize,
+    time_left: Duration,
+) -> Result<HeldBody, Refusal> {
+    let mut whole = read_request_body(memory, label, body, limit, time_left).await?;
+    let copies = whole.bytes.len() * (LOT_COPIES - 1);
+    comfreyramp_http::ByteReservation::reserve(&mut whole.held.for_body(), copies).await?;
+    Ok(whole)
+}
+
 /// Reads a body to its end and drops it.
 async fn drop_body(body: &mut Incoming) {
     while let Some(Ok(_)) = body.frame().await {}
--- a/crates/serving/src/node/server_failures.rs
+++ b/crates/serving/src/node/server_failures.rs
@@ -12,12 +12,13 @@
 use crate::dialect::Dialect;
 
 impl<D: Dialect> Node<D> {
-    /// Records what the answer to a customer's request says of a server.
+    /// Records what the answer to the request of a customer, the hash of whose name is given,
+    /// says of a server.
     pub fn record_answer(
         &self,
         request_id: &str,
         server: ServerId,
-        customer: &str,
+        customer: u64,
         evidence: AnswerEvidence,
     ) {
         let now = self.clock.now();
--- a/crates/serving/src/path/answer_evidence.rs
+++ b/crates/serving/src/path/answer_evidence.rs
@@ -9,35 +9,43 @@
 use super::live_request::LiveRequest;
 use crate::dialect::Dialect;
 
+/// Returns whether a status says that the server works, or that it fails; `None` if it says
+/// neither. An answer that the request's time has run out doesn't: how slow a server is, is
+/// learnt from its hold times.
+pub fn has_server_succeeded(status: StatusCode) -> Option<bool> {
+    match status {
+        StatusCode::GATEWAY_TIMEOUT => None,
+        _ if status.is_success() => Some(true),
+        _ => status.is_server_error().then_some(false),
+    }
+}
+
 impl<D: Dialect> LiveRequest<D> {
     /// Records the status with which a server answered. A failure of a request that may run
-    /// again counts once it is known how it fares at another server. An answer that the
-    /// request's time has run out says nothing of the server: how slow it is, is learnt from
-    /// its hold times.
+    /// again counts once it is known how it fares at another server.
     pub(super) fn record_status(&mut self, server: ServerId, status: StatusCode) {
-        if status == StatusCode::GATEWAY_TIMEOUT {
+        let Some(has_succeeded) = has_server_succeeded(status) else {
             return;
-        }
-        if status.is_success() {
+        };
+        if has_succeeded {
             self.record_evidence(server, AnswerEvidence::Succeeded);
             if let Some(failed_at) = self.failed_at.take() {
                 self.record_evidence(failed_at, AnswerEvidence::FailedAlone);
             }
-        } else if status.is_server_error() {
-            if let Some(failed_at) = self.failed_at.take() {
-                self.record_evidence(failed_at, AnswerEvidence::FailedLikeOthers);
-                self.record_evidence(server, AnswerEvidence::FailedLikeOthers);
-            } else if self.may_run_again() {
-                self.failed_at = Some(server);
-            } else {
-                self.record_evidence(server, AnswerEvidence::Failed);
-            }
+        } else if let Some(failed_at) = self.failed_at.take() {
+            self.record_evidence(failed_at, AnswerEvidence::FailedLikeOthers);
+            self.record_evidence(server, AnswerEvidence::FailedLikeOthers);
+        } else if self.may_run_again() {
+            self.failed_at = Some(server);
+        } else {
+            self.record_evidence(server, AnswerEvidence::Failed);
         }
     }
 
     fn record_evidence(&self, server: ServerId, evidence: AnswerEvidence) {
+        let customer = self.customer.as_ref().map_or(0, |it| it.name_hash);
         self.node
-            .record_answer(&self.request_id, server, self.customer_name(), evidence);
+            .record_answer(&self.request_id, server, customer, evidence);
     }
 
     fn may_run_again(&self) -> bool {
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -13,6 +13,7 @@
 mod stream_relay;
 mod stream_resumption;
 
+pub use answer_evidence::has_server_succeeded;
 pub use connection_loop::{ConnectionLimits, serve_connections};
 pub use connection_pool::{
     CONNECTION_BUFFER_BYTES, ConnectionPool, MAX_IDLE, SendFailure, ServerConnection, UNSENT_BYTES,
--- a/crates/serving/src/path/start_queues.rs
+++ b/crates/serving/src/path/start_queues.rs
@@ -210,7 +210,11 @@
             queue.refuse(late);
             if let Some(waiter) = next.and_then(|it| queue.take_waiter(it)) {
                 queue.plan.record_start(now);
-                let own = choose_free(node, &queue.service, &waiter.parts, now);
+                // The server was chosen without regard to a prompt.
+                let own = match waiter.parts.is_empty() {
+                    true => None,
+                    false => choose_free(node, &queue.service, &waiter.parts, now),
+                };
                 let placement = own.unwrap_or(placement);
                 let guard = AttemptGuard::begin(node.clone(), placement.server, WorkKind::Live);
                 // If the caller has disconnected, the slot is released with the guard.
