--- a/crates/policy/src/lots/runner_memory.rs
+++ b/crates/policy/src/lots/runner_memory.rs
@@ -1,6 +1,6 @@
 //! Which daemon to ask for a lot that no daemon reports that it runs.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use crate::{Timestamp, usage::PeerId};
 
@@ -20,8 +20,9 @@
 /// calls to the store. No other daemon may claim the lot in this time.
 const CLAIM_DURATION: Duration = Duration::from_millis(400);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct RememberedRunner {
+    lot: String,
     runner: PeerId,
     /// Whether it reported that it knows all results, and wasn't just asked to run the lot.
     has_run: bool,
@@ -32,7 +33,8 @@
 /// The daemons that last ran lots, or were asked to run them, for a bounded number of lots.
 #[derive(Clone, Debug, Default)]
 pub struct RunnerMemory {
-    runners: BTreeMap<String, RememberedRunner>,
+    /// Sorted by lot.
+    runners: Vec<RememberedRunner>,
 }
 
 impl RunnerMemory {
@@ -40,7 +42,7 @@
     /// was submitted twice may be assigned to two daemons at a time: the first one counts. A
     /// later one to another daemon means that the lot was handed over.
     pub fn note_assigned(&mut self, lot: &str, runner: PeerId, now: Timestamp) {
-        let is_known = self.runners.get(lot).is_some_and(|it| {
+        let is_known = self.get(lot).is_some_and(|it| {
             it.has_run || it.runner == runner || now.since(it.noted_at) < ASSIGNMENT_REPETITION
         });
         if !is_known {
@@ -55,7 +57,7 @@
 
     /// Returns the daemon to ask for a lot before the store is read.
     pub fn runner_to_ask(&self, lot: &str, now: Timestamp) -> Option<PeerId> {
-        let known = self.runners.get(lot)?;
+        let known = self.get(lot)?;
         let is_current = known.has_run || now.since(known.noted_at) < ASSIGNMENT_LIFETIME;
         (is_current && now >= known.not_before).then_some(known.runner)
     }
@@ -64,15 +66,15 @@
     /// to again, rather than read the store: it is about to claim the lot. If no daemon has
     /// reported the lot either, there are no results yet.
     pub fn is_about_to_claim(&self, lot: &str, now: Timestamp) -> bool {
-        self.runners.get(lot).is_some_and(|it| {
+        self.get(lot).is_some_and(|it| {
             !it.has_run && now >= it.not_before && now.since(it.noted_at) < CLAIM_DURATION
         })
     }
 
     /// Records that the daemon that was asked for a lot didn't answer.
     pub fn note_silent(&mut self, lot: &str, now: Timestamp) {
-        if let Some(known) = self.runners.get_mut(lot) {
-            known.not_before = now + SILENCE_PAUSE;
+        if let Ok(index) = self.index(lot) {
+            self.runners[index].not_before = now + SILENCE_PAUSE;
         }
     }
 
@@ -80,30 +82,46 @@
     /// the lot before won't have one again; one that the lot is assigned to may have one
     /// soon.
     pub fn note_refused(&mut self, lot: &str) {
-        if self.runners.get(lot).is_some_and(|it| it.has_run) {
-            self.runners.remove(lot);
+        if let Ok(index) = self.index(lot)
+            && self.runners[index].has_run
+        {
+            self.runners.remove(index);
         }
     }
 
+    fn index(&self, lot: &str) -> Result<usize, usize> {
+        self.runners.binary_search_by(|it| it.lot.as_str().cmp(lot))
+    }
+
+    fn get(&self, lot: &str) -> Option<&RememberedRunner> {
+        self.index(lot).ok().map(|it| &self.runners[it])
+    }
+
     fn insert(&mut self, lot: &str, runner: PeerId, has_run: bool, now: Timestamp) {
-        if self.runners.len() >= MAX_LOTS && !self.runners.contains_key(lot) {
-            self.drop_oldest();
-        }
         let known = RememberedRunner {
+            lot: lot.to_owned(),
             runner,
             has_run,
             noted_at: now,
             not_before: Timestamp::ZERO,
         };
-        self.runners.insert(lot.to_owned(), known);
+        match self.index(lot) {
+            Ok(index) => self.runners[index] = known,
+            Err(index) => {
+                self.runners.insert(index, known);
+                if self.runners.len() > MAX_LOTS {
+                    self.drop_oldest();
+                }
+            }
+        }
     }
 
     fn drop_oldest(&mut self) {
-        let mut times: Vec<Timestamp> = self.runners.values().map(|it| it.noted_at).collect();
+        let mut times: Vec<Timestamp> = self.runners.iter().map(|it| it.noted_at).collect();
         times.sort_unstable();
         let newest_dropped = times[DROPPED_LOTS - 1];
         let mut dropped = 0;
-        self.runners.retain(|_, it| {
+        self.runners.retain(|it| {
             let is_dropped = dropped < DROPPED_LOTS && it.noted_at <= newest_dropped;
             dropped += usize::from(is_dropped);
             !is_dropped
--- a/crates/policy/src/placement/mod.rs
+++ b/crates/policy/src/placement/mod.rs
@@ -21,17 +21,20 @@
 //! daemons from the reports that they send several times a second.
 
 mod cold_start;
+mod customer_outcomes;
 mod failure_table;
 mod home_set;
 mod part_choice;
 mod placement_table;
 mod prompt_cache;
 mod prompt_part;
+mod server_choice;
 mod server_entry;
 mod server_failures;
 mod server_listing;
 mod server_load;
 mod server_pace;
+mod unproven_failures;
 
 pub use cold_start::{ColdStartLimit, ColdTolerance};
 pub use home_set::{HomePair, home_pairs};
--- a/crates/policy/src/placement/server_failures.rs
+++ b/crates/policy/src/placement/server_failures.rs
@@ -45,18 +45,10 @@
 const DECAY_TIME: Duration = Duration::from_secs(4);
 /// The weight of a failure whose customer has no recent requests at other servers: enough to
 /// try the server before it gets requests with a single attempt, for less than a second.
-const UNKNOWN_WEIGHT: f64 = 0.5;
+pub(super) const UNKNOWN_WEIGHT: f64 = 0.5;
 /// The highest weight of an unproven failure, and that of one that a peer reports. Without
 /// proof or another failure, a server is suspected for less than two seconds.
 pub(super) const MAX_UNPROVEN_WEIGHT: f64 = 0.6;
-/// The weight of a customer's failure elsewhere against one of its successes elsewhere.
-const CUSTOMER_FAILURE_WEIGHT: f64 = 2.0;
-/// How long a customer's outcomes are remembered.
-const CUSTOMER_MEMORY: Duration = Duration::from_secs(60);
-/// The outcomes that are remembered of a customer.
-const CUSTOMER_OUTCOMES: usize = 8;
-/// The customers that are remembered; beyond them the one that was silent longest is dropped.
-const MAX_CUSTOMERS: usize = 1_024;
 /// The shortest time between two trials of one daemon at a server.
 const TRIAL_INTERVAL: Duration = Duration::from_millis(250);
 /// How long a server is reported to peers after the last news of it.
@@ -69,11 +61,7 @@
 /// The longest time between two reports of a peer.
 const REPORT_INTERVAL: Duration = Duration::from_millis(750);
 /// How long an unproven failure is remembered beside others.
-const UNPROVEN_MEMORY: Duration = Duration::from_secs(5);
-/// The number of servers with unproven failures, and without any proof among them, from which
-/// such failures count no more: servers that fail give proofs soon, since many requests may
-/// run again, while those of a faulty customer succeed nowhere.
-const MAX_UNPROVEN_SERVERS: usize = 4;
+pub(super) const UNPROVEN_MEMORY: Duration = Duration::from_secs(5);
 /// The most failures, and the most successes, that are taken from one report.
 const MAX_REPORTED_CHANGE: u16 = 4;
 
@@ -386,127 +374,3 @@
         })
     }
 }
-
-/// How the customers' recent requests ended, and at which servers.
-#[derive(Clone, Debug, Default)]
-pub(super) struct CustomerOutcomes {
-    /// Sorted by customer.
-    customers: Vec<Customer>,
-}
-
-#[derive(Clone, Debug)]
-struct Customer {
-    /// The hash of the customer's name and the service.
-    key: u64,
-    /// Oldest first.
-    outcomes: Vec<Outcome>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Outcome {
-    server: u64,
-    has_succeeded: bool,
-    at: Timestamp,
-}
-
-impl CustomerOutcomes {
-    /// Returns the weight of a customer's failure at a server, from 0 to 1, by how its recent
-    /// requests ended at other servers. `is_proved` says which servers are proved to fail:
-    /// failures there say nothing of the customer. Those at servers that are suspected without
-    /// proof do, since the suspicion may rest on them alone.
-    pub(super) fn weight(
-        &self,
-        key: u64,
-        server: u64,
-        is_proved: impl Fn(u64) -> bool,
-        now: Timestamp,
-    ) -> f64 {
-        let Ok(index) = self.customers.binary_search_by_key(&key, |it| it.key) else {
-            return UNKNOWN_WEIGHT;
-        };
-        let recent = self.customers[index].outcomes.iter();
-        let elsewhere =
-            recent.filter(|it| it.server != server && now.since(it.at) < CUSTOMER_MEMORY);
-        let (mut succeeded, mut failed) = (0.0, 0.0);
-        for outcome in elsewhere {
-            if outcome.has_succeeded {
-                succeeded += 1.0;
-            } else if !is_proved(outcome.server) {
-                failed += CUSTOMER_FAILURE_WEIGHT;
-            }
-        }
-        match succeeded + failed > 0.0 {
-            true => succeeded / (succeeded + failed),
-            false => UNKNOWN_WEIGHT,
-        }
-    }
-
-    pub(super) fn record(&mut self, key: u64, server: u64, has_succeeded: bool, now: Timestamp) {
-        let outcome = Outcome {
-            server,
-            has_succeeded,
-            at: now,
-        };
-        match self.customers.binary_search_by_key(&key, |it| it.key) {
-            Ok(index) => {
-                let outcomes = &mut self.customers[index].outcomes;
-                if outcomes.len() == CUSTOMER_OUTCOMES {
-                    outcomes.remove(0);
-                }
-                outcomes.push(outcome);
-            }
-            Err(index) => {
-                let outcomes = vec![outcome];
-                self.customers.insert(index, Customer { key, outcomes });
-                self.drop_oldest();
-            }
-        }
-    }
-
-    fn drop_oldest(&mut self) {
-        if self.customers.len() <= MAX_CUSTOMERS {
-            return;
-        }
-        let last_at = |it: &Customer| it.outcomes.last().map(|it| it.at);
-        let oldest = (0..self.customers.len()).min_by_key(|it| last_at(&self.customers[*it]));
-        if let Some(oldest) = oldest {
-            self.customers.remove(oldest);
-        }
-    }
-}
-
-/// The failures of requests that weren't sent to another server, so that the server's fault
-/// isn't proved.
-#[derive(Clone, Debug, Default)]
-pub(super) struct UnprovenFailures {
-    /// The servers, with the times of their last unproven failures.
-    servers: Vec<(u64, Timestamp)>,
-    last_proof: Option<Timestamp>,
-}
-
-impl UnprovenFailures {
-    /// Records that a request failed at one server and succeeded at another.
-    pub(super) fn record_proof(&mut self, now: Timestamp) {
-        self.last_proof = Some(now);
-    }
-
-    /// Records an unproven failure. Returns whether it counts against the server.
-    pub(super) fn record(&mut self, server: u64, now: Timestamp) -> bool {
-        self.servers
-            .retain(|it| it.0 != server && now.since(it.1) < UNPROVEN_MEMORY);
-        let counts = self.servers.len() < MAX_UNPROVEN_SERVERS || self.has_proof(now);
-        self.servers.push((server, now));
-        counts
-    }
-
-    /// Returns whether a server was proved to fail lately.
-    pub(super) fn has_proof(&self, now: Timestamp) -> bool {
-        let is_recent = |it: Timestamp| now.since(it) < UNPROVEN_MEMORY;
-        self.last_proof.is_some_and(is_recent)
-    }
-
-    /// Returns whether a server has a recent unproven failure.
-    pub(super) fn contains(&self, server: u64) -> bool {
-        self.servers.iter().any(|it| it.0 == server)
-    }
-}
