Review, case 4: slow readers of batch results outgrow a daemon's memory

Answers to calls about batch jobs aren't counted by the memory account, so that 200 slow readers of a page of results take a front daemon over 160 MB.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,57 @@
+//! Runs one case of the review: `review-standins CASE FOLDER`.
+
+mod callers;
+mod failing_item;
+mod fleet;
+mod http;
+mod json;
+mod record;
+mod runner;
+mod slow_readers;
+mod store;
+
+use std::{path::Path, process::ExitCode};
+
+/// How a case ended.
+pub enum Verdict {
+    /// The rule held.
+    Held,
+    /// The rule was broken.
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-standins CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    let record = match record::Record::create(Path::new(folder)) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("the record can't be written: {error}");
+            return ExitCode::from(2);
+        }
+    };
+    let result = match case.as_str() {
+        "slow-readers" => slow_readers::run(&record, has_trouble),
+        "failing-item" => failing_item::run(&record, has_trouble),
+        _ => Err(format!("there is no case {case}")),
+    };
+    fleet::stop_all();
+    match result {
+        Ok(Verdict::Held) => {
+            record.line("the rule held");
+            ExitCode::SUCCESS
+        }
+        Ok(Verdict::Broken) => {
+            record.line("the rule was broken");
+            ExitCode::from(1)
+        }
+        Err(problem) => {
+            record.line(format!("the case couldn't run: {problem}"));
+            ExitCode::from(2)
+        }
+    }
+}
