--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -65,9 +65,12 @@
     }
 }
 
-/// Returns a free port of an address.
-fn free_port(ip: IpAddr) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0))?.local_addr()
+/// Returns four free ports of an address, which differ.
+fn free_ports(ip: IpAddr) -> io::Result<[SocketAddr; 4]> {
+    let bind = || TcpListener::bind((ip, 0));
+    let listeners = [bind()?, bind()?, bind()?, bind()?];
+    let address = |it: usize| listeners[it].local_addr();
+    Ok([address(0)?, address(1)?, address(2)?, address(3)?])
 }
 
 impl Daemon {
@@ -86,12 +89,7 @@
             number,
         );
         let ip = IpAddr::V4(ip);
-        let [callers, health, peers, metrics] = [
-            free_port(ip)?,
-            free_port(ip)?,
-            free_port(ip)?,
-            free_port(ip)?,
-        ];
+        let [callers, health, peers, metrics] = free_ports(ip)?;
         let entry = match options.is_front {
             true => format!(r#""callers": "{callers}", "health": "{health}", "runs_lots": false,"#),
             false => r#""runs_lots": true,"#.to_owned(),
