--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod record;
 mod runner;
+mod silent_zone;
 mod slow_readers;
 mod store;
 
@@ -35,6 +36,7 @@
         }
     };
     let result = match case.as_str() {
+        "silent-zone" => silent_zone::run(&record, has_trouble),
         "slow-readers" => slow_readers::run(&record, has_trouble),
         "failing-item" => failing_item::run(&record, has_trouble),
         _ => Err(format!("there is no case {case}")),
