--- a/review/standins-2/callers.rs
+++ b/review/standins-2/callers.rs
@@ -62,7 +62,8 @@
     }
 }
 
-/// Returns a configuration with a route of batch jobs and a plain one.
+/// Returns a configuration with a route of batch jobs, a plain one and one of streams that
+/// can't be resumed.
 pub fn settings() -> String {
     let route = |name: &str, prefix: &str, kind: &str, service: &str, rest: &str| {
         format!(
@@ -77,8 +78,15 @@
         r#","completion_target_ms":18000,"retention_s":60"#,
     );
     let plain = route("r-plain", "/puxa403/", "safe", "plain", "");
+    let stream = route(
+        "r-stream",
+        "/lohu930/",
+        "stream",
+        "engines",
+        r#","resumable":false,"gap_aim_ms":300"#,
+    );
     format!(
-        r#"{{"version":7,"routes":[{lots},{plain}],"services":[{{"name":"engines","health_path":"/healthz","max_conns":500}},{{"name":"plain","health_path":"/healthz","max_conns":440}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"huka270","api_keys":["{KEY}"],"priority":1}}]}}"#
+        r#"{{"version":7,"routes":[{lots},{plain},{stream}],"services":[{{"name":"engines","health_path":"/healthz","max_conns":500}},{{"name":"plain","health_path":"/healthz","max_conns":440}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"huka270","api_keys":["{KEY}"],"priority":1}}]}}"#
     )
 }
 
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io::{self, BufRead, BufReader, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -38,6 +41,63 @@
     found.map_or("", |it| it.1.as_str())
 }
 
+/// Whether a server listens; shared with whoever takes it down.
+#[derive(Clone, Default)]
+pub struct Gate {
+    is_closed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Gate {
+    /// Closes the port and all connections.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::SeqCst);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Opens the port again.
+    pub fn open(&self) {
+        self.is_closed.store(false, Ordering::SeqCst);
+    }
+}
+
+/// As [`serve`], with a gate that closes the port for a while.
+pub fn serve_gated<H>(listener: TcpListener, gate: Gate, handler: H) -> io::Result<()>
+where
+    H: Fn(&Request, &mut TcpStream) -> io::Result<bool> + Send + Sync + 'static,
+{
+    let address = listener.local_addr()?;
+    let handler = Arc::new(handler);
+    std::thread::spawn(move || {
+        let mut listener = Some(listener);
+        loop {
+            std::thread::sleep(Duration::from_millis(2));
+            if gate.is_closed.load(Ordering::SeqCst) {
+                listener = None;
+                continue;
+            }
+            if listener.is_none() {
+                listener = TcpListener::bind(address).ok();
+            }
+            let Some(open) = &listener else {
+                continue;
+            };
+            let _ = open.set_nonblocking(true);
+            while let Ok((stream, _)) = open.accept() {
+                let _ = stream.set_nonblocking(false);
+                gate.streams.lock().unwrap().extend(stream.try_clone());
+                let handler = handler.clone();
+                std::thread::spawn(move || {
+                    let _ = serve_one(stream, &*handler);
+                });
+            }
+        }
+    });
+    Ok(())
+}
+
 /// Accepts connections for as long as the process runs. The handler answers a request on the
 /// socket and returns whether the connection stays open.
 pub fn serve<H>(listener: TcpListener, handler: H)
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod http;
 mod json;
+mod late_crash;
 mod record;
 mod runner;
 mod silent_zone;
@@ -36,6 +37,7 @@
         }
     };
     let result = match case.as_str() {
+        "late-crash" => late_crash::run(&record, has_trouble),
         "silent-zone" => silent_zone::run(&record, has_trouble),
         "slow-readers" => slow_readers::run(&record, has_trouble),
         "failing-item" => failing_item::run(&record, has_trouble),
--- a/review/standins-2/runner.rs
+++ b/review/standins-2/runner.rs
@@ -5,19 +5,22 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
 
 use crate::{
-    http::{self, Request},
+    http::{self, Gate, Request},
     record::Record,
     store::Store,
 };
 
-/// The Unix millisecond at which the runners started.
+/// The Unix millisecond at which the runners first started.
 const BORN: u64 = 1_700_000_000_000;
+/// The body of a request that crashes each runner that runs it, this long after its first event.
+pub const POISON: &[u8] = b"poison";
+const CRASH_DELAY: Duration = Duration::from_millis(30);
 
 /// How a runner answers.
 #[derive(Clone, Debug)]
@@ -49,6 +52,9 @@
     pub address: SocketAddr,
     runs: Mutex<Vec<(String, Instant)>>,
     running: AtomicUsize,
+    gate: Gate,
+    /// The Unix millisecond of its start.
+    born: AtomicU64,
     record: Record,
 }
 
@@ -62,25 +68,37 @@
             address,
             runs: Mutex::default(),
             running: AtomicUsize::new(0),
+            gate: Gate::default(),
+            born: AtomicU64::new(BORN),
             record,
         });
-        let shared = runner.clone();
-        http::serve(listener, move |request, stream| {
+        let (shared, gate) = (runner.clone(), runner.gate.clone());
+        http::serve_gated(listener, gate, move |request, stream| {
             shared.answer(request, stream)
-        });
+        })?;
         runner.register(store, "ready");
         Ok(runner)
     }
 
     pub fn register(&self, store: &Store, state: &str) {
         let options = &self.options;
+        let born = self.born.load(Ordering::SeqCst);
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","cold_left_ms":0,"seq":1,"born":{BORN}}}"#,
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","cold_left_ms":0,"seq":1,"born":{born}}}"#,
             options.service, self.address, options.zone, options.slots
         );
         store.put(&format!("servers/{}", options.id), &entry);
     }
 
+    /// Has a crashed runner start again, which it does some seconds after its crash.
+    pub fn start_again(&self, store: &Store) {
+        self.born.fetch_add(1, Ordering::SeqCst);
+        self.gate.open();
+        self.register(store, "ready");
+        self.record
+            .line(format!("runner {}: is back", self.options.id));
+    }
+
     /// Returns the ids of the requests that it has run.
     pub fn runs(&self) -> Vec<(String, Instant)> {
         self.runs.lock().unwrap().clone()
@@ -100,8 +118,9 @@
             ("X-Server-Load", load.as_str()),
         ];
         if request.path() == "/-/report" {
+            let born = self.born.load(Ordering::SeqCst);
             let body =
-                format!(r#"{{"stage":"both","models":[],"waiting":0,"running":0,"born":{BORN}}}"#);
+                format!(r#"{{"stage":"both","models":[],"waiting":0,"running":0,"born":{born}}}"#);
             http::respond(stream, 200, &[], body.as_bytes())?;
             return Ok(true);
         }
@@ -163,6 +182,13 @@
                     let text = format!("id: {event}\ndata: {data}\n\n");
                     let chunk = format!("{:x}\r\n{text}\r\n", text.len());
                     stream.write_all(chunk.as_bytes())?;
+                    if request.body == POISON {
+                        std::thread::sleep(CRASH_DELAY);
+                        self.record
+                            .line(format!("runner {}: crashes at {id}", self.options.id));
+                        self.gate.close();
+                        return Err(io::ErrorKind::ConnectionReset.into());
+                    }
                 }
                 stream.write_all(b"0\r\n\r\n")
             }
