--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,4 +1,5 @@
-//! Runs one case of the review: `review-standins CASE FOLDER`.
+//! Runs one case of the review, with its disruption or without:
+//! `review-standins CASE FOLDER with|without`.
 
 mod callers;
 mod failing_item;
@@ -24,11 +25,11 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, folder] = arguments.as_slice() else {
-        eprintln!("usage: review-standins CASE FOLDER");
+    let [_, case, folder, trouble] = arguments.as_slice() else {
+        eprintln!("usage: review-standins CASE FOLDER with|without");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
+    let has_trouble = trouble != "without";
     let record = match record::Record::create(Path::new(folder)) {
         Ok(record) => record,
         Err(error) => {
@@ -36,6 +37,7 @@
             return ExitCode::from(2);
         }
     };
+    record.line(format!("case {case}, {trouble} its disruption"));
     let result = match case.as_str() {
         "late-crash" => late_crash::run(&record, has_trouble),
         "silent-zone" => silent_zone::run(&record, has_trouble),
