Zones: an answer of a server ends the belief that its zone is cut off

Live requests used them only where no other zone had a server.

Cause: ZoneContacts took a zone for cut off once its daemons were silent, and only a report of one of them ended that. With none left, nothing did. Listening to farewells would not have been enough: after a kill it was the same.

Change: silence is a reason to ask. While no daemon of a zone is heard, each daemon asks one of its servers a second for its state, and any answer that comes after the silence was noticed counts for 2.5 s. A zone without daemons whose servers answer is forgotten. A zone that is cut between daemons only is used on too.

Ruled out: forgetting a zone when its daemons' entries expire. They also expire in a cut, and requests would be sent into it.

--- a/crates/policy/src/placement/placement_table.rs
+++ b/crates/policy/src/placement/placement_table.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::{Rng, seq::IteratorRandom};
+
 use super::{
     LoadShare, PromptPart, ServerListing, ServerOutcomeKind, SlotReport, WorkKind,
     cold_start::{ColdStart, ColdStartLimit},
@@ -242,12 +244,12 @@
         self.servers[id.index()].cold_start.share
     }
 
-    /// Returns the zones that this daemon doesn't hear any more.
+    /// Returns the zones from which this daemon receives nothing any more.
     pub fn silent_zones(&self) -> &[String] {
         &self.silent_zones
     }
 
-    /// Sets the zones that this daemon doesn't hear any more. Their servers are a last
+    /// Sets the zones from which this daemon receives nothing any more. Their servers are a last
     /// resort, like those that are ejected.
     pub fn set_silent_zones(&mut self, zones: Vec<String>) {
         for entry in &mut self.servers {
@@ -290,6 +292,15 @@
         listed.map(|it| (it.key, &it.listing)).collect()
     }
 
+    /// Returns a server of a zone on the directory's list, drawn at random.
+    pub fn draw_listed(&self, zone: &str, random: &mut impl Rng) -> Option<ServerId> {
+        let is_candidate = |it: &(usize, &ServerEntry)| it.1.is_listed && it.1.listing.zone == zone;
+        let candidates = self.servers.iter().enumerate().filter(is_candidate);
+        candidates
+            .choose(random)
+            .map(|(index, _)| ServerId(index as u32))
+    }
+
     /// Returns a server's listing.
     pub fn listing(&self, id: ServerId) -> &ServerListing {
         &self.servers[id.index()].listing
--- a/crates/policy/tests/zone_contacts.rs
+++ b/crates/policy/tests/zone_contacts.rs
@@ -81,12 +81,73 @@
         contacts.note(zone, start);
     }
     let later = start + Duration::from_secs(5);
-    let silent = |contacts: &ZoneContacts| contacts.silent("a", |_| 17, REPORT_INTERVAL, later);
-    assert_eq!(silent(&contacts), Vec::<String>::new());
+    let silent = |contacts: &mut ZoneContacts| contacts.silent("a", |_| 17, REPORT_INTERVAL, later);
+    assert_eq!(silent(&mut contacts), Vec::<String>::new());
     contacts.note("a", later);
-    assert_eq!(silent(&contacts), ["b", "c"]);
+    assert_eq!(silent(&mut contacts), ["b", "c"]);
     contacts.note("b", later);
-    assert_eq!(silent(&contacts), ["c"]);
+    assert_eq!(silent(&mut contacts), ["c"]);
+}
+
+/// The zones that zone `a`, which is heard, avoids at a moment after `b` was last heard, and
+/// whether `b` is still asked.
+fn avoided_after(
+    contacts: &mut ZoneContacts,
+    daemons_of_b: usize,
+    after: Duration,
+) -> (Vec<String>, bool) {
+    let now = Timestamp::from_micros(1_000_000) + after;
+    contacts.note("a", now);
+    let daemons = |zone: &str| if zone == "b" { daemons_of_b } else { 17 };
+    let avoided = contacts.silent("a", daemons, REPORT_INTERVAL, now);
+    let is_asked = contacts.unheard().any(|it| it == "b");
+    (avoided, is_asked)
+}
+
+/// Guards against a zone that counts as cut off for ever, since its daemons have left for good
+/// or only they are cut off.
+#[test]
+fn a_zone_whose_servers_answer_is_not_avoided() {
+    let start = Timestamp::from_micros(1_000_000);
+    let mut contacts = ZoneContacts::default();
+    contacts.note("b", start);
+    assert!(!contacts.note_answer("b", start), "it isn't silent yet");
+    let at = Duration::from_secs;
+    assert_eq!(
+        avoided_after(&mut contacts, 17, at(2)),
+        (vec!["b".to_owned()], true)
+    );
+    assert!(contacts.note_answer("b", start + at(3)));
+    assert_eq!(avoided_after(&mut contacts, 17, at(3)), (Vec::new(), true));
+    assert!(!contacts.note_answer("b", start + at(5)));
+    assert_eq!(avoided_after(&mut contacts, 17, at(7)), (Vec::new(), true));
+    // The servers answer no more.
+    assert_eq!(
+        avoided_after(&mut contacts, 17, at(8)),
+        (vec!["b".to_owned()], true)
+    );
+    // Nor does a lease that expires show that the cut has ended.
+    assert_eq!(
+        avoided_after(&mut contacts, 0, at(9)),
+        (vec!["b".to_owned()], true)
+    );
+    // Its daemons have left, and there is nobody to be heard.
+    assert!(contacts.note_answer("b", start + at(10)));
+    for later in [10, 60, 600] {
+        let avoided = avoided_after(&mut contacts, 0, at(later));
+        assert_eq!(avoided, (Vec::new(), false), "after {later} s");
+    }
+}
+
+/// Guards against requests that are sent into a cut since servers answered up to its begin.
+#[test]
+fn answers_before_a_cut_do_not_hide_it() {
+    let start = Timestamp::from_micros(1_000_000);
+    let mut contacts = ZoneContacts::default();
+    contacts.note("b", start);
+    contacts.note_answer("b", start + Duration::from_millis(200));
+    let avoided = avoided_after(&mut contacts, 17, Duration::from_millis(700));
+    assert_eq!(avoided, (vec!["b".to_owned()], true));
 }
 
 fn listing(name: &str, zone: &str) -> ServerListing {
--- a/crates/serving/src/fleet/member_list.rs
+++ b/crates/serving/src/fleet/member_list.rs
@@ -120,16 +120,28 @@
     }
 
     /// Returns the zones none of whose daemons are heard any more, as seen from the zone
-    /// `own`.
-    pub fn silent_zones(&self, own: &str, now: Timestamp) -> Vec<String> {
+    /// `own`, and whose servers don't answer either.
+    pub fn silent_zones(&mut self, own: &str, now: Timestamp) -> Vec<String> {
         let interval = self.report_interval();
+        let members = &self.members;
         let reporting = |zone: &str| {
-            let of_zone = self.members.iter().filter(|it| it.record.zone == zone);
+            let of_zone = members.iter().filter(|it| it.record.zone == zone);
             of_zone.filter(|it| !it.is_leaving).count()
         };
         self.zone_contacts.silent(own, reporting, interval, now)
     }
 
+    /// Returns the zones none of whose daemons are heard any more, whether or not their servers
+    /// answer.
+    pub fn unheard_zones(&self) -> impl Iterator<Item = &str> {
+        self.zone_contacts.unheard()
+    }
+
+    /// Records that a server of a zone answered. Returns whether the zone counted as silent.
+    pub fn note_server_answer(&mut self, zone: &str, now: Timestamp) -> bool {
+        self.zone_contacts.note_answer(zone, now)
+    }
+
     /// Returns whether the daemon `own` is one of those that watch the store. In a small
     /// fleet all are; in a large one the first of each zone by the hash of their names, out
     /// of those that report and reach the store, and the next `substitutes` after these.
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -23,6 +23,7 @@
     whole: HistogramVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
+    zone_probes: IntCounterVec,
     long_prompts: IntCounterVec,
     server_failures: IntCounterVec,
     stream_ends: IntCounterVec,
@@ -77,6 +78,11 @@
                 "Requests sent to servers, by how it went.",
                 &["outcome"],
             )?,
+            zone_probes: counter(
+                "comfreyramp_zone_probes_total",
+                "Probes of servers in zones none of whose daemons is heard, by outcome.",
+                &["outcome"],
+            )?,
             long_prompts: counter(
                 "comfreyramp_long_prompts_total",
                 "Requests with long shared prompt parts, by what their server probably had cached.",
@@ -157,6 +163,7 @@
         registry.register(Box::new(metrics.whole.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.attempts.clone()))?;
+        registry.register(Box::new(metrics.zone_probes.clone()))?;
         registry.register(Box::new(metrics.long_prompts.clone()))?;
         registry.register(Box::new(metrics.stream_ends.clone()))?;
         registry.register(Box::new(metrics.streams_taken_up.clone()))?;
@@ -200,6 +207,15 @@
         waits.observe(waited.as_secs_f64());
     }
 
+    /// Counts a probe of a server in a zone none of whose daemons is heard.
+    pub fn zone_probe(&self, is_answered: bool) {
+        let outcome = match is_answered {
+            true => "answered",
+            false => "failed",
+        };
+        self.zone_probes.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts an attempt to have a server run a request.
     pub fn attempt(&self, outcome: &str) {
         self.attempts.with_label_values(&[outcome]).inc();
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -140,11 +140,37 @@
         }
     }
 
+    /// Records that a server answered, which shows that its zone isn't cut off although none of
+    /// its daemons is heard.
+    pub fn record_server_answer(&self, server: ServerId) {
+        let now = self.clock.now();
+        let servers = self.servers.borrow();
+        let zone = &servers.listing(server).zone;
+        let is_regained = self.members.borrow_mut().note_server_answer(zone, now);
+        if is_regained {
+            log::info!(zone = zone, server = servers.listing(server).name; "directory: a server of a silent zone answers");
+        }
+        drop(servers);
+        if is_regained {
+            self.update_silent_zones();
+        }
+    }
+
+    /// Returns a server of each zone none of whose daemons is heard, drawn at random.
+    pub fn servers_of_unheard_zones(&self) -> Vec<ServerId> {
+        let members = self.members.borrow();
+        let servers = self.servers.borrow();
+        let drawn = members
+            .unheard_zones()
+            .map(|it| servers.draw_listed(it, &mut rand::rng()));
+        drawn.flatten().collect()
+    }
+
     /// Updates the zones whose servers are avoided, as none of their daemons is heard.
     pub(super) fn update_silent_zones(&self) {
         let now = self.clock.now();
         let zone = &self.settings.zone;
-        let silent = self.members.borrow().silent_zones(zone, now);
+        let silent = self.members.borrow_mut().silent_zones(zone, now);
         let mut servers = self.servers.borrow_mut();
         if servers.silent_zones() == silent {
             return;
--- a/crates/serving/src/path/mod.rs
+++ b/crates/serving/src/path/mod.rs
@@ -12,6 +12,7 @@
 mod start_queues;
 mod stream_relay;
 mod stream_resumption;
+mod zone_probe;
 
 pub use answer_evidence::has_server_succeeded;
 pub use connection_loop::{ConnectionLimits, serve_connections};
@@ -25,3 +26,4 @@
 };
 pub use start_queues::{StartQueues, run_start_queues};
 pub use stream_relay::StreamRelay;
+pub use zone_probe::probe_silent_zones;
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -291,6 +291,7 @@
         );
         to_attempt_failure(failure)
     })?;
+    node.record_server_answer(guard.server);
     let (head, mut body) = response.into_parts();
     let answer = <D::Servers as ServerDialect>::read_answer(&head);
     // A late answer to an earlier request on the same connection may arrive in place of the
@@ -345,12 +346,8 @@
     address: SocketAddr,
     run: u64,
 ) -> Result<(), AttemptFailure> {
-    let mut query = <D::Servers as ServerDialect>::state_query().map(Full::new);
-    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-        query.headers_mut().insert(header::HOST, host);
-    }
     let asking = async {
-        let response = connection.send(query).await.ok()?;
+        let response = connection.send(state_query::<D>(address)).await.ok()?;
         collect_limited(response.into_body(), MAX_STATE_BYTES)
             .await
             .ok()
@@ -364,6 +361,36 @@
     next.map_err(|_| AttemptFailure::Unconfirmed)
 }
 
+fn state_query<D: Dialect>(address: SocketAddr) -> Request<Full<Bytes>> {
+    let mut query = <D::Servers as ServerDialect>::state_query().map(Full::new);
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        query.headers_mut().insert(header::HOST, host);
+    }
+    query
+}
+
+/// Asks a server for its state over a new connection, to find out whether its zone can be
+/// reached. Any answer shows that it can.
+pub(super) async fn probe_server<D: Dialect>(node: Rc<Node<D>>, server: ServerId) {
+    let Ok(address) = address_of(&node, server) else {
+        return;
+    };
+    let now = node.clock.now();
+    let opening = node.connections.connect(address, "", Duration::ZERO, now);
+    let is_answered = match opening.await {
+        Ok(mut connection) => {
+            let asking = connection.send(state_query::<D>(address));
+            let answer = tokio::time::timeout(CONFIRM_TIMEOUT, asking).await;
+            answer.is_ok_and(|it| it.is_ok())
+        }
+        Err(_) => false,
+    };
+    node.metrics.zone_probe(is_answered);
+    if is_answered {
+        node.record_server_answer(server);
+    }
+}
+
 /// Returns whether an answer belongs to a request. An answer without an id may be taken only
 /// for a statement that the request wasn't run, and only on a connection that carried no
 /// other request.
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -23,8 +23,8 @@
     lots::{follow_retire_orders, run_lots, sweep_lots},
     node::Node,
     path::{
-        AnswerBody, CONNECTION_BUFFER_BYTES, ConnectionLimits, answer_caller, run_start_queues,
-        serve_connections,
+        AnswerBody, CONNECTION_BUFFER_BYTES, ConnectionLimits, answer_caller, probe_silent_zones,
+        run_start_queues, serve_connections,
     },
 };
 
@@ -269,6 +269,7 @@
     tokio::task::spawn_local(run_announcer(node.clone(), socket, stop.clone()));
     tokio::task::spawn_local(follow_peers(node.clone(), stop.clone()));
     tokio::task::spawn_local(probe_store(node.clone(), stop.clone()));
+    tokio::task::spawn_local(probe_silent_zones(node.clone(), stop.clone()));
     tokio::task::spawn_local(run_start_queues(node.clone(), stop.clone()));
     tokio::task::spawn_local(log_store_calls(node.clone(), stop.clone()));
 }
