Placement: items use suspected servers and other daemons' ones where no other is left

What callers see: items of an accepted batch job wait while servers are idle. choose_live has a last resort, choose_bulk had none: items never used servers of a silent zone, and a daemon whose own home servers were all suspected, ejected or cold used no other.

Change: items are placed at this daemon's sound home servers, else at sound servers of all daemons, else at those that are suspected or in a silent zone. A server that is only full or excluded still counts, so that an item rather waits, or runs again where it failed, than goes to a server that probably gives no answer.

--- a/crates/policy/src/placement/server_choice.rs
+++ b/crates/policy/src/placement/server_choice.rs
@@ -104,6 +104,40 @@
         best.map(|it| it.1)
     }
 
+    /// Returns which servers are considered for an item: this daemon's own home servers; else,
+    /// if none of them takes items, those of all daemons; else those that are suspected or in a
+    /// silent zone, since the reason may be a mistake. A daemon without home servers of this
+    /// service still has lots to run. Ejections and cold periods are short, and items wait for
+    /// their end.
+    ///
+    /// A server counts also if it is full or excluded by the query: an item waits for a slot
+    /// of a sound server, and runs again where it failed, rather than at one that is avoided.
+    fn bulk_candidates(
+        &self,
+        query: &PlacementQuery<'_>,
+        now: Timestamp,
+    ) -> impl Fn(&ServerEntry) -> bool {
+        let avoids_suspected = self.avoids_suspected(query.service, now);
+        let (service, software) = (query.service, query.software);
+        let takes_items = move |it: &ServerEntry| {
+            it.is_usable(service)
+                && it.has_software(software)
+                && !it.cold_start.is_cold(now)
+                && !it.load.is_ejected(now)
+        };
+        let is_sound = move |it: &ServerEntry| {
+            !it.is_in_silent_zone && !(avoids_suspected && it.failures.is_suspected(now))
+        };
+        let candidates = self.servers.iter().filter(|it| takes_items(it));
+        let sound = candidates.filter(|it| is_sound(it));
+        let (has_sound, has_home) = sound.fold((false, false), |(_, has_home), it| {
+            (true, has_home || it.is_home)
+        });
+        move |it: &ServerEntry| {
+            takes_items(it) && (!has_sound || is_sound(it)) && (!has_home || it.is_home)
+        }
+    }
+
     /// Chooses a server for an item of a lot, if one has free slots for bulk work.
     pub fn choose_bulk(
         &self,
@@ -111,25 +145,15 @@
         now: Timestamp,
         random: &mut impl Rng,
     ) -> Option<Placement> {
-        // A daemon without home servers of this service still has lots to run.
-        let has_home = self
-            .servers
-            .iter()
-            .any(|it| it.is_home && it.is_usable(query.service));
+        let is_candidate = self.bulk_candidates(&query, now);
         let read_costs = self.bulk_read_costs(&query, now);
-        let avoids_suspected = self.avoids_suspected(query.service, now);
         let mut best: Option<(f64, usize)> = None;
         for (index, entry) in self.servers.iter().enumerate() {
             let id = ServerId(index as u32);
-            let is_ineligible = !entry.is_usable(query.service)
-                || !entry.has_software(query.software)
-                || query.exclude.contains(&id)
-                || entry.is_avoided(now)
-                || (avoids_suspected && entry.failures.is_suspected(now))
-                || entry.cold_start.is_cold(now)
-                || (has_home && !entry.is_home)
-                || !entry.load.may_start_bulk(now);
-            if is_ineligible || entry.free_bulk_slots(now) < 1.0 {
+            let is_eligible = is_candidate(entry)
+                && !query.exclude.contains(&id)
+                && entry.load.may_start_bulk(now);
+            if !is_eligible || entry.free_bulk_slots(now) < 1.0 {
                 continue;
             }
             let zone_penalty = if entry.listing.zone == query.zone {
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -227,3 +227,37 @@
     assert_ne!(placement.map(|it| it.server), Some(NEAR));
     table.end(NEAR, WorkKind::Live);
 }
+
+/// Returns the server that an item is sent to.
+fn chosen_for_item(table: &PlacementTable, exclude: &[ServerId], now: Timestamp) -> Option<String> {
+    let placement = table.choose_bulk(query(exclude), now, &mut StdRng::seed_from_u64(1))?;
+    Some(table.listing(placement.server).name.clone())
+}
+
+/// Guards against items that never run, since all of their servers are avoided.
+#[test]
+fn items_use_avoided_servers_where_no_other_is_left() {
+    let mut table = table();
+    table.set_silent_zones(vec!["b".to_owned()]);
+    assert_eq!(chosen_for_item(&table, &[], NOW), Some("near".to_owned()));
+    // A server at which the item failed is better than one that probably gives no answer.
+    assert_eq!(chosen_for_item(&table, &[NEAR], NOW), None);
+    let mut draining = listing("near", "a");
+    draining.is_ready = false;
+    table.set_listings(&[draining, listing("far", "b")], NOW);
+    assert_eq!(chosen_for_item(&table, &[], NOW), Some("far".to_owned()));
+}
+
+/// Guards against items that wait for the failing servers of their own zone while sound ones
+/// elsewhere are idle.
+#[test]
+fn items_use_servers_of_other_daemons_where_their_own_are_avoided() {
+    let mut table = table();
+    let near = table.key(NEAR);
+    table.set_homes(|it| it == near);
+    assert_eq!(chosen_for_item(&table, &[], NOW), Some("near".to_owned()));
+    for _ in 0..3 {
+        table.note(NEAR, ServerOutcomeKind::Broken, NOW);
+    }
+    assert_eq!(chosen_for_item(&table, &[], NOW), Some("far".to_owned()));
+}
