Placement: servers with one or two slots get items

What callers see: items whose servers have one slot are never run, and those of servers with two slots wait for minutes after one report of a request that no daemon had told of.

Cause: one slot of each server is left free for live requests, and what a report leaves decays exponentially without ever being nothing, while an item needs a whole free slot.

--- a/crates/policy/src/placement/server_entry.rs
+++ b/crates/policy/src/placement/server_entry.rs
@@ -139,7 +139,9 @@
     pub(super) fn free_bulk_slots(&self, now: Timestamp) -> f64 {
         let total = self.load.total(now);
         let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
-        f64::from(self.load.slots) - f64::from(BULK_RESERVED_SLOTS) - used
+        // A server whose only slot stayed free would never get an item.
+        let reserved = BULK_RESERVED_SLOTS.min(self.load.slots.saturating_sub(1));
+        f64::from(self.load.slots) - f64::from(reserved) - used
     }
 }
 
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -261,3 +261,29 @@
     }
     assert_eq!(chosen_for_item(&table, &[], NOW), Some("far".to_owned()));
 }
+
+/// Guards against servers that never get an item, since their few slots are all left free for
+/// live requests or a report of one request more is never quite forgotten.
+#[test]
+fn items_use_servers_with_few_slots() {
+    for slots in [1, 2] {
+        let mut table = PlacementTable::new(PeerId(1));
+        let mut small = listing("near", "a");
+        small.slots = slots;
+        table.set_listings(&[small], NOW);
+        let near = Some("near".to_owned());
+        assert_eq!(chosen_for_item(&table, &[], NOW), near, "{slots} slots");
+        let report = SlotReport {
+            running: 1,
+            waiting: 0,
+            slots,
+            pace_percent: None,
+        };
+        table.report(NEAR, report, NOW);
+        assert_eq!(chosen_for_item(&table, &[], NOW), None, "{slots} slots");
+        let later = NOW + Duration::from_secs(3);
+        assert_eq!(chosen_for_item(&table, &[], later), near, "{slots} slots");
+        table.begin(NEAR, WorkKind::Live, later);
+        assert_eq!(chosen_for_item(&table, &[], later), None, "{slots} slots");
+    }
+}
