Lots: failures of an item are counted beyond the daemon that saw them

Cause: only whole failures of servers were in the store. Answers without a length, cut ones and the pauses between runs were a daemon's own, and a release dropped what wasn't written yet.

Change: policy::lots::FailureCount holds all failures and decides when an item is given up. It is stored before the item runs again and when the lot is released. Each daemon leaves a mark with its claim, which its release deletes: a mark that is left stands for one answer that may have come right before that daemon was lost. Marks are no evidence of their own. Calls to the store: one write more after each failure without a length, none otherwise.

Ruled out: announcing each run before it begins would need a write an item; giving up after two answers of 422 in place of three would change what happens without any loss.

--- a/crates/policy/src/lots/mod.rs
+++ b/crates/policy/src/lots/mod.rs
@@ -4,6 +4,7 @@
 //!   time left to each lot.
 //! - [`LotForecast`] tells early which lots will miss their due time.
 //! - [`SegmentChoice`] picks the segment to claim next.
+//! - [`FailureCount`] gives up an item at which servers fail, whichever daemons run it.
 //! - [`ItemRetryPolicy`] distinguishes an item that can never succeed from a server's fault.
 //! - [`home_daemon`] names the daemon through which bulk work reaches a server;
 //!   [`crate::bulk`] decides how much of it.
@@ -25,6 +26,7 @@
 
 mod claim_doubt;
 mod copy_proof;
+mod failure_count;
 mod hold_limit;
 mod home_daemon;
 mod item_tries;
@@ -41,6 +43,7 @@
 
 pub use claim_doubt::{may_begin_items, was_out_of_contact};
 pub use copy_proof::{CopyState, ReaderPosition, RunnerConfirmation, knows_all_results};
+pub use failure_count::{FailureCount, ItemFailureKind};
 pub use hold_limit::HeldSize;
 pub use home_daemon::home_daemon;
 pub use item_tries::{GiveUpReason, ItemAttempts, ItemRetryPolicy, ItemRetryVerdict};
--- a/crates/serving/src/lots/held_lot.rs
+++ b/crates/serving/src/lots/held_lot.rs
@@ -4,17 +4,21 @@
 
 use comfreyramp_policy::{
     ServerId, Timestamp,
-    lots::{ItemTimes, LotAge, RouteAbsence, RouteObservation, RunTimeEstimate, StartRank},
+    lots::{
+        FailureCount, ItemTimes, LotAge, RouteAbsence, RouteObservation, RunTimeEstimate, StartRank,
+    },
     usage::PeerId,
 };
 use comfreyramp_store::{KeyValue, LeaseId, Revision};
 use tokio_util::sync::CancellationToken;
 
 use super::{
-    item_run::{AvoidedServer, ItemFailure, ItemOutcome, ItemProgress, UnprovenFailure},
+    item_run::{AvoidedServer, ItemFailure, ItemOutcome, ItemProgress},
     keys,
     notices::ReportBasis,
-    records::{AgeRecord, DamagedRecord, ItemFaults, LotHead, OpenMark, from_json, from_packed},
+    records::{
+        AgeRecord, DamagedRecord, HoldMark, ItemFaults, LotHead, OpenMark, from_json, from_packed,
+    },
 };
 use crate::{
     clock::unix_millis,
@@ -28,21 +32,8 @@
 /// item that keeps breaking its streams.
 const BREAK_BACKOFF: Duration = Duration::from_millis(100);
 const LONG_BREAK_BACKOFF: Duration = Duration::from_secs(5);
-/// Delay before an item is retried that its server failed at or didn't run.
-const FAULT_BACKOFF: Duration = Duration::from_millis(250);
-
-/// Delay before an item is retried after its first failure that isn't known to be whole, and
-/// by how much it grows with each. The item may really fail, so it isn't run often.
-const UNPROVEN_BACKOFF: Duration = Duration::from_secs(1);
-const UNPROVEN_BACKOFF_FACTOR: u32 = 8;
-/// The longest such delay where the answers ended with their connections, as those of a server
-/// that gives no length do. They add up to a proof.
-const MAX_UNDELIMITED_BACKOFF: Duration = Duration::from_secs(4);
-/// Number of such answers after which an item is given up: those that say that it can never
-/// succeed, and for each attempt of its route those that say that its server failed. Each may be
-/// the broken answer of a server that lost its connection.
-const MAX_UNDELIMITED_IMPOSSIBLE: u32 = 3;
-const UNDELIMITED_FAILURES_PER_ATTEMPT: u32 = 2;
+/// Delay before an item is retried that its server didn't run.
+const NOT_RUN_BACKOFF: Duration = Duration::from_millis(250);
 /// Delay before an item is looked at again for which no server of its version had room.
 const VERSION_BACKOFF: Duration = Duration::from_millis(100);
 /// Delay before an item is looked at again whose turn to try a blocked part hasn't come.
@@ -65,36 +56,6 @@
     Ended,
 }
 
-/// Counts the failures of an item whose answers had no length and ended with their
-/// connections.
-#[derive(Clone, Copy, Debug, Default)]
-struct UndelimitedFailures {
-    impossible: u32,
-    failed: u32,
-}
-
-impl UndelimitedFailures {
-    /// Records a failure. Returns whether the item is given up after it.
-    fn record(&mut self, failure: UnprovenFailure, attempts: u32) -> bool {
-        match failure {
-            UnprovenFailure::CutOff => return false,
-            UnprovenFailure::Impossible => self.impossible += 1,
-            UnprovenFailure::Failed => self.failed += 1,
-        }
-        self.impossible >= MAX_UNDELIMITED_IMPOSSIBLE
-            || self.failed >= attempts.saturating_mul(UNDELIMITED_FAILURES_PER_ATTEMPT)
-    }
-}
-
-/// Returns how long an item waits after such a failure, which `before` others preceded.
-fn unproven_backoff(failure: UnprovenFailure, before: u32) -> Duration {
-    let pause = UNPROVEN_BACKOFF * UNPROVEN_BACKOFF_FACTOR.pow(before.min(3));
-    match failure {
-        UnprovenFailure::CutOff => pause,
-        UnprovenFailure::Impossible | UnprovenFailure::Failed => pause.min(MAX_UNDELIMITED_BACKOFF),
-    }
-}
-
 #[derive(Debug)]
 pub(super) struct HeldItem {
     pub(super) item: Rc<LotItem>,
@@ -103,14 +64,10 @@
     pub(super) failed_at: ItemFailure,
     pub(super) avoided: AvoidedServer,
     route_absence: RouteAbsence,
-    faults: u32,
-    /// Number of faults of this item that the store has recorded.
-    recorded_faults: u32,
+    failures: FailureCount,
+    /// The failures that the store has recorded.
+    recorded_failures: FailureCount,
     breaks: u32,
-    /// Number of failures whose answers weren't known to be whole.
-    unproven: u32,
-    /// Those of them whose answers ended with their connections.
-    undelimited: UndelimitedFailures,
     /// Moment since which no server of the version that began the item has had room.
     pub(super) version_missed_since: Option<Timestamp>,
 }
@@ -133,6 +90,10 @@
     pub(super) claim_confirmed_at: Timestamp,
     /// Whether a claim under a new lease is being written.
     pub(super) is_reclaiming: bool,
+    /// Name of the mark that this daemon has the lot, in the store.
+    pub(super) mark: HoldMark,
+    /// Number of daemons that were lost while they ran the lot: their marks are left.
+    lost_daemons: u32,
     /// Number of groups of results in the store.
     pub(super) groups: usize,
     /// Number of results in the store.
@@ -161,11 +122,12 @@
     /// is nothing to run: the lot doesn't exist or its customer ended it. A lot that has
     /// all its results is returned with [`HeldLot::is_done`] true.
     ///
-    /// The records were requested at `requested_at`, and this daemon knows the lot since
-    /// `known_since`.
+    /// The records were requested at `requested_at`, after `mark` was written, and this daemon
+    /// knows the lot since `known_since`.
     pub(super) fn load(
         id: &str,
         pairs: &[KeyValue],
+        mark: HoldMark,
         known_since: Timestamp,
         requested_at: Timestamp,
         now: Timestamp,
@@ -197,8 +159,12 @@
         let items = items.into_iter().map(|item| {
             let has_result = results.iter().any(|it| it.id == item.id);
             let known = faults.iter().find(|it| it.item == item.id);
-            HeldItem::new(item, has_result, known.map_or(0, |it| it.faults), now)
+            let failures = known.map_or_else(FailureCount::default, |it| it.failures);
+            HeldItem::new(item, has_result, failures, now)
         });
+        let marks = pairs.iter().filter(|it| keys::is_hold_mark(&it.key));
+        let own_mark = keys::hold_mark(id, mark);
+        let lost_daemons = marks.filter(|it| it.key != own_mark).count() as u32;
         Ok(Some(HeldLot {
             id: id.into(),
             head: from_json(head)?,
@@ -209,6 +175,8 @@
             lease: None,
             claim_confirmed_at: now,
             is_reclaiming: false,
+            mark,
+            lost_daemons,
             groups,
             stored_results: results.len(),
             unwritten: Vec::new(),
@@ -303,7 +271,7 @@
         }
         let may_run = |it: &HeldItem| {
             let is_due = matches!(it.phase, ItemPhase::Waiting(from) if from <= now);
-            is_due && it.faults == it.recorded_faults
+            is_due && it.failures == it.recorded_failures
         };
         // An item that was started before goes first, since its output stays in memory
         // until it is done.
@@ -370,7 +338,6 @@
         run_times: &mut RunTimeEstimate,
         now: Timestamp,
     ) {
-        let attempts = self.head.attempts;
         let item = &mut self.items[index];
         if let ItemPhase::Running { started_at, .. } = &item.phase {
             log::info!(
@@ -386,26 +353,15 @@
                 self.end_item(index, ItemState::Done, output, now);
             }
             ItemOutcome::Impossible => self.give_up_item(index, "impossible", now),
-            ItemOutcome::Failed => {
-                item.faults += 1;
-                item.progress = ItemProgress::default();
-                item.phase = ItemPhase::Waiting(now + FAULT_BACKOFF);
-                if item.faults >= attempts {
-                    self.give_up_item(index, "failed too often", now);
-                }
-            }
-            ItemOutcome::FailedUnproven(progress, failure) => {
-                let pause = unproven_backoff(failure, item.unproven);
-                item.unproven += 1;
+            ItemOutcome::Failed(progress, failure) => {
+                let pause = item.failures.record(failure);
                 item.progress = progress;
                 item.phase = ItemPhase::Waiting(now + pause);
-                if item.undelimited.record(failure, attempts) {
-                    self.give_up_item(index, "failed too often without a length", now);
-                }
+                self.give_up_failed(index, now);
             }
             ItemOutcome::NotRun(progress) => {
                 item.progress = progress;
-                item.phase = ItemPhase::Waiting(now + FAULT_BACKOFF);
+                item.phase = ItemPhase::Waiting(now + NOT_RUN_BACKOFF);
             }
             ItemOutcome::Broken(progress) | ItemOutcome::NoAnswer(progress) => {
                 let has_progress = progress.events > item.progress.events;
@@ -464,14 +420,23 @@
         }
     }
 
-    /// Gives up items that reached the fault limit while other daemons ran the lot.
-    pub(super) fn give_up_failed(&mut self, now: Timestamp) {
+    /// Gives up items that failed often enough while other daemons ran the lot.
+    pub(super) fn give_up_all_failed(&mut self, now: Timestamp) {
         for index in 0..self.items.len() {
-            let item = &self.items[index];
-            let is_waiting = matches!(item.phase, ItemPhase::Waiting(_));
-            if is_waiting && item.faults >= self.head.attempts {
-                self.give_up_item(index, "failed too often", now);
-            }
+            self.give_up_failed(index, now);
+        }
+    }
+
+    /// Gives up an item that waits for a run, if it failed often enough.
+    fn give_up_failed(&mut self, index: usize, now: Timestamp) {
+        let item = &self.items[index];
+        let is_waiting = matches!(item.phase, ItemPhase::Waiting(_));
+        if is_waiting
+            && item
+                .failures
+                .is_final(self.head.attempts, self.lost_daemons)
+        {
+            self.give_up_item(index, "failed too often", now);
         }
     }
 
@@ -481,18 +446,19 @@
         self.is_writing || self.is_reclaiming
     }
 
-    /// Returns the fault counts if the store lacks any of them. An item isn't restarted
+    /// Returns the counts of failures if the store lacks any of them. An item isn't restarted
     /// before the store holds its count. Otherwise a daemon that is lost would take the
     /// count with it, and every daemon that takes the lot over would start again at zero
     /// with an item that makes its servers fail.
     pub(super) fn unrecorded_faults(&self) -> Option<Vec<ItemFaults>> {
-        if !self.unfinished().any(|it| it.faults > it.recorded_faults) {
+        let mut unfinished = self.unfinished();
+        if !unfinished.any(|it| it.failures != it.recorded_failures) {
             return None;
         }
-        let failed = self.items.iter().filter(|it| it.faults > 0);
+        let failed = self.items.iter().filter(|it| !it.failures.is_empty());
         let counts = failed.map(|it| ItemFaults {
             item: it.item.id.clone(),
-            faults: it.faults,
+            failures: it.failures,
         });
         Some(counts.collect())
     }
@@ -501,7 +467,7 @@
     pub(super) fn mark_faults_recorded(&mut self, counts: &[ItemFaults]) {
         for item in &mut self.items {
             if let Some(count) = counts.iter().find(|it| it.item == item.item.id) {
-                item.recorded_faults = count.faults;
+                item.recorded_failures = count.failures;
             }
         }
     }
@@ -510,7 +476,8 @@
         let item = &self.items[index];
         log::info!(
             lot:% = self.id, item = item.item.id, cause = cause,
-            faults = item.faults, breaks = item.breaks, events = item.progress.events,
+            failures:? = item.failures, lost_daemons = self.lost_daemons,
+            breaks = item.breaks, events = item.progress.events,
             age_ms = self.age.at(now).as_millis() as u64,
             retention_ms = self.head.retention().as_millis() as u64,
             held_ms = now.since(self.held_since).as_millis() as u64,
@@ -561,20 +528,18 @@
         }
     }
 
-    fn new(item: LotItem, has_result: bool, faults: u32, now: Timestamp) -> Self {
+    fn new(item: LotItem, has_result: bool, failures: FailureCount, now: Timestamp) -> Self {
         HeldItem {
             item: Rc::new(item),
             phase: match has_result {
                 true => ItemPhase::Ended,
-                false => ItemPhase::Waiting(now),
+                false => ItemPhase::Waiting(now + failures.pause_after_takeover()),
             },
             progress: ItemProgress::default(),
             route_absence: RouteAbsence::default(),
-            faults,
-            recorded_faults: faults,
+            failures,
+            recorded_failures: failures,
             breaks: 0,
-            unproven: 0,
-            undelimited: UndelimitedFailures::default(),
             failed_at: ItemFailure::default(),
             avoided: AvoidedServer::default(),
             version_missed_since: None,
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -6,7 +6,9 @@
     AnswerEnd, AnswerProgress, BodyFraming, EventSplitter, MAX_EVENT_BYTES, event_id, event_text,
 };
 use comfreyramp_policy::{
-    AnswerPace, PaceLimits, ServerId, Timestamp, name_hash,
+    AnswerPace, PaceLimits, ServerId, Timestamp,
+    lots::ItemFailureKind,
+    name_hash,
     parts::PartKey,
     placement::{AnswerEvidence, ServerOutcomeKind, WorkKind},
     streams::SoftwareKey,
@@ -89,17 +91,6 @@
     pub(super) stop: CancellationToken,
 }
 
-/// What a failure whose answer isn't known to be whole says of the item.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum UnprovenFailure {
-    /// Nothing: the answer broke off.
-    CutOff,
-    /// That the item can never succeed, in an answer that ended with its connection.
-    Impossible,
-    /// That the server ran it and failed, in an answer that ended with its connection.
-    Failed,
-}
-
 /// How a run of an item ended.
 #[derive(Debug)]
 pub(super) enum ItemOutcome {
@@ -107,10 +98,9 @@
     Done(ItemProgress),
     /// The server reports that the item can never succeed.
     Impossible,
-    /// The server ran the item and failed.
-    Failed,
-    /// The server reports one or the other, but its answer isn't known to be whole.
-    FailedUnproven(ItemProgress, UnprovenFailure),
+    /// The server ran the item and failed, or reports one or the other in an answer that isn't
+    /// known to be whole.
+    Failed(ItemProgress, ItemFailureKind),
     /// The item wasn't run, so that nothing counts against it.
     NotRun(ItemProgress),
     /// No whole answer was received that says how the run ended: the connection broke, the
@@ -275,15 +265,18 @@
     );
     match open.head.status {
         StatusCode::UNPROCESSABLE_ENTITY if is_whole => ItemOutcome::Impossible,
-        StatusCode::INTERNAL_SERVER_ERROR if is_whole => ItemOutcome::Failed,
+        // The next run begins anew.
+        StatusCode::INTERNAL_SERVER_ERROR if is_whole => {
+            ItemOutcome::Failed(ItemProgress::default(), ItemFailureKind::Failed)
+        }
         StatusCode::UNPROCESSABLE_ENTITY if has_ended => {
-            ItemOutcome::FailedUnproven(run.progress, UnprovenFailure::Impossible)
+            ItemOutcome::Failed(run.progress, ItemFailureKind::UndelimitedImpossible)
         }
         StatusCode::INTERNAL_SERVER_ERROR if has_ended => {
-            ItemOutcome::FailedUnproven(run.progress, UnprovenFailure::Failed)
+            ItemOutcome::Failed(run.progress, ItemFailureKind::UndelimitedFailed)
         }
         StatusCode::UNPROCESSABLE_ENTITY | StatusCode::INTERNAL_SERVER_ERROR => {
-            ItemOutcome::FailedUnproven(run.progress, UnprovenFailure::CutOff)
+            ItemOutcome::Failed(run.progress, ItemFailureKind::CutOff)
         }
         _ => ItemOutcome::Broken(run.progress),
     }
@@ -437,13 +430,13 @@
     pub(super) fn events(&self) -> u32 {
         match self {
             ItemOutcome::Done(progress)
-            | ItemOutcome::FailedUnproven(progress, _)
+            | ItemOutcome::Failed(progress, _)
             | ItemOutcome::NotRun(progress)
             | ItemOutcome::Broken(progress)
             | ItemOutcome::NoAnswer(progress)
             | ItemOutcome::Stopped(progress)
             | ItemOutcome::Blocked(progress) => progress.events,
-            ItemOutcome::Impossible | ItemOutcome::Failed => 0,
+            ItemOutcome::Impossible => 0,
         }
     }
 
@@ -452,8 +445,8 @@
         match self {
             ItemOutcome::Done(_) => "done",
             ItemOutcome::Impossible => "impossible",
-            ItemOutcome::Failed => "failed",
-            ItemOutcome::FailedUnproven(..) => "failed_unproven",
+            ItemOutcome::Failed(_, ItemFailureKind::Failed) => "failed",
+            ItemOutcome::Failed(..) => "failed_unproven",
             ItemOutcome::NotRun(_) => "not_run",
             ItemOutcome::Broken(_) => "broken",
             ItemOutcome::NoAnswer(_) => "no_answer",
--- a/crates/serving/src/lots/keys.rs
+++ b/crates/serving/src/lots/keys.rs
@@ -2,6 +2,8 @@
 
 use sha2::{Digest, Sha256};
 
+use super::records::HoldMark;
+
 /// Prefix of the open marks, one per lot that isn't finished: written with the lot, deleted
 /// with its last result or when the lot is ended.
 pub(super) const OPEN: &str = "lots/open/";
@@ -31,7 +33,8 @@
 }
 
 /// Returns the prefix of all data of a lot. In key order the age and the fault counts come
-/// first, then the head, the packs of items, the groups of results by number, and the end record.
+/// first, then the head, the marks of daemons that have or had it, the packs of items, the
+/// groups of results by number, and the end record.
 pub(super) fn data(lot: &str) -> String {
     format!("{DATA}{lot}/")
 }
@@ -58,6 +61,16 @@
     format!("{DATA}{lot}/failures")
 }
 
+/// Returns the key of the mark that a daemon has the lot.
+pub(super) fn hold_mark(lot: &str, mark: HoldMark) -> String {
+    let (incarnation, lease) = (mark.incarnation, mark.lease.0);
+    format!("{DATA}{lot}/held/{incarnation:016x}-{lease}")
+}
+
+pub(super) fn is_hold_mark(key: &str) -> bool {
+    key.contains("/held/")
+}
+
 /// Returns the key of the age that a daemon which ran the lot has proved.
 pub(super) fn age(lot: &str) -> String {
     format!("{DATA}{lot}/age")
--- a/crates/serving/src/lots/records.rs
+++ b/crates/serving/src/lots/records.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use comfreyramp_store::KeyValue;
+use comfreyramp_policy::lots::FailureCount;
+use comfreyramp_store::{KeyValue, LeaseId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_with::{DurationMilliSeconds, serde_as};
 
@@ -78,13 +79,24 @@
 }
 
 /// How often servers failed at an item. A daemon that takes the lot over continues this
-/// count.
+/// count. Earlier versions wrote and read only the number of faults.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct ItemFaults {
     /// Id of the item.
     pub(super) item: String,
-    /// Number of failures.
-    pub(super) faults: u32,
+    /// Its failures.
+    #[serde(flatten)]
+    pub(super) failures: FailureCount,
+}
+
+/// Names one hold of a lot by a daemon. Its mark is written with the claim and deleted when
+/// the claim is released, so that a mark that is left is that of a daemon that was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct HoldMark {
+    /// Incarnation of the daemon's process.
+    pub(super) incarnation: u64,
+    /// Lease that the claim was first bound to.
+    pub(super) lease: LeaseId,
 }
 
 /// Open mark: summary of a lot that isn't finished. Marks written by an earlier version
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -182,7 +182,8 @@
             let (lot, next_group) = (held.id.clone(), held.groups);
             let lease = lease.id;
             tokio::task::spawn_local(async move {
-                let claim = writer::write_claim(&node, &lot, lease, Some(next_group)).await;
+                let hold = writer::HoldStage::Held { next_group };
+                let claim = writer::write_claim(&node, &lot, lease, hold).await;
                 let _ = sender.send(WorkerEvent::Reclaimed(lot, claim));
             });
         }
@@ -265,7 +266,7 @@
                     "lots: claimed"
                 );
                 self.node.metrics.lot("claimed", 1);
-                held.give_up_failed(now);
+                held.give_up_all_failed(now);
                 self.report_progress(&held, now);
                 let index = self.held.partition_point(|it| it.head.due <= held.head.due);
                 self.held.insert(index, *held);
--- a/crates/serving/src/lots/worker/results.rs
+++ b/crates/serving/src/lots/worker/results.rs
@@ -11,7 +11,7 @@
         held_lot::HeldLot,
         notices::{LotProgress, LotStage},
         records::{ItemFaults, group_length},
-        writer::{self, WriteAnswer},
+        writer::{self, LotRemainder, WriteAnswer},
     },
     model::ItemResult,
     node::Node,
@@ -153,12 +153,15 @@
             held.is_writing = true;
             let results = held.unwritten[..held.results_in_write].to_vec();
             let is_last = held.stored_results + results.len() >= held.head.total;
-            let progress = (!is_last).then(|| (held.open_mark(), held.age_record(now)));
+            let remainder = match is_last {
+                true => LotRemainder::Nothing(held.mark),
+                false => LotRemainder::Items(held.open_mark(), held.age_record(now)),
+            };
             let (node, sender) = (self.node.clone(), self.sender.clone());
             let (lot, number) = (held.id.clone(), held.groups);
             tokio::task::spawn_local(async move {
                 let writing =
-                    writer::write_results(&node, &lot, claim, number, &results, progress.as_ref());
+                    writer::write_results(&node, &lot, claim, number, &results, &remainder);
                 let answer = writing.await;
                 let _ = sender.send(WorkerEvent::Written(lot, answer));
             });
@@ -186,7 +189,7 @@
                 let node = self.node.clone();
                 let age = held.age_record(now);
                 tokio::task::spawn_local(async move {
-                    writer::release(&node, &held.id, claim, Some(age)).await;
+                    writer::release(&node, &held, claim, age).await;
                     if let Some(successor) = held.successor {
                         node.assign_lot(&held.id, successor);
                     }
--- a/crates/serving/src/lots/writer.rs
+++ b/crates/serving/src/lots/writer.rs
@@ -11,7 +11,9 @@
 use super::{
     held_lot::HeldLot,
     keys,
-    records::{AgeRecord, ClaimRecord, ItemFaults, OpenMark, from_json, to_json, to_packed},
+    records::{
+        AgeRecord, ClaimRecord, HoldMark, ItemFaults, OpenMark, from_json, to_json, to_packed,
+    },
 };
 use crate::{dialect::Dialect, model::ItemResult, node::Node};
 
@@ -54,7 +56,12 @@
     let Some(lease) = node.lease() else {
         return ClaimAnswer::Unknown;
     };
-    let revision = match write_claim(node, lot, lease.id, None).await {
+    let mark = HoldMark {
+        incarnation: node.incarnation,
+        lease: lease.id,
+    };
+    let hold = HoldStage::Begins(mark);
+    let revision = match write_claim(node, lot, lease.id, hold).await {
         Ok(ClaimOutcome::Claimed(revision)) => revision,
         Ok(ClaimOutcome::Taken) => return ClaimAnswer::Taken,
         Ok(ClaimOutcome::Ended) => return ClaimAnswer::NothingLeft,
@@ -65,7 +72,7 @@
     let listed = match node.store.range(range, 0).await {
         Ok(listed) => listed,
         Err(error) => {
-            release(node, lot, revision, None).await;
+            remove_claim(node, lot, revision, mark, Vec::new()).await;
             return claim_unknown(node, lot, &error);
         }
     };
@@ -77,14 +84,15 @@
     if let Err(error) = taken {
         log::error!(lot = lot, error:% = error; "lots: a record is damaged");
     }
-    match HeldLot::load(lot, &listed.pairs, known_since, requested_at, now) {
+    match HeldLot::load(lot, &listed.pairs, mark, known_since, requested_at, now) {
         Ok(Some(mut held)) if !held.is_done() => {
             held.claim = Some(revision);
             held.lease = Some(lease.id);
             ClaimAnswer::Claimed(Box::new(held))
         }
         Ok(_) => {
-            release_done(node, lot, revision).await;
+            let then = vec![Write::Delete(keys::open(lot))];
+            remove_claim(node, lot, revision, mark, then).await;
             ClaimAnswer::NothingLeft
         }
         Err(error) => {
@@ -111,8 +119,19 @@
     Ended,
 }
 
-/// Writes a claim. A daemon that already runs the lot and whose lease expired passes the
-/// number of the group of results it would write next.
+/// Whether a daemon already runs the lot that it claims.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HoldStage {
+    /// It doesn't, and leaves this mark with the claim.
+    Begins(HoldMark),
+    /// It does, and its lease expired.
+    Held {
+        /// Number of the group of results that it would write next.
+        next_group: usize,
+    },
+}
+
+/// Writes a claim.
 ///
 /// The claim of a restarted daemon is bound to a lease that expires only seconds later. Its
 /// new incarnation runs nothing of the lot, so a claim with the incarnation number of a
@@ -125,7 +144,7 @@
     node: &Node<D>,
     lot: &str,
     lease: LeaseId,
-    next_group: Option<usize>,
+    hold: HoldStage,
 ) -> Result<ClaimOutcome, StoreError> {
     let own = ClaimRecord {
         daemon: node.settings.name.clone(),
@@ -136,14 +155,24 @@
     let mut claim_condition = Comparison::Absent(key.clone());
     loop {
         let mut when = vec![claim_condition.clone(), Comparison::Absent(keys::end(lot))];
-        when.extend(next_group.map(|it| Comparison::Absent(keys::group(lot, it))));
+        let mut then = vec![Write::Put {
+            key: key.clone(),
+            value: to_json(&own),
+            lease: Some(lease),
+        }];
+        match hold {
+            HoldStage::Begins(mark) => then.push(Write::Put {
+                key: keys::hold_mark(lot, mark),
+                value: to_json(&node.settings.name),
+                lease: None,
+            }),
+            HoldStage::Held { next_group } => {
+                when.push(Comparison::Absent(keys::group(lot, next_group)));
+            }
+        }
         let batch = WriteBatch {
             when,
-            then: vec![Write::Put {
-                key: key.clone(),
-                value: to_json(&own),
-                lease: Some(lease),
-            }],
+            then,
             read_back: vec![key.clone(), keys::end(lot)],
         };
         let policy = RetryPolicy::new(node.incarnation).attempts(MAX_WRITE_ATTEMPTS);
@@ -173,15 +202,24 @@
     }
 }
 
+/// What is left of a lot after a group of its results.
+#[derive(Clone, Debug)]
+pub(super) enum LotRemainder {
+    /// Items without a result.
+    Items(OpenMark, AgeRecord),
+    /// Nothing; its holder leaves it.
+    Nothing(HoldMark),
+}
+
 /// Writes a group of results and updates the lot's open mark and age. Once the lot has all
-/// its results, the mark and the claim are deleted instead.
+/// its results, its marks and the claim are deleted instead.
 pub(super) async fn write_results<D: Dialect>(
     node: &Node<D>,
     lot: &str,
     claim: Revision,
     number: usize,
     results: &[ItemResult],
-    progress: Option<&(OpenMark, AgeRecord)>,
+    remainder: &LotRemainder,
 ) -> WriteAnswer {
     let claim_key = keys::claim(lot);
     let group_key = keys::group(lot, number);
@@ -190,8 +228,8 @@
         value: to_packed(&results),
         lease: None,
     }];
-    match progress {
-        Some((mark, age)) => {
+    match remainder {
+        LotRemainder::Items(mark, age) => {
             then.push(Write::Put {
                 key: keys::open(lot),
                 value: to_json(mark),
@@ -199,9 +237,10 @@
             });
             then.push(put_age(lot, *age));
         }
-        None => {
+        LotRemainder::Nothing(mark) => {
             then.push(Write::Delete(claim_key.clone()));
             then.push(Write::Delete(keys::open(lot)));
+            then.push(Write::Delete(keys::hold_mark(lot, *mark)));
         }
     }
     let batch = WriteBatch {
@@ -246,14 +285,7 @@
             Comparison::ModifiedAt(keys::claim(lot), claim),
             Comparison::Absent(keys::end(lot)),
         ],
-        then: vec![
-            Write::Put {
-                key: keys::faults(lot),
-                value: to_json(&counts),
-                lease: None,
-            },
-            put_age(lot, age),
-        ],
+        then: vec![put_faults(lot, counts), put_age(lot, age)],
         read_back: Vec::new(),
     };
     match node.store.transact(batch).await {
@@ -279,17 +311,26 @@
     WriteAnswer::Unknown
 }
 
-/// Releases a claim, and writes the lot's age if it is known. If this fails, the claim
-/// expires with its lease.
+/// Releases the claim on a lot, and writes its age and the failures that the store doesn't have
+/// yet. If this fails, the claim expires with its lease.
 pub(super) async fn release<D: Dialect>(
     node: &Node<D>,
-    lot: &str,
+    held: &HeldLot,
     claim: Revision,
-    age: Option<AgeRecord>,
+    age: AgeRecord,
 ) {
-    let mut then = vec![Write::Delete(keys::claim(lot))];
-    then.extend(age.map(|it| put_age(lot, it)));
-    remove_claim(node, lot, claim, then).await;
+    let lot = &held.id;
+    let mut then = vec![put_age(lot, age)];
+    then.extend(held.unrecorded_faults().map(|it| put_faults(lot, &it)));
+    remove_claim(node, lot, claim, held.mark, then).await;
+}
+
+fn put_faults(lot: &str, counts: &[ItemFaults]) -> Write {
+    Write::Put {
+        key: keys::faults(lot),
+        value: to_json(&counts),
+        lease: None,
+    }
 }
 
 fn put_age(lot: &str, age: AgeRecord) -> Write {
@@ -300,16 +341,16 @@
     }
 }
 
-/// Releases the claim on a lot that has nothing left to run, and deletes its open mark.
-async fn release_done<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision) {
-    let then = vec![
-        Write::Delete(keys::claim(lot)),
-        Write::Delete(keys::open(lot)),
-    ];
-    remove_claim(node, lot, claim, then).await;
-}
-
-async fn remove_claim<D: Dialect>(node: &Node<D>, lot: &str, claim: Revision, then: Vec<Write>) {
+/// Deletes a claim and the mark of its holder, and writes `then`.
+async fn remove_claim<D: Dialect>(
+    node: &Node<D>,
+    lot: &str,
+    claim: Revision,
+    mark: HoldMark,
+    mut then: Vec<Write>,
+) {
+    then.push(Write::Delete(keys::claim(lot)));
+    then.push(Write::Delete(keys::hold_mark(lot, mark)));
     let batch = WriteBatch {
         when: vec![Comparison::ModifiedAt(keys::claim(lot), claim)],
         then,
