--- a/crates/policy/src/placement/server_choice.rs
+++ b/crates/policy/src/placement/server_choice.rs
@@ -126,7 +126,7 @@
                 && !it.load.is_ejected(now)
         };
         let is_sound = move |it: &ServerEntry| {
-            !it.is_in_silent_zone && !(avoids_suspected && it.failures.is_suspected(now))
+            !(it.is_in_silent_zone || avoids_suspected && it.failures.is_suspected(now))
         };
         let candidates = self.servers.iter().filter(|it| takes_items(it));
         let sound = candidates.filter(|it| is_sound(it));
