Answers: a status that HTTP doesn't know is no answer

What callers saw: a server's 101, for which nobody had asked, and 600, 700 and 999 were passed on to them on each kind of route.

Cause: the parser takes any three digits from 100 on, and the status was looked at only for success or failure. The store's client took such an answer for a success or, for a write, as a refusal for good, after which a result is dropped; a state report counted whatever its status.

Change: only 200 to 599 are statuses of a final answer.

--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -11,7 +11,7 @@
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
 };
-use http::{HeaderValue, Request, header, response};
+use http::{HeaderValue, Request, StatusCode, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
@@ -124,7 +124,8 @@
     Broken,
     /// An answer to another request was received in place of the expected one.
     ForeignAnswer,
-    /// The server sent bytes that are no answer, for too long or too many. It didn't crash.
+    /// The server sent bytes that are no answer, for too long or too many, or an answer whose
+    /// status HTTP doesn't know. It didn't crash.
     NoAnswer,
     /// The answer ended with its connection before the first event.
     NoEvent,
@@ -305,6 +306,13 @@
         );
         return Err(AttemptFailure::ForeignAnswer);
     }
+    if !is_final_status(head.status) {
+        log::warn!(
+            request = request_id, status = head.status.as_u16();
+            "attempt: an answer with an invalid status"
+        );
+        return Err(AttemptFailure::NoAnswer);
+    }
     if let Some(report) = answer.report {
         let now = node.clock.now();
         node.servers.borrow_mut().report(guard.server, report, now);
@@ -348,6 +356,9 @@
 ) -> Result<(), AttemptFailure> {
     let asking = async {
         let response = connection.send(state_query::<D>(address)).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
         collect_limited(response.into_body(), MAX_STATE_BYTES)
             .await
             .ok()
@@ -401,6 +412,12 @@
     }
 }
 
+/// Returns whether a final answer may have a status. HTTP has five classes of them, and the
+/// first is that of interim answers, among them a change of protocols that nobody asked for.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 fn address_of<D: Dialect>(node: &Node<D>, server: ServerId) -> Result<SocketAddr, AttemptFailure> {
     let servers = node.servers.borrow();
     let address = servers.listing(server).address.parse();
