Planned stop: requests that come late are refused rather than begun and cut

What callers saw: a request whose body ended 3.5 to 7 s after SIGTERM was passed on to a server and cut at the end of the grace period without an answer, also on routes that may not be repeated; an upload that hadn't ended then was cut too.

Cause: a request whose head was read before the listener closes goes its usual way, and what is open at the end of the grace period is cut with the process.

Change: policy::PlannedStop. After the listener is closed, a request is begun only if its deadline comes before the end of the process, and refused as not run otherwise. 0.2 s before the end, uploads are refused and requests that servers run are answered with 502.

Ruled out: refusing everything from SIGTERM on, as callers have no other daemon until the balancer has noticed.

--- a/crates/node/tests/fleet/mod.rs
+++ b/crates/node/tests/fleet/mod.rs
@@ -70,6 +70,8 @@
     version: u64,
     /// How long an item is kept before it may be given up, in seconds.
     retention_s: u64,
+    /// The timeout of all routes, in milliseconds.
+    timeout_ms: u64,
     /// The tokens that an engine keeps; 0 if that isn't stated.
     engine_memory: u32,
     /// The prefix of a route that the operators have taken away.
@@ -96,6 +98,7 @@
             has_links: false,
             version: 0,
             retention_s: 60,
+            timeout_ms: 5_000,
             engine_memory: 0,
             removed_route: None,
             has_routes: true,
--- a/crates/node/tests/fleet/settings.rs
+++ b/crates/node/tests/fleet/settings.rs
@@ -16,6 +16,12 @@
         self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
     }
 
+    /// Writes operators' settings with this timeout of all routes.
+    pub(crate) fn put_timeout(&mut self, timeout_ms: u64) {
+        self.timeout_ms = timeout_ms;
+        self.put_settings(&[KEY, SPARE_KEY], 1_000.0);
+    }
+
     /// Writes operators' settings by which an engine keeps this many tokens.
     pub(crate) fn put_engine_memory(&mut self, tokens: u32) {
         self.engine_memory = tokens;
@@ -59,7 +65,7 @@
         let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
             json!({
                 "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "service": service,
-                "timeout_ms": 5_000, "target_latency_ms": if self.has_live_queue { 2_000 } else { 500 },
+                "timeout_ms": self.timeout_ms, "target_latency_ms": if self.has_live_queue { 2_000 } else { 500 },
                 "priority": u32::from(prefix == "/once/"), "attempts": 2,
                 "public": false, "sticky": false, "resumable": resumable, "gap_aim_ms": 300,
                 "completion_target_ms": 15_000, "retention_s": self.retention_s, "cap": token_bound,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod overload;
 pub mod parts;
 pub mod placement;
+mod planned_stop;
 mod queue;
 pub mod rates;
 mod retries;
@@ -67,6 +68,7 @@
 pub use hash::name_hash;
 pub use ids::{CustomerId, DaemonId, GroupId, Incarnation, ServerId, ServiceId, ZoneId};
 pub use members::{Heartbeat, ListedDaemon, MemberEntry, MemberEvent, MemberTable, ZoneContacts};
+pub use planned_stop::PlannedStop;
 pub use queue::{LiveQueue, QueueCause, QueueRank, QueueRefusal, QueuedCall};
 pub use retries::{
     AttemptReport, FinalAnswer, FinalCause, RetryBudget, RetryDecision, RunState, SuspectVerdict,
--- a/crates/serving/src/model/refusal.rs
+++ b/crates/serving/src/model/refusal.rs
@@ -30,6 +30,8 @@
     Full,
     /// The daemon has no memory left for the request's body. It hasn't run.
     NoMemory,
+    /// The daemon is being stopped, and would end before the request does. It hasn't run.
+    Stopping,
     /// The request was sent to servers, and none of them ran it.
     RejectedByServers,
     /// The store doesn't answer. The request hasn't run.
@@ -62,6 +64,7 @@
             RefusalCause::UnknownOrigin => "unknown_origin",
             RefusalCause::Full => "full",
             RefusalCause::NoMemory => "no_memory",
+            RefusalCause::Stopping => "stopping",
             RefusalCause::RejectedByServers => "turned_away",
             RefusalCause::StoreUnavailable => "store_away",
             RefusalCause::CrashesServers => "crashes_servers",
--- a/crates/serving/src/node/mod.rs
+++ b/crates/serving/src/node/mod.rs
@@ -25,7 +25,7 @@
 
 use comfreyramp_http::HttpClient;
 use comfreyramp_policy::{
-    Timestamp,
+    PlannedStop, Timestamp,
     parts::PartTable,
     placement::{ColdTolerance, PlacementTable, ServerListing},
     streams::{OriginTable, StreamOrigin},
@@ -33,6 +33,7 @@
 };
 use comfreyramp_store::WatchBatch;
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
 use self::{prompt_caches::prompt_caches, store_health::StoreHealth};
 use crate::{
@@ -162,8 +163,10 @@
     pub pending_items: Cell<u32>,
     /// Whether this VM is being emptied.
     pub is_retiring: Cell<bool>,
-    /// Whether the daemon is shutting down.
-    pub is_stopping: Cell<bool>,
+    /// The planned stop of this daemon, once it has begun.
+    pub planned_stop: Cell<Option<PlannedStop>>,
+    /// Cancelled shortly before a planned stop ends, when open requests get their last answers.
+    pub last_answers: CancellationToken,
     fleet: RefCell<Option<Rc<FleetView>>>,
     usage: RefCell<UsageTracker>,
     suspects: RefCell<SuspectTracker>,
@@ -213,7 +216,8 @@
             bulk_work_changed: Notify::new(),
             pending_items: Cell::new(0),
             is_retiring: Cell::new(false),
-            is_stopping: Cell::new(false),
+            planned_stop: Cell::new(None),
+            last_answers: CancellationToken::new(),
             fleet: RefCell::default(),
             usage: RefCell::new(usage),
             suspects: RefCell::default(),
@@ -243,7 +247,7 @@
     /// Whether the balancer may send callers to this daemon.
     pub fn is_ready(&self) -> bool {
         let knows_servers = self.views.borrow().servers.confirmed_at().is_some();
-        self.fleet.borrow().is_some() && knows_servers && !self.is_stopping.get()
+        self.fleet.borrow().is_some() && knows_servers && self.planned_stop.get().is_none()
     }
 
     /// Replaces the operators' keys by a complete listing.
--- a/crates/serving/src/node/peers.rs
+++ b/crates/serving/src/node/peers.rs
@@ -83,7 +83,7 @@
             lots,
             progress,
             reaches_store: self.store.is_directly_reachable(),
-            is_leaving: self.is_stopping.get(),
+            is_leaving: self.planned_stop.get().is_some(),
             items: self.pending_items.get(),
             placed,
             asks_word: false,
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -121,7 +121,12 @@
         }
     };
     let request_id = caller.request_id.clone();
-    let answer = dispatch(&node, caller, head, body, received_at, connection).await;
+    let dispatching = dispatch(&node, caller, head, body, received_at, connection);
+    let answer = tokio::select! {
+        biased;
+        answer = dispatching => answer,
+        () = node.last_answers.cancelled() => Err(RefusalCause::AnswerLost.into()),
+    };
     answer.unwrap_or_else(|refusal| {
         let span = node.clock.now().since(received_at);
         // `Node` counts refusals of customers over their rate itself, by customer.
@@ -177,7 +182,8 @@
     if let RouteKind::Lot(terms) = route.kind {
         let customer = customer.ok_or(RefusalCause::UnknownKey)?;
         let label = holder_label(Some(&customer), &caller, connection);
-        let body = read_lot_body(&node.memory, &label, body, limit, time_left).await?;
+        let reading = read_lot_body(&node.memory, &label, body, limit, time_left);
+        let body = unless_stopped(node, reading).await?;
         let submission = lots::Submission {
             lot: caller.request_id,
             customer,
@@ -192,7 +198,8 @@
         node.check_rate(customer, &caller.request_id)?;
     }
     let label = holder_label(customer.as_ref(), &caller, connection);
-    let body = read_request_body(&node.memory, &label, body, limit, time_left).await?;
+    let reading = read_request_body(&node.memory, &label, body, limit, time_left);
+    let body = unless_stopped(node, reading).await?;
     let is_retry = time_left < route.timeout.mul_f64(RETRY_TIMEOUT_FRACTION);
     let name = customer.as_ref().map_or("", |it| it.settings.name.as_str());
     let request = LiveRequest {
@@ -224,6 +231,22 @@
     request.run().await
 }
 
+/// Reads a body, unless the daemon ends before: nothing of the request has run then.
+async fn unless_stopped<D: Dialect, T>(
+    node: &Node<D>,
+    reading: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    tokio::select! {
+        biased;
+        read = reading => read,
+        () = node.last_answers.cancelled() => Err(stopping()),
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal::new(RefusalCause::Stopping).retry_after(UNAVAILABLE_RETRY_AFTER)
+}
+
 fn holder_label(
     customer: Option<&Arc<KnownCustomer>>,
     caller: &CallerHead,
@@ -325,6 +348,10 @@
     ) -> Result<Result<OpenAnswer<D>, AttemptFailure>, Refusal> {
         let (placement, attempt) = self.find_slot().await?;
         let now = self.node.clock.now();
+        let stop = self.node.planned_stop.get();
+        if self.runs == 0 && stop.is_some_and(|it| !it.may_begin(self.deadline, now)) {
+            return Err(stopping());
+        }
         let server = placement.server;
         self.load = placement.load;
         if !*is_admitted {
--- a/crates/serving/src/run.rs
+++ b/crates/serving/src/run.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context as _;
 use bytes::Bytes;
+use comfreyramp_policy::PlannedStop;
 use comfreyramp_store::StoreError;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -34,6 +35,9 @@
 /// The part of the grace period that is reserved for writing the last log lines before
 /// the process is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// How long before the end of the grace period requests that are still open are answered, so
+/// that their callers don't have to guess from a closed connection.
+const LAST_ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// The maximum size of a request's head in bytes, unless the operators' settings say less.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// How long a connection may take until a whole head is received. Callers reuse
@@ -97,10 +101,19 @@
     }
     stop.cancelled().await;
     log::info!("node: a planned stop begins");
-    node.is_stopping.set(true);
+    let grace = settings.stop_grace_s.saturating_sub(KILL_MARGIN);
+    let now = node.clock.now();
+    node.planned_stop.set(Some(PlannedStop {
+        closes_at: now + DRAIN_DELAY,
+        ends_at: now + grace.saturating_sub(LAST_ANSWER_MARGIN),
+    }));
     closing.cancel();
     lots_stop.cancel();
-    let grace = settings.stop_grace_s.saturating_sub(KILL_MARGIN);
+    let last_answers = node.last_answers.clone();
+    tokio::task::spawn_local(async move {
+        tokio::time::sleep(grace.saturating_sub(LAST_ANSWER_MARGIN)).await;
+        last_answers.cancel();
+    });
     let work_ended = end_work(callers, lots, &closed);
     if tokio::time::timeout(grace, work_ended).await.is_err() {
         log::warn!("node: the grace period ended with work still open");
