Tests: early answers that are reset during the upload are never complete

A report from another system: a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection, and the caller gets the part as a whole answer.

--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -1,11 +1,12 @@
 //! Stand-ins for a customer's backend server: an engine that streams events or a plain
-//! service, a server whose answers end with their connections, and one whose answers a test
-//! writes itself.
+//! service, a server whose answers end with their connections, one that resets them during an
+//! upload, and one whose answers a test writes itself.
 
 mod backend_server;
 mod closing_server;
 mod raw_request;
 mod requested_stream;
+mod resetting_server;
 mod scripted_server;
 mod state_report;
 
@@ -15,4 +16,5 @@
 pub use closing_server::{ClosingAnswer, ClosingServer};
 pub use raw_request::RawRequest;
 pub use requested_stream::RequestedStream;
+pub use resetting_server::{EarlyAnswer, ResettingServer};
 pub use scripted_server::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
