--- a/crates/node/tests/fleet/processes.rs
+++ b/crates/node/tests/fleet/processes.rs
@@ -167,6 +167,12 @@
         kill_process(pid, signal).unwrap();
     }
 
+    /// Returns whether a daemon's process hasn't ended.
+    pub(crate) fn is_running(&mut self, daemon: usize) -> bool {
+        let ended = self.daemons[daemon].child.try_wait().unwrap();
+        ended.is_none()
+    }
+
     /// Waits until a daemon has exited, and returns whether it exited with success.
     pub(crate) async fn exits_cleanly(&mut self, daemon: usize) -> bool {
         let until = Instant::now() + WAIT_TIMEOUT;
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -156,8 +156,8 @@
         let mut total = self.own;
         for peer_share in &self.peer_shares {
             if now.since(peer_share.received_at) < SHARE_LIFETIME {
-                total.live += peer_share.share.live;
-                total.bulk += peer_share.share.bulk;
+                total.live = total.live.saturating_add(peer_share.share.live);
+                total.bulk = total.bulk.saturating_add(peer_share.share.bulk);
             }
         }
         total
@@ -172,7 +172,7 @@
         }
         let total = self.total(now);
         let known = f64::from(total.live) + f64::from(total.bulk);
-        let reported = f64::from(report.running + report.waiting);
+        let reported = f64::from(report.running) + f64::from(report.waiting);
         self.surplus = (reported - known).max(0.0);
         self.surplus_at = now;
     }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -287,3 +287,27 @@
         assert_eq!(chosen_for_item(&table, &[], later), None, "{slots} slots");
     }
 }
+
+/// Guards against a daemon that ends, or counts a full server as empty, for numbers that no
+/// server or daemon can mean.
+#[test]
+fn reports_of_any_size_are_read() {
+    let mut table = table();
+    let report = SlotReport {
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: 4,
+        pace_percent: Some(u32::MAX),
+    };
+    table.report(NEAR, report, NOW);
+    assert_eq!(chosen(&table), Ok("far".to_owned()));
+    let share = LoadShare {
+        live: u16::MAX,
+        bulk: u16::MAX,
+    };
+    for peer in 2..4 {
+        table.receive(PeerId(peer), &[(table.key(NEAR), share)], NOW);
+    }
+    assert_eq!(chosen(&table), Ok("far".to_owned()));
+    assert_eq!(chosen_for_item(&table, &[], NOW), Some("far".to_owned()));
+}
