Memory: pages of results and items of lots count until their callers have taken them

Cause: answers that a daemon gives itself about lots were in no memory account.

Change: the bytes of a page are reserved before it is copied and encoded, and those of an item's body before it is sent; both are held until the caller has taken them, so that slow readers are ended as for servers' answers. Without room within half a second the read is refused as not run.

--- a/crates/node/tests/held_memory.rs
+++ b/crates/node/tests/held_memory.rs
@@ -42,15 +42,15 @@
 
 impl SlowCaller {
     /// Sends a request and waits until the first byte of the answer or the end of the
-    /// connection is there to be read.
-    async fn send(address: SocketAddr, path: &str, id: String, body: &[u8]) -> SlowCaller {
+    /// connection is there to be read. `target` is its method and path.
+    async fn send(address: SocketAddr, target: &str, id: String, body: &[u8]) -> SlowCaller {
         let socket = TcpSocket::new_v4().unwrap();
         // Otherwise the caller's system takes all of the answer.
         socket.set_recv_buffer_size(4_096).unwrap();
         let mut stream = socket.connect(address).await.unwrap();
         let length = body.len();
         let head = format!(
-            "POST {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\napi-key: {KEY}\r\n\
+            "{target} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\napi-key: {KEY}\r\n\
              x-deadline-ms: 5000\r\ncontent-length: {length}\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).await.unwrap();
@@ -104,7 +104,7 @@
     }
     let before_kb = process_kb(process, "VmRSS:");
     let started = Instant::now();
-    let (path_of_slow, body) = (path.to_owned(), body.to_vec());
+    let (path_of_slow, body) = (format!("POST {path}"), body.to_vec());
     let slow = stream::iter(0..SLOW_CALLERS)
         .map(move |it| {
             let (path, body) = (path_of_slow.clone(), body.clone());
@@ -181,3 +181,52 @@
 async fn unread_answers_stay_within_the_bound() {
     check_slow_callers("/proofs/1", &[b'x'; BODY_BYTES], 2).await;
 }
+
+/// The number of callers that don't read the results of a lot, and the items of the lot, whose
+/// results fill a page.
+const SLOW_READERS: usize = 80;
+const ITEMS: usize = 9;
+const EVENT_BYTES: usize = 8_000;
+
+/// Guards against a process that grows with the unread results and items of lots.
+#[tokio::test(flavor = "multi_thread")]
+async fn unread_pages_of_results_stay_within_the_bound() {
+    let fleet = bounded_fleet().await;
+    let body = format!("takes 200 as {}", "x".repeat(EVENT_BYTES));
+    let bodies: Vec<&str> = (0..ITEMS).map(|_| body.as_str()).collect();
+    let submitted = fleet.submit_lot(0, "lot-1", &bodies).await;
+    assert_eq!(submitted, Ok(StatusCode::ACCEPTED));
+    let page = fleet.read_finished_lot(0, "lot-1").await;
+    let page_bytes = page.to_string().len();
+    assert!(page_bytes > 800_000, "{page_bytes} bytes");
+    let (address, process) = (fleet.caller_address(0), fleet.process_id(0));
+    let before_kb = process_kb(process, "VmRSS:");
+    let target = "GET /-/lots/lot-1?after=0";
+    let slow = stream::iter(0..SLOW_READERS)
+        .map(|it| SlowCaller::send(address, target, format!("slow-{it}"), b""))
+        .buffer_unordered(8);
+    let slow: Vec<SlowCaller> = slow.collect().await;
+    let peak_kb = process_kb(process, "VmHWM:");
+    let metrics = fleet.metrics(0).await;
+    let answered = slow.iter().filter(|it| it.status() == Some(200)).count();
+    let ended = metric(&metrics, "comfreyramp_ended_readers_total");
+    println!("VmRSS {before_kb} kB before, VmHWM {peak_kb} kB; {answered} answered, {ended} ended");
+    // One page is copied, encoded and on its way at a time beside those that are counted.
+    let page_kb = 3 * page_bytes as u64 / 1_000;
+    let connections_kb = KB_PER_CONNECTION * SLOW_READERS as u64;
+    let limit_kb = before_kb + BOUND_KB + page_kb + connections_kb + MARGIN_KB;
+    assert!(
+        peak_kb <= limit_kb,
+        "VmHWM {peak_kb} kB, limit {limit_kb} kB"
+    );
+    let call = CallerRequest::post("/proofs/1", "other", &[b'y'; BODY_BYTES]).key(OTHER_KEY);
+    let answer = fleet.send(0, call).await.unwrap();
+    assert_eq!(answer.body().len(), BODY_BYTES);
+    drop(slow);
+    let all_returned = async || metric(&fleet.metrics(0).await, "comfreyramp_held_bytes") == 0.0;
+    fleet
+        .eventually("all bytes are returned", all_returned)
+        .await;
+    let again = fleet.read_finished_lot(0, "lot-1").await;
+    assert_eq!(again.to_string().len(), page_bytes);
+}
--- a/crates/serving/src/lots/lot_cache.rs
+++ b/crates/serving/src/lots/lot_cache.rs
@@ -98,21 +98,27 @@
     /// Returns the results from position `after` on, as many as one answer may hold, but at
     /// least one if there is any.
     pub fn page(&self, after: usize) -> LotPage {
-        let mut page = LotPage {
+        let (length, _) = self.page_size(after);
+        LotPage {
             total: self.head.total,
-            next: after,
-            results: Vec::new(),
-        };
-        let mut bytes = 0;
+            next: after + length,
+            results: self.results[after.min(self.results.len())..][..length].to_vec(),
+        }
+    }
+
+    /// Returns the number of results on the page after a position, and of the bytes of their
+    /// ids and outputs.
+    pub fn page_size(&self, after: usize) -> (usize, usize) {
+        let (mut length, mut bytes) = (0, 0);
         for result in self.results.iter().skip(after) {
-            bytes += result.output.len() + result.id.len();
-            if bytes > PAGE_BYTES && !page.results.is_empty() {
+            let size = result.output.len() + result.id.len();
+            if bytes + size > PAGE_BYTES && length > 0 {
                 break;
             }
-            page.results.push(result.clone());
+            bytes += size;
+            length += 1;
         }
-        page.next = after + page.results.len();
-        page
+        (length, bytes)
     }
 
     /// Appends records from the store. Returns false if they don't directly follow the
--- a/crates/serving/src/lots/read.rs
+++ b/crates/serving/src/lots/read.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use comfreyramp_policy::lots::{CopyState, ReaderPosition};
+use comfreyramp_policy::{
+    lots::{CopyState, ReaderPosition},
+    memory::HolderKind,
+};
 use comfreyramp_store::{
     Comparison, KeyRange, PlatformStore, RetryPolicy, StoreError, Write, WriteBatch, write_once,
 };
@@ -19,6 +22,7 @@
 };
 use crate::{
     dialect::{CallerDialect, Dialect},
+    memory::{HeldBytes, HeldData, HolderLabel},
     model::{CallerAction, LotItem, LotPage, Refusal, RefusalCause},
     node::Node,
     path::AnswerBody,
@@ -36,6 +40,8 @@
 const CLAIM_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a reader may retry while the store can't be reached.
 const STORE_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// How long a page of results is once it is encoded, in percent of its ids and outputs.
+const ENCODED_PERCENT: usize = 110;
 /// Number of pairs with which a page of a lot's records is long enough. A page that the store
 /// has read already is returned whole.
 const MIN_PAGE_PAIRS: usize = 1;
@@ -61,28 +67,41 @@
     node: &Rc<Node<D>>,
     reader: LotReader<'_>,
     operation: CallerAction,
+    label: &Rc<HolderLabel>,
 ) -> Answer<D> {
     match operation {
         CallerAction::ReadLot { lot, after, wait } => {
-            let reading = read_lot(node, reader, &lot, after, wait);
+            let held = node.memory.open(label, HolderKind::Answer);
+            let reading = read_lot(node, reader, &lot, after, wait, &held);
             let limit = wait.min(MAX_WAIT) + LOOKUP_TIMEOUT;
             let answer = tokio::time::timeout(limit, reading).await;
             let page = answer.unwrap_or_else(|_| Err(store_unavailable()));
             log_read(node, reader.request, &lot, after, &page);
-            page.map(|it| <D::Callers as CallerDialect>::lot_page(&it).map(AnswerBody::whole))
+            let answer = <D::Callers as CallerDialect>::lot_page(&page?);
+            Ok(hold(answer, held))
+        }
+        CallerAction::ReadItem { lot, item } => {
+            let held = node.memory.open(label, HolderKind::Answer);
+            let answer = read_item(node, reader, &lot, &item, &held).await?;
+            Ok(hold(answer, held))
         }
-        CallerAction::ReadItem { lot, item } => read_item(node, reader, &lot, &item).await,
         CallerAction::EndLot { lot } => end_lot(node, reader, &lot).await,
         CallerAction::Forward => Err(RefusalCause::NoRoute.into()),
     }
 }
 
+/// Returns an answer whose bytes are counted until its caller has taken them.
+fn hold<D: Dialect>(answer: Response<Bytes>, held: HeldBytes) -> Response<AnswerBody<D>> {
+    answer.map(|it| AnswerBody::held(HeldData::whole(it, held)))
+}
+
 async fn read_lot<D: Dialect>(
     node: &Rc<Node<D>>,
     reader: LotReader<'_>,
     lot: &str,
     after: usize,
     wait: Duration,
+    held: &HeldBytes,
 ) -> Result<LotPage, Refusal> {
     let requested_at = node.clock.now();
     let position = ReaderPosition {
@@ -113,6 +132,9 @@
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
+    let page_bytes = |known: &CachedLot| known.page_size(after).1 * ENCODED_PERCENT / 100;
+    let bytes = node.lot_cache.borrow().get(lot).map_or(0, page_bytes);
+    held.reserve(bytes).await?;
     let cache = node.lot_cache.borrow();
     let known = cache.get(lot).ok_or_else(store_unavailable)?;
     let state = known.state();
@@ -303,7 +325,8 @@
     reader: LotReader<'_>,
     lot: &str,
     item: &str,
-) -> Answer<D> {
+    held: &HeldBytes,
+) -> Result<Response<Bytes>, Refusal> {
     ensure_known(node, reader, lot).await?;
     let range = KeyRange::Prefix(keys::items(lot));
     let answer = node
@@ -314,8 +337,9 @@
     for pair in &answer.pairs {
         let items: Vec<LotItem> = from_packed(pair).map_err(|error| damaged(&error))?;
         if let Some(found) = items.into_iter().find(|it| it.id == item) {
+            held.reserve(found.body.len()).await?;
             let body = Bytes::from(found.body);
-            return Ok(<D::Callers as CallerDialect>::item_body(body).map(AnswerBody::whole));
+            return Ok(<D::Callers as CallerDialect>::item_body(body));
         }
     }
     Err(RefusalCause::NoSuchLot.into())
--- a/crates/serving/src/memory/held_bytes.rs
+++ b/crates/serving/src/memory/held_bytes.rs
@@ -14,6 +14,8 @@
 /// How often a body asks for room before it is refused: half a second passes. Its caller is
 /// better told to come back than left waiting.
 const MAX_BODY_ASKS: u32 = 50;
+/// The same for an answer that isn't built yet.
+const MAX_ANSWER_ASKS: u32 = 50;
 
 /// Bytes that are held for a request. They are returned when this is dropped.
 #[derive(Debug)]
@@ -59,6 +61,26 @@
         }
     }
 
+    /// Reserves the bytes of an answer that this daemon gives itself, before it is built.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if there is no room within a moment. Nothing of it has run.
+    pub async fn reserve(&self, bytes: usize) -> Result<(), Refusal> {
+        for _ in 0..MAX_ANSWER_ASKS {
+            match self.take(bytes) {
+                MemoryDecision::Granted => return Ok(()),
+                MemoryDecision::Ended => break,
+                MemoryDecision::Wait | MemoryDecision::Refused { .. } => {
+                    tokio::time::sleep(RETRY_INTERVAL).await;
+                }
+            }
+        }
+        self.memory.log_refusal(&self.label, bytes as u64);
+        let waited = RETRY_INTERVAL * MAX_ANSWER_ASKS;
+        Err(Refusal::new(RefusalCause::NoMemory).retry_after(waited))
+    }
+
     /// Returns the reservation of a request's body.
     pub fn for_body(&mut self) -> BodyReservation<'_> {
         BodyReservation(self)
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -168,7 +168,8 @@
             request: &caller.request_id,
             former_host,
         };
-        return lots::answer_lot_request(node, reader, caller.ask).await;
+        let label = holder_label(Some(&customer), &caller, connection);
+        return lots::answer_lot_request(node, reader, caller.ask, &label).await;
     }
     let route = fleet.route(&caller.host, head.uri.path());
     let route = route.ok_or(RefusalCause::NoRoute)?;
