--- a/crates/node/tests/late_crashes.rs
+++ b/crates/node/tests/late_crashes.rs
@@ -32,6 +32,17 @@
     moments
 }
 
+/// Starts a fleet whose engines are crashed by one body after their first events.
+async fn fleet_with_crashes() -> Fleet {
+    let fleet = Fleet::new().await.with_further_engines(2).await;
+    let fleet = fleet.with_daemons().await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for engine in ENGINES {
+        fleet.servers[engine].set_crashing_body(CRASHING_BODY, 2, fleet.store.clone());
+    }
+    fleet
+}
+
 async fn send(fleet: &Fleet, daemon: usize, path: &str, id: &str, body: &[u8]) -> bool {
     let call = CallerRequest::post(path, id, body).header("x-prompt-prefix", PROMPT);
     let response = fleet.send(daemon, call).await;
@@ -44,12 +55,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_servers_after_the_first_event_is_not_sent_on() {
     for route in ["/drafts/bad", "/once/bad"] {
-        let fleet = Fleet::new().await.with_further_engines(2).await;
-        let fleet = fleet.with_daemons().await;
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-        for engine in ENGINES {
-            fleet.servers[engine].set_crashing_body(CRASHING_BODY, 2, fleet.store.clone());
-        }
+        let fleet = fleet_with_crashes().await;
         let until = Instant::now() + LOAD_TIME;
         let bad = async {
             let mut number = 0;
@@ -85,12 +91,7 @@
 /// since some of them were at servers that another request crashed.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_sound_request_beside_crashes_is_served_on() {
-    let fleet = Fleet::new().await.with_further_engines(2).await;
-    let fleet = fleet.with_daemons().await;
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
-    for engine in ENGINES {
-        fleet.servers[engine].set_crashing_body(CRASHING_BODY, 2, fleet.store.clone());
-    }
+    let fleet = fleet_with_crashes().await;
     let until = Instant::now() + LOAD_TIME;
     let crashes = async {
         let mut number = 0;
--- a/crates/policy/src/lots/failure_count.rs
+++ b/crates/policy/src/lots/failure_count.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Pause after a whole failure of a server, or a run that didn't begin.
+/// Pause after a whole failure of a server.
 const FAULT_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after the first failure that isn't known to be whole, and by how much it grows with
 /// each. The item may really fail, so it isn't run often.
@@ -58,16 +58,17 @@
 impl FailureCount {
     /// Counts a failure. Returns how long the item waits after it.
     pub fn record(&mut self, kind: ItemFailureKind) -> Duration {
+        let count = match kind {
+            ItemFailureKind::Failed => &mut self.faults,
+            ItemFailureKind::UndelimitedImpossible => &mut self.undelimited_impossible,
+            ItemFailureKind::UndelimitedFailed => &mut self.undelimited_failed,
+            ItemFailureKind::CutOff => &mut self.cut_off,
+        };
+        *count = count.saturating_add(1);
         match kind {
-            ItemFailureKind::Failed => {
-                self.faults += 1;
-                return FAULT_PAUSE;
-            }
-            ItemFailureKind::UndelimitedImpossible => self.undelimited_impossible += 1,
-            ItemFailureKind::UndelimitedFailed => self.undelimited_failed += 1,
-            ItemFailureKind::CutOff => self.cut_off += 1,
+            ItemFailureKind::Failed => FAULT_PAUSE,
+            _ => self.unproven_pause(kind == ItemFailureKind::CutOff),
         }
-        self.unproven_pause(kind == ItemFailureKind::CutOff)
     }
 
     /// Returns how long the item waits at a daemon that takes its lot over. How much of its
@@ -85,12 +86,14 @@
     /// What those may have seen shortens the wait for further failures, but is no evidence
     /// itself.
     pub fn is_final(&self, attempts: u32, lost_daemons: u32) -> bool {
-        let is_impossible = self.undelimited_impossible > 0
-            && self.undelimited_impossible + lost_daemons >= MAX_UNDELIMITED_IMPOSSIBLE;
+        let impossible = self.undelimited_impossible;
+        let is_impossible =
+            impossible > 0 && impossible.saturating_add(lost_daemons) >= MAX_UNDELIMITED_IMPOSSIBLE;
+        let failed = self.undelimited_failed;
         let max_failed = attempts.saturating_mul(UNDELIMITED_FAILURES_PER_ATTEMPT);
-        let has_failed = self.faults + self.undelimited_failed >= attempts
-            && self.undelimited_failed > 0
-            && self.undelimited_failed + lost_daemons >= max_failed;
+        let has_failed = failed > 0
+            && self.faults.saturating_add(failed) >= attempts
+            && failed.saturating_add(lost_daemons) >= max_failed;
         self.faults >= attempts || is_impossible || has_failed
     }
 
@@ -100,7 +103,10 @@
     }
 
     fn unproven(&self) -> u32 {
-        self.undelimited_impossible + self.undelimited_failed + self.cut_off
+        let undelimited = self
+            .undelimited_impossible
+            .saturating_add(self.undelimited_failed);
+        undelimited.saturating_add(self.cut_off)
     }
 
     fn unproven_pause(&self, is_cut_off: bool) -> Duration {
