Placement: what is left of a surplus is nothing for items only

Cause: the least surplus of 0.05 requests, which items need to get a slot of a server with one or two, also changed the costs and waits of live requests. They count the remainder as before now.

--- a/crates/policy/src/placement/server_entry.rs
+++ b/crates/policy/src/placement/server_entry.rs
@@ -28,6 +28,10 @@
 /// daemons have reported their counts to each other. Without them each such request
 /// preempts an item.
 const BULK_RESERVED_SLOTS: u32 = 1;
+/// The requests that only a server's report accounts for, below which items count none. What
+/// is left of an old report would otherwise keep items off a server of which all free slots
+/// count.
+const MIN_BULK_SURPLUS: f64 = 0.05;
 
 #[derive(Clone, Debug)]
 pub(super) struct ServerEntry {
@@ -138,7 +142,11 @@
 
     pub(super) fn free_bulk_slots(&self, now: Timestamp) -> f64 {
         let total = self.load.total(now);
-        let used = f64::from(total.live) + f64::from(total.bulk) + self.load.surplus(now);
+        let mut used = f64::from(total.live) + f64::from(total.bulk);
+        let surplus = self.load.surplus(now);
+        if surplus >= MIN_BULK_SURPLUS {
+            used += surplus;
+        }
         // A server whose only slot stayed free would never get an item.
         let reserved = BULK_RESERVED_SLOTS.min(self.load.slots.saturating_sub(1));
         f64::from(self.load.slots) - f64::from(reserved) - used
--- a/crates/policy/src/placement/server_load.rs
+++ b/crates/policy/src/placement/server_load.rs
@@ -31,9 +31,6 @@
 /// The time constant with which the surplus of a server's report over the daemons'
 /// reports decays.
 const SURPLUS_DECAY_TIME: Duration = Duration::from_millis(300);
-/// The surplus, in requests, below which there is none. What is left of an old one would
-/// otherwise keep items off a server of which all free slots count.
-const MIN_SURPLUS: f64 = 0.05;
 
 /// What a slot is used for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,8 +177,7 @@
     /// Returns the requests that only the server's report accounts for.
     pub(super) fn surplus(&self, now: Timestamp) -> f64 {
         let age = now.since(self.surplus_at).as_secs_f64() / SURPLUS_DECAY_TIME.as_secs_f64();
-        let surplus = self.surplus * (-age).exp();
-        if surplus < MIN_SURPLUS { 0.0 } else { surplus }
+        self.surplus * (-age).exp()
     }
 
     pub(super) fn is_ejected(&self, now: Timestamp) -> bool {
