--- a/crates/standins/src/kv/endpoint.rs
+++ b/crates/standins/src/kv/endpoint.rs
@@ -81,12 +81,13 @@
     }
 }
 
-/// Returns a field of a request's query, or an empty text.
+/// Returns a field of a request's query, or an empty text. As at the platform, a percent sign
+/// with two digits is a byte, and a plus sign a blank.
 fn query_field(request: &Request<Incoming>, name: &str) -> String {
-    let fields = request.uri().query().unwrap_or_default().split('&');
-    let mut named = fields.filter_map(|it| it.split_once('='));
-    let found = named.find(|it| it.0 == name);
-    found.map_or_else(String::new, |it| it.1.to_owned())
+    let query = request.uri().query().unwrap_or_default();
+    let mut fields = form_urlencoded::parse(query.as_bytes());
+    let found = fields.find(|it| it.0 == name);
+    found.map_or_else(String::new, |it| it.1.into_owned())
 }
 
 async fn answer(
--- a/crates/standins/src/kv/state.rs
+++ b/crates/standins/src/kv/state.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -12,6 +15,8 @@
 
 /// The size in bytes of the values in a page of a listing, unless its only value is larger.
 const PAGE_BYTES: usize = 1_000_000;
+/// The number of entries in a page of a listing, unless a test sets another one.
+const PAGE_ENTRIES: usize = 500;
 
 /// A key with its value and when it was written.
 #[serde_as]
@@ -131,6 +136,8 @@
 #[derive(Debug, Default)]
 pub struct KvState {
     tables: Mutex<Tables>,
+    /// The number of entries in a page of a listing; 0 for [`PAGE_ENTRIES`].
+    page_entries: AtomicUsize,
     pub(super) changed: Notify,
 }
 
@@ -156,6 +163,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets the number of entries in a page of a listing.
+    pub fn set_page_entries(&self, entries: usize) {
+        self.page_entries.store(entries, Ordering::SeqCst);
+    }
+
     /// Drops the history of changes, so that watches from an older revision fail and must
     /// list the keys again.
     pub fn drop_history(&self) {
@@ -184,6 +196,10 @@
     }
 
     pub(super) fn range(&self, prefix: &str, after: &str) -> RangePage {
+        let page_entries = match self.page_entries.load(Ordering::SeqCst) {
+            0 => PAGE_ENTRIES,
+            entries => entries,
+        };
         let mut tables = self.lock();
         tables.expire_leases();
         let matching = tables.entries.values();
@@ -194,7 +210,8 @@
         let mut bytes = 0;
         while let Some(next) = matching.peek() {
             bytes += next.value.len();
-            if bytes > PAGE_BYTES && !items.is_empty() {
+            let is_full = bytes > PAGE_BYTES && !items.is_empty();
+            if is_full || items.len() == page_entries {
                 break;
             }
             items.extend(matching.next().cloned());
