Headers: ids beyond ASCII are recognized in answers

Callers saw: a request whose id isn't ASCII was run and answered, and its caller got 502. An item with such an id goes the same way (not run on the code before).

Cause: header values were read only if they are ASCII. The answer counted as one without an id, so as that to another request.

Change: header values are read as UTF-8, as they are sent.

--- a/crates/node/tests/fleet/callers.rs
+++ b/crates/node/tests/fleet/callers.rs
@@ -167,7 +167,7 @@
             .method(call.method)
             .uri(format!("http://{address}{}", call.path))
             .header("host", HOST)
-            .header("x-request-id", call.id)
+            .header("x-request-id", call.id.as_bytes())
             .header("x-deadline-ms", "5000")
             .header("x-wait-ms", call.wait_ms)
             .header("api-key", call.key);
--- a/crates/node/tests/odd_ids.rs
+++ b/crates/node/tests/odd_ids.rs
@@ -9,10 +9,14 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use comfreyramp_http::StatusCode;
 use fleet::{CallerRequest, Fleet, expected_output};
 use serde_json::json;
 
+/// How long daemons may take to follow a change.
+const APPLY_TIME: Duration = Duration::from_millis(1_500);
 /// Ids of items, and how callers escape them in a query.
 const ODD_ITEMS: [(&str, &str); 8] = [
     ("a&b", "a%26b"),
@@ -60,3 +64,27 @@
         assert_eq!(result["output"], expected_output());
     }
 }
+
+/// Guards against requests that are sent to a server without its name, run without an answer,
+/// or never run, because an id isn't ASCII.
+#[tokio::test(flavor = "multi_thread")]
+async fn ids_beyond_ascii_are_sent_and_recognized() {
+    let mut fleet = Fleet::started().await;
+    fleet.add_engine("двигател-1", "zone-1", "v1").await;
+    fleet.servers[0].register(&fleet.store, "draining");
+    fleet.servers[1].register(&fleet.store, "draining");
+    tokio::time::sleep(APPLY_TIME).await;
+    let call = CallerRequest::post("/once/1", "requête-1", b"verse");
+    let response = fleet.send(0, call).await.unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.headers()["x-request-id"], "requête-1".as_bytes());
+    let submitted = submit_items(&fleet, "lot-1", &["élément-1"]).await;
+    assert_eq!(submitted, StatusCode::ACCEPTED);
+    let page = fleet.read_finished_lot(0, "lot-1").await;
+    assert_eq!(page["results"][0]["id"], "élément-1");
+    assert_eq!(page["results"][0]["output"], expected_output());
+    for arrival in fleet.servers.last().unwrap().arrivals() {
+        let expected = arrival.headers.get("x-expect-instance");
+        assert_eq!(expected.unwrap(), "двигател-1".as_bytes());
+    }
+}
--- a/crates/standins/src/runner/backend_server.rs
+++ b/crates/standins/src/runner/backend_server.rs
@@ -314,8 +314,8 @@
             .await
             .unwrap_or_default();
         let text = |name: &str| {
-            let value = head.headers.get(name).and_then(|it| it.to_str().ok());
-            value.unwrap_or_default().to_owned()
+            let value = head.headers.get(name).map(|it| it.as_bytes());
+            String::from_utf8_lossy(value.unwrap_or_default()).into_owned()
         };
         let request_id = text("x-request-id");
         let is_expected = text("x-expect-instance") == self.options.id;
@@ -400,7 +400,7 @@
 }
 
 fn set_header(answer: &mut Response<MessageBody>, name: &'static str, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
+    if let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) {
         answer.headers_mut().insert(name, value);
     }
 }
