Directory: an entry whose name no header can hold names no server

Callers saw: requests for one server could be run by whichever server holds its address, also twice, or by one of another service after the address was given away.

Cause: a server's name is the last part of its entry's key, which may be any text. A name with control characters, with blanks around it or without any character reaches no server in the header by which it tells whether the request is meant for it. The header was left out, and the request sent without the check.

--- a/crates/node/tests/odd_names.rs
+++ b/crates/node/tests/odd_names.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use comfreyramp_http::StatusCode;
+use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest};
 use fleet::{CallerRequest, Fleet, expected_stream};
 
 /// How long daemons may take to follow a change.
@@ -149,3 +150,31 @@
     let new = fleet.servers.last().unwrap();
     assert_eq!(new.arrivals().len(), REQUESTS);
 }
+
+/// Guards against requests that a server runs without a check that it is the one that is
+/// meant, since no header can hold the name of its entry.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_name_that_no_header_can_hold_names_no_server() {
+    let fleet = Fleet::started().await;
+    let script = |it: &ScriptedRequest| ScriptedAnswer::stream(it.request.id(), b"id: 1\n\n");
+    let server = fleet.add_scripted_engine(2, script).await;
+    let entry = fleet.store.keys("servers/scripted-1")[0].value.clone();
+    fleet.store.remove("servers/scripted-1");
+    for name in ["", " ", "a\nb", "a\0b", "a\u{7f}b", " a", "a ", "\ta"] {
+        fleet.store.put(&format!("servers/{name}"), &entry);
+    }
+    tokio::time::sleep(APPLY_TIME).await;
+    let mut statuses = Vec::new();
+    for number in 0..REQUESTS {
+        let id = format!("request-{number}");
+        let call = CallerRequest::post("/drafts/1", &id, b"verse");
+        let response = fleet.send(number % 2, call).await.unwrap();
+        statuses.push(response.status());
+    }
+    let received = server.requests();
+    let meant = received
+        .iter()
+        .map(|it| it.request.header("x-expect-instance"));
+    assert_eq!(meant.collect::<Vec<_>>(), [""; 0], "requests by server");
+    assert_eq!(statuses, [StatusCode::SERVICE_UNAVAILABLE; REQUESTS]);
+}
