Lots: items whose ids no header can hold are refused

Callers saw: a lot with an item whose id is empty, holds a control character or has blanks around it was accepted with 202. Servers get such an item without an id or with another one, so that no answer of theirs can be told to be its own.

Cause: what no header can hold was left out of the request for the item, so that the check at the acceptance, whether a request can be built of each item, passed.

Evidence: items_whose_ids_no_header_can_hold_are_refused got 202 before (seen for the empty id, at which it stopped) and gets 400 for each of its six ids with the change.

Change: no request is built of such an item.

--- a/crates/node/tests/odd_ids.rs
+++ b/crates/node/tests/odd_ids.rs
@@ -88,3 +88,18 @@
         assert_eq!(expected.unwrap(), "двигател-1".as_bytes());
     }
 }
+
+/// Guards against items that are accepted although servers can't get their ids, and so run
+/// them never or without a mark of which item it is.
+#[tokio::test(flavor = "multi_thread")]
+async fn items_whose_ids_no_header_can_hold_are_refused() {
+    let fleet = Fleet::started().await;
+    for (number, id) in ["", " ", "a\nb", "a\0b", " a", "a "]
+        .into_iter()
+        .enumerate()
+    {
+        let lot = format!("lot-{number}");
+        let submitted = submit_items(&fleet, &lot, &["plain", id]).await;
+        assert_eq!(submitted, StatusCode::BAD_REQUEST, "{id:?}");
+    }
+}
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -80,12 +80,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if the item's path or headers aren't valid in an HTTP request.
+    /// Fails if the item's path or headers aren't valid in an HTTP request, or no header can
+    /// hold its id.
     fn item_request(
         item: &LotItem,
         host: &str,
         metadata: &RequestMetadata<'_>,
-    ) -> Result<Request<Bytes>, http::Error>;
+    ) -> Result<Request<Bytes>, InvalidRequest>;
 
     /// Returns the parts of the prompt that a request to a server has in common with others,
     /// from its headers.
