Tests: answers that stop within their head or their trailers

The report: clients got a 200 with an empty or short body, framed as whole, after a server had stopped in the middle of its answer's head and closed. It can't be shown here.

--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use comfreyramp_http::bind;
+use comfreyramp_http::{bind, set_reset_on_close};
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -26,6 +26,8 @@
 
 /// When the server started, in Unix milliseconds.
 const BORN: u64 = 1;
+/// The delay of a reset after the last byte of its answer.
+const RESET_DELAY: Duration = Duration::from_millis(5);
 
 /// A request that a scripted server received.
 #[derive(Clone, Debug)]
@@ -46,6 +48,8 @@
     /// What is sent after that again and again, each time after a delay.
     endless: Option<(Duration, Vec<u8>)>,
     closes: bool,
+    /// Whether its connection is reset rather than closed in the ordinary way.
+    resets: bool,
 }
 
 impl ScriptedAnswer {
@@ -63,6 +67,17 @@
         answer
     }
 
+    /// Returns bytes that may end anywhere, also within a head, after which the connection is
+    /// closed or reset.
+    pub fn cut_bytes(bytes: &[u8], resets: bool) -> Self {
+        ScriptedAnswer {
+            bytes: bytes.to_vec(),
+            closes: true,
+            resets,
+            ..ScriptedAnswer::default()
+        }
+    }
+
     /// Returns an answer with neither a length nor chunks, whose body ends with its
     /// connection.
     pub fn until_close(status: u16, id: &str, body: &[u8]) -> Self {
@@ -277,6 +292,12 @@
             if let Some((interval, piece)) = &answer.endless {
                 return self.repeat(&mut stream, *interval, piece).await;
             }
+            if answer.resets {
+                // A reset at once would take away what hasn't been read of the answer.
+                tokio::time::sleep(RESET_DELAY).await;
+                set_reset_on_close(&stream, true);
+                return;
+            }
             if answer.closes {
                 break;
             }
