Tests: random names of entries while daemons restart one by one and all at once

Entries of other writers are put and removed under random names in all lists, of one to four entries a page, while daemons are killed and restarted in overlapping series and callers go on using their open connections. At last all are killed and restarted with the entries in place. All requests are served then, a lot is run, and a new server is found from lists that are read again.

Two seeds run in the check script, others by SOAK_SEEDS.

--- a/crates/node/tests/odd_names.rs
+++ b/crates/node/tests/odd_names.rs
@@ -1,5 +1,12 @@
 //! Entries of other writers whose names hold characters that have a meaning in a query, in
 //! lists of several pages.
+//!
+//! `SOAK_SEEDS=100,101` runs other seeds of random names and restarts than those of the check
+//! script:
+//!
+//! ```text
+//! SOAK_SEEDS=100,101 cargo test -p comfreyramp-node --test odd_names random -- --nocapture
+//! ```
 
 #![allow(
     clippy::unwrap_used,
@@ -11,9 +18,12 @@
 
 use std::time::Duration;
 
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
+
 use comfreyramp_http::StatusCode;
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest};
-use fleet::{CallerRequest, Fleet, expected_stream};
+use fleet::{CallerRequest, Callers, Fleet, expected_stream};
+use tokio_util::sync::CancellationToken;
 
 /// How long daemons may take to follow a change.
 const APPLY_TIME: Duration = Duration::from_millis(1_500);
@@ -63,6 +73,16 @@
     "lots/claim/",
 ];
 
+/// The seeds of the check script.
+const SEEDS: [u64; 2] = [1, 2];
+/// The number of rounds of changes and restarts of a seed.
+const ROUNDS: usize = 3;
+/// What random names are made of.
+const NAME_PARTS: [&str; 24] = [
+    "&", "+", "#", "%", " ", "=", "?", "/", "%2", "%26", "%7e", "%00", "\0", "\n", "\"", "\\", "é",
+    "😀", "after=", "prefix=", "a", "e", "z", "~",
+];
+
 /// Kills all daemons and starts them again, and waits until they are ready.
 async fn restart_all(fleet: &mut Fleet) {
     for daemon in 0..fleet.daemons.len() {
@@ -87,6 +107,22 @@
     assert_eq!(served, REQUESTS, "served with {round:?} in the list");
 }
 
+/// Asserts that lots are run, and that lists are read again where the history of changes is
+/// gone: a new server is used in place of those that are drained.
+async fn assert_follows(fleet: &mut Fleet, round: &str) {
+    let submitted = fleet.submit_lot(1, "lot-after", &["one"]).await;
+    assert_eq!(submitted, Ok(StatusCode::ACCEPTED), "{round}");
+    fleet.read_finished_lot(0, "lot-after").await;
+    fleet.store.drop_history();
+    fleet.add_engine("engine-new", "zone-1", "v1").await;
+    fleet.servers[0].register(&fleet.store, "draining");
+    fleet.servers[1].register(&fleet.store, "draining");
+    tokio::time::sleep(APPLY_TIME).await;
+    assert_serves(fleet, round).await;
+    let new = fleet.servers.last().unwrap();
+    assert_eq!(new.arrivals().len(), REQUESTS, "{round}");
+}
+
 /// Guards against a restart after which no request is served, since the list of servers has a
 /// name at the end of its first page that changes the query for the second.
 #[tokio::test(flavor = "multi_thread")]
@@ -137,18 +173,7 @@
     restart_all(&mut fleet).await;
     assert_serves(&fleet, "all names").await;
     fleet.read_finished_lot(1, "lot-before").await;
-    let submitted = fleet.submit_lot(1, "lot-after", &["one"]).await;
-    assert_eq!(submitted, Ok(StatusCode::ACCEPTED));
-    fleet.read_finished_lot(0, "lot-after").await;
-    // Daemons list all keys again where the history of changes is gone.
-    fleet.store.drop_history();
-    fleet.add_engine("engine-new", "zone-1", "v1").await;
-    fleet.servers[0].register(&fleet.store, "draining");
-    fleet.servers[1].register(&fleet.store, "draining");
-    tokio::time::sleep(APPLY_TIME).await;
-    assert_serves(&fleet, "all names").await;
-    let new = fleet.servers.last().unwrap();
-    assert_eq!(new.arrivals().len(), REQUESTS);
+    assert_follows(&mut fleet, "all names").await;
 }
 
 /// Guards against requests that a server runs without a check that it is the one that is
@@ -178,3 +203,109 @@
     assert_eq!(meant.collect::<Vec<_>>(), [""; 0], "requests by server");
     assert_eq!(statuses, [StatusCode::SERVICE_UNAVAILABLE; REQUESTS]);
 }
+
+fn random_name(random: &mut StdRng) -> String {
+    let parts = random.random_range(1..=6);
+    let name = (0..parts).filter_map(|_| NAME_PARTS.choose(random));
+    name.copied().collect()
+}
+
+/// Puts and removes entries of other writers in all lists, kills some daemons or all meanwhile,
+/// and starts them again.
+async fn change_and_restart(fleet: &mut Fleet, keys: &mut Vec<String>, random: &mut StdRng) {
+    let kills_all = random.random_bool(0.5);
+    let daemons = fleet.daemons.len();
+    let killed: Vec<bool> = (0..daemons)
+        .map(|_| kills_all || random.random_bool(0.5))
+        .collect();
+    let mut steps = Vec::new();
+    steps.extend((0..daemons).filter(|it| killed[*it]).map(Some));
+    steps.extend([None; 20]);
+    for _ in 0..steps.len() {
+        let step = steps.swap_remove(random.random_range(0..steps.len()));
+        match step {
+            Some(daemon) => fleet.kill(daemon),
+            None if random.random_bool(0.3) && !keys.is_empty() => {
+                let key = keys.swap_remove(random.random_range(0..keys.len()));
+                fleet.store.remove(&key);
+            }
+            None => {
+                let prefix = PREFIXES.choose(random).unwrap();
+                let key = format!("{prefix}{}", random_name(random));
+                fleet.store.put(&key, ODD_VALUE);
+                keys.push(key);
+            }
+        }
+        if random.random_bool(0.1) {
+            fleet.store.drop_history();
+        }
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..60))).await;
+    }
+    for daemon in (0..daemons).filter(|it| killed[*it]) {
+        fleet.restart(daemon);
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..400))).await;
+    }
+}
+
+/// Sends requests over open connections until `stop` is cancelled. While daemons restart they
+/// may be refused or broken off. Returns the number of whole answers.
+async fn send_requests(callers: Callers, daemon: usize, stop: CancellationToken) -> usize {
+    let mut whole = 0;
+    for number in 0.. {
+        if stop.is_cancelled() {
+            break;
+        }
+        let id = format!("open-{daemon}-{number}");
+        let call = CallerRequest::post("/drafts/1", &id, b"verse");
+        match callers.send(daemon, call).await {
+            Ok(response) if response.status() == StatusCode::OK => {
+                assert_eq!(response.body(), &expected_stream());
+                whole += 1;
+            }
+            _ => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+    whole
+}
+
+async fn run_seed(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut fleet = Fleet::started().await;
+    fleet.store.set_page_entries(random.random_range(1..=4));
+    let stop = CancellationToken::new();
+    let senders = [0, 1].map(|daemon| {
+        let sending = send_requests(fleet.callers(), daemon, stop.clone());
+        tokio::spawn(sending)
+    });
+    let mut keys = Vec::new();
+    for _ in 0..ROUNDS {
+        change_and_restart(&mut fleet, &mut keys, &mut random).await;
+    }
+    restart_all(&mut fleet).await;
+    stop.cancel();
+    let mut whole = 0;
+    for sender in senders {
+        whole += sender.await.unwrap();
+    }
+    eprintln!(
+        "seed {seed}: {} odd entries, {whole} whole answers: {keys:?}",
+        keys.len()
+    );
+    let round = format!("seed {seed}");
+    assert_serves(&fleet, &round).await;
+    assert_follows(&mut fleet, &round).await;
+}
+
+/// Guards against random names of entries that stop the service, or the following of a list,
+/// while daemons restart one by one and all at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_names_stop_nothing_while_daemons_restart() {
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_default();
+    let mut seeds: Vec<u64> = seeds.split(',').filter_map(|it| it.parse().ok()).collect();
+    if seeds.is_empty() {
+        seeds = SEEDS.to_vec();
+    }
+    for seed in seeds {
+        run_seed(seed).await;
+    }
+}
