Lots: an open mark under an id that no lot can have names no lot

Callers saw nothing. Another writer lost its entries: those under `lots/open/` were claimed as lots, found to have no items and deleted. One with a name so long that the keys of its lot are longer than the store takes would be claimed again each second (read, not run).

Cause: each name in the list of open lots was taken for the id of a lot.

Evidence: an_odd_name_among_open_lots_names_no_lot found 0 of 27 such entries left 5 s after they were written, and 27 with the change.

Change: names that no accepted lot can have are left out where open lots are listed.

--- a/crates/node/tests/odd_names.rs
+++ b/crates/node/tests/odd_names.rs
@@ -176,6 +176,25 @@
     assert_follows(&mut fleet, "all names").await;
 }
 
+/// Guards against entries of other writers that are claimed as lots and deleted, or claimed
+/// again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_name_among_open_lots_names_no_lot() {
+    let fleet = Fleet::started().await;
+    let long_name = "x".repeat(150);
+    for name in ODD_NAMES.into_iter().chain([long_name.as_str()]) {
+        fleet.store.put(&format!("lots/open/{name}"), ODD_VALUE);
+    }
+    let submitted = fleet.submit_lot(0, "lot-1", &["one"]).await;
+    assert_eq!(submitted, Ok(StatusCode::ACCEPTED));
+    fleet.read_finished_lot(1, "lot-1").await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let left = fleet.store.keys("lots/open/");
+    assert_eq!(left.len(), ODD_NAMES.len() + 1);
+    assert!(left.iter().all(|it| it.value == ODD_VALUE));
+    assert_eq!(fleet.store.keys("lots/claim/").len(), 0);
+}
+
 /// Guards against requests that a server runs without a check that it is the one that is
 /// meant, since no header can hold the name of its entry.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/serving/src/lots/worker/claims.rs
+++ b/crates/serving/src/lots/worker/claims.rs
@@ -93,6 +93,8 @@
                 Ok(answer) => {
                     let marks = answer.pairs.iter().map(|it| it.key.as_str());
                     let lots = marks.filter_map(|it| it.strip_prefix(keys::OPEN));
+                    // No lot is accepted under another id: such a mark is of another writer.
+                    let lots = lots.filter(|it| keys::is_usable_id(it));
                     let lots = lots.map(str::to_owned);
                     // Sending fails only at the end of the process, since the worker
                     // outlives its tasks otherwise.
