--- a/crates/node/tests/odd_names.rs
+++ b/crates/node/tests/odd_names.rs
@@ -63,7 +63,7 @@
     "&prefix=op/",
 ];
 /// The prefixes of all lists that daemons follow or read.
-const PREFIXES: [&str; 7] = [
+const PREFIXES: [&str; 8] = [
     "servers/",
     "op/",
     "op/retire/",
@@ -71,6 +71,7 @@
     "fleet/members/",
     "lots/open/",
     "lots/claim/",
+    "lots/data/",
 ];
 
 /// The seeds of the check script.
@@ -170,9 +171,18 @@
     let bodies = ["takes 4000", "takes 4000"];
     let submitted = fleet.submit_lot(0, "lot-before", &bodies).await;
     assert_eq!(submitted, Ok(StatusCode::ACCEPTED));
+    for name in ODD_NAMES {
+        let key = format!("lots/data/lot-before/{name}");
+        fleet.store.put(&key, ODD_VALUE);
+    }
     restart_all(&mut fleet).await;
     assert_serves(&fleet, "all names").await;
     fleet.read_finished_lot(1, "lot-before").await;
+    fleet.kill(0);
+    fleet.restart(0);
+    fleet.wait_ready().await;
+    assert_serves(&fleet, "all names").await;
+    fleet.read_finished_lot(0, "lot-before").await;
     assert_follows(&mut fleet, "all names").await;
 }
 
