--- a/crates/node/tests/odd_names.rs
+++ b/crates/node/tests/odd_names.rs
@@ -338,3 +338,16 @@
         run_seed(seed).await;
     }
 }
+
+/// Guards against requests that fail where a server's entry stands a second time, under an odd
+/// name: the server refuses what isn't meant for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_an_entry_under_an_odd_name_costs_no_request() {
+    let mut fleet = Fleet::started().await;
+    let entry = fleet.store.keys("servers/engine-1")[0].value.clone();
+    fleet.store.put("servers/a&b", &entry);
+    restart_all(&mut fleet).await;
+    for round in ["first", "second", "third"] {
+        assert_serves(&fleet, round).await;
+    }
+}
