--- a/crates/node/tests/odd_names.rs
+++ b/crates/node/tests/odd_names.rs
@@ -18,11 +18,10 @@
 
 use std::time::Duration;
 
-use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
-
 use comfreyramp_http::StatusCode;
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest};
 use fleet::{CallerRequest, Callers, Fleet, expected_stream};
+use rand::{Rng, SeedableRng, rngs::StdRng, seq::IndexedRandom};
 use tokio_util::sync::CancellationToken;
 
 /// How long daemons may take to follow a change.
@@ -108,6 +107,16 @@
     assert_eq!(served, REQUESTS, "served with {round:?} in the list");
 }
 
+/// Asserts that requests are served after all daemons were restarted while an entry stood in
+/// the list of servers under this name.
+async fn assert_serves_beside(fleet: &mut Fleet, name: &str) {
+    let key = format!("servers/{name}");
+    fleet.store.put(&key, ODD_VALUE);
+    restart_all(fleet).await;
+    assert_serves(fleet, name).await;
+    fleet.store.remove(&key);
+}
+
 /// Asserts that lots are run, and that lists are read again where the history of changes is
 /// gone: a new server is used in place of those that are drained.
 async fn assert_follows(fleet: &mut Fleet, round: &str) {
@@ -134,11 +143,7 @@
         fleet.store.put(&key, ODD_VALUE);
     }
     for name in ["b&c", "b+c", "b#c", "b%c", "b c"] {
-        let key = format!("servers/{name}");
-        fleet.store.put(&key, ODD_VALUE);
-        restart_all(&mut fleet).await;
-        assert_serves(&fleet, name).await;
-        fleet.store.remove(&key);
+        assert_serves_beside(&mut fleet, name).await;
     }
 }
 
@@ -149,11 +154,7 @@
     let mut fleet = Fleet::started().await;
     fleet.store.set_page_entries(1);
     for name in ["%7e", "%7Ex"] {
-        let key = format!("servers/{name}");
-        fleet.store.put(&key, ODD_VALUE);
-        restart_all(&mut fleet).await;
-        assert_serves(&fleet, name).await;
-        fleet.store.remove(&key);
+        assert_serves_beside(&mut fleet, name).await;
     }
 }
 
