State reports: a report whose head doesn't determine its body confirms nothing

A run went on at a server whose report bore a length beside chunks, an unknown coding, or chunks behind another coding. Callers saw nothing of it here; the report says which process an item or a stream may go on at, so that a wrong one joins two runs.

Cause: the report is read by a function of its own that looked at the status only, as live requests and items did at the field's name.

It asks `BodyFraming` too now. Without a report that can be relied on, the request isn't sent, and the item waits.

--- a/crates/node/tests/spoilt_heads.rs
+++ b/crates/node/tests/spoilt_heads.rs
@@ -331,3 +331,47 @@
 async fn an_item_whose_answers_head_is_spoilt_runs_again() {
     assert_run_again(other_heads().into_iter().step_by(3).collect()).await;
 }
+
+/// Guards against items that go on at a server by a report that can't be relied on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_state_report_with_an_unknown_framing_confirms_no_run() {
+    const REPORT: &str = r#"{"born":1}"#;
+    let (first, second) = EVENTS.split_at(15);
+    let script = move |it: &ScriptedRequest| match it.request.header("last-event-id") {
+        "" => ScriptedAnswer::cut(200, it.request.id(), first),
+        _ => ScriptedAnswer::stream(it.request.id(), second),
+    };
+    let fleet = Fleet::started().await;
+    let server = fleet.add_scripted_engine(2, script).await;
+    let chunks = format!("a\r\n{REPORT}\r\n0\r\n\r\n");
+    let report = |framing: &str, body: &str| {
+        format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n{body}").into_bytes()
+    };
+    let reports = [
+        report("content-length: 10\r\ntransfer-encoding: chunked", &chunks),
+        report("transfer-encoding: gzip, chunked", &chunks),
+        report("transfer-encoding: identity\r\ncontent-length: 10", REPORT),
+    ];
+    let lots = ["lot-1", "lot-2", "lot-3"];
+    for (report, lot) in reports.iter().zip(lots) {
+        server.set_report(report);
+        let queries = server.state_queries();
+        let submitted = fleet.submit_lot(0, lot, &["one"]).await;
+        assert_eq!(submitted, Ok(StatusCode::ACCEPTED));
+        fleet
+            .eventually("the state is asked for", async || {
+                server.state_queries() > queries
+            })
+            .await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let requests = server.requests().into_iter();
+        let mut last_events = requests.map(|it| it.request.header("last-event-id").to_owned());
+        let resumed = last_events.find(|it| !it.is_empty());
+        assert_eq!(resumed, None, "{}", report.escape_ascii());
+    }
+    server.set_report(&report("content-length: 10", REPORT));
+    for lot in lots {
+        let page = fleet.read_finished_lot(1, lot).await;
+        assert_eq!(page["results"][0]["output"], "a\nb", "{lot}");
+    }
+}
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -376,11 +376,13 @@
     address: SocketAddr,
 ) -> Option<u64> {
     let asking = async {
-        let response = connection.send(state_query::<D>(address)).await.ok()?;
-        if !response.status().is_success() {
+        let query = state_query::<D>(address);
+        let method = query.method().clone();
+        let (head, body) = connection.send(query).await.ok()?.into_parts();
+        if !head.status.is_success() || BodyFraming::of(&method, &head).is_err() {
             return None;
         }
-        let limited = collect_limited(response.into_body(), MAX_STATE_BYTES);
+        let limited = collect_limited(body, MAX_STATE_BYTES);
         limited.await.ok()
     };
     let report = tokio::time::timeout(CONFIRM_TIMEOUT, asking).await;
--- a/crates/standins/src/runner/scripted_server.rs
+++ b/crates/standins/src/runner/scripted_server.rs
@@ -186,6 +186,9 @@
     /// The address at which it listens.
     pub address: SocketAddr,
     requests: Mutex<Vec<ScriptedRequest>>,
+    /// What answers queries of the server's state.
+    report: Mutex<Vec<u8>>,
+    state_queries: AtomicUsize,
     endless_answers: AtomicUsize,
 }
 
@@ -205,6 +208,8 @@
             id: id.to_owned(),
             address: listener.local_addr()?,
             requests: Mutex::default(),
+            report: Mutex::new(report_answer(BORN).into_bytes()),
+            state_queries: AtomicUsize::new(0),
             endless_answers: AtomicUsize::new(0),
         });
         let shared = server.clone();
@@ -230,6 +235,16 @@
         );
     }
 
+    /// Answers queries of the server's state with these bytes from now on.
+    pub fn set_report(&self, bytes: &[u8]) {
+        *self.report.lock().unwrap_or_else(PoisonError::into_inner) = bytes.to_vec();
+    }
+
+    /// Returns the number of queries of the server's state so far.
+    pub fn state_queries(&self) -> usize {
+        self.state_queries.load(Ordering::SeqCst)
+    }
+
     /// Returns the requests received so far.
     pub fn requests(&self) -> Vec<ScriptedRequest> {
         let requests = self.requests.lock().unwrap_or_else(PoisonError::into_inner);
@@ -267,8 +282,13 @@
         let mut previous_id = None;
         while let Some(request) = RawRequest::read(&mut stream).await {
             if request.path == REPORT_PATH {
-                let report = report_answer(BORN);
-                if stream.write_all(report.as_bytes()).await.is_err() {
+                self.state_queries.fetch_add(1, Ordering::SeqCst);
+                let report = self
+                    .report
+                    .lock()
+                    .unwrap_or_else(PoisonError::into_inner)
+                    .clone();
+                if stream.write_all(&report).await.is_err() {
                     return;
                 }
                 continue;
