Callers: a server's length isn't passed on with a body that the daemon frames

Callers of a resumable stream saw a part of it as complete: where its first server stated a length and broke off, and the rest of another one was longer, the answer ended at the stated length (21 of the 12 events' bytes, in the middle of the second event, in a debug and in a release build). A length that HTTP allows as a list of equal ones (`30, 30`) broke streams off, and a length other than that of a plain body ended the daemon's task in a debug build.

Cause: the server's `content-length` went on to callers as it came, while the daemon decides what the body holds and where it ends: a stream may go on at another server.

The field isn't returned now. A whole body gets its own length, and a stream chunks, whose end says whether it is complete. An answer to HEAD keeps the field, since it stands for a body that isn't sent.

--- a/crates/node/tests/spoilt_heads.rs
+++ b/crates/node/tests/spoilt_heads.rs
@@ -276,6 +276,8 @@
             CHUNKS,
         ),
         ("content-length: 030", EVENTS),
+        ("content-length: 30, 30", EVENTS),
+        ("content-length: 30\r\ncontent-length: 30", EVENTS),
         ("x-empty:", EVENTS),
         ("x!#$%&'*+-.^_`|~0: \u{e9}", EVENTS),
     ]
--- a/crates/serving/src/path/live_request.rs
+++ b/crates/serving/src/path/live_request.rs
@@ -11,7 +11,7 @@
     placement::{LoadShare, Placement, PlacementQuery, PlacementRefusal, PromptPart, WorkKind},
     streams::SoftwareKey,
 };
-use http::{Request, Response, StatusCode, request};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
 
@@ -562,7 +562,7 @@
     ) -> Response<AnswerBody<D>> {
         let mut answer = Response::new(AnswerBody::held(body));
         *answer.status_mut() = head.status;
-        *answer.headers_mut() = <D::Servers as ServerDialect>::returned(head.headers);
+        *answer.headers_mut() = self.returned_headers(head.headers);
         self.record_end("passed_back", head.status);
         answer
     }
@@ -572,7 +572,7 @@
             self.body.release();
         }
         let status = open.head.status;
-        let headers = <D::Servers as ServerDialect>::returned(open.head.headers.clone());
+        let headers = self.returned_headers(open.head.headers.clone());
         let span = self.node.clock.now().since(self.received_at);
         self.node
             .metrics
@@ -588,6 +588,18 @@
         answer
     }
 
+    /// Returns the headers of a server's answer as the caller gets them. The server's length
+    /// isn't among them, as the daemon determines the length of the body itself: where a stream
+    /// goes on at another server, the two differ. Only an answer to HEAD stands for a body that
+    /// isn't sent.
+    fn returned_headers(&self, headers: HeaderMap) -> HeaderMap {
+        let mut returned = <D::Servers as ServerDialect>::returned(headers);
+        if self.head.method != Method::HEAD {
+            returned.remove(header::CONTENT_LENGTH);
+        }
+        returned
+    }
+
     pub(super) fn customer_name(&self) -> &str {
         self.customer.as_ref().map_or("", |it| &it.settings.name)
     }
