comfreyrampd: a stream isn't cut at its first engine's stated length

Callers of `comfreyrampd` saw the same as those of `comfreyramp-node`: where an engine stated a length and broke off after a token, the stream that went on at another engine ended at that length, as complete, within an event. A plain answer with its length as a list of equal ones broke the caller's connection.

Cause: the server's `content-length` went on to callers as it came.

A stream of an engine is returned without the field, in chunks. Other answers hold the server's body as it is, and keep the length as one number.

In the tests, plain services of their own replace the service of the fleet: a server that is missing from the list is used on while it answers, so that a test of a new one beside it may wait for its first request in vain.

--- a/crates/daemon/src/callers/engine_stream.rs
+++ b/crates/daemon/src/callers/engine_stream.rs
@@ -5,6 +5,7 @@
 
 use comfreyramp_http::{
     BodySender, Bytes, ErrorAnswer, EventSplitter, Incoming, MessageBody, Response, RunState,
+    header,
 };
 use comfreyramp_policy::{ServerOutcome, Timestamp};
 use http_body_util::BodyExt;
@@ -53,7 +54,10 @@
     let (sender, body) = MessageBody::stream();
     let mut response = Response::new(body);
     *response.status_mut() = upstream.status();
-    *response.headers_mut() = returned_headers(upstream.headers());
+    let mut headers = returned_headers(upstream.headers());
+    // The stream may go on at another engine, and then has another length.
+    headers.remove(header::CONTENT_LENGTH);
+    *response.headers_mut() = headers;
     let copy = call.claim.as_ref().map(|_| {
         let headers = response.headers().clone();
         AnswerCopy::new(response.status(), headers)
--- a/crates/daemon/src/callers/forwarded.rs
+++ b/crates/daemon/src/callers/forwarded.rs
@@ -52,16 +52,26 @@
     forwarded
 }
 
-/// Returns the backend server's headers without those of its connection.
+/// Returns the backend server's headers without those of its connection, and with the length
+/// of its body as one number.
 pub(super) fn returned_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut forwarded = HeaderMap::with_capacity(headers.len());
+    let mut returned = HeaderMap::with_capacity(headers.len());
     for (name, value) in headers {
-        if name != header::CONTENT_LENGTH && NOT_FORWARDED.binary_search(&name.as_str()).is_ok() {
-            continue;
+        if NOT_FORWARDED.binary_search(&name.as_str()).is_err() {
+            returned.append(name.clone(), value.clone());
         }
-        forwarded.append(name.clone(), value.clone());
     }
-    forwarded
+    if let Some(length) = body_length(headers) {
+        returned.insert(header::CONTENT_LENGTH, length.into());
+    }
+    returned
+}
+
+/// Returns the length that a server states for its body. It may be repeated, in a list or in
+/// several fields; the HTTP library has made sure that all are equal.
+fn body_length(headers: &HeaderMap) -> Option<u64> {
+    let stated = headers.get(header::CONTENT_LENGTH)?.to_str().ok()?;
+    stated.split(',').next()?.trim().parse().ok()
 }
 
 /// Rejects a path, query or body that contains the caller's key.
--- a/crates/daemon/tests/late_answers.rs
+++ b/crates/daemon/tests/late_answers.rs
@@ -9,11 +9,12 @@
 use std::{sync::Arc, time::Duration};
 
 use comfreyramp_http::Method;
-use comfreyramp_settings::{ServiceKind, ServiceSettings};
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use lot_calls::{LotCaller, input};
 use serde_json::json;
-use support::{FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, WholeAnswer, chat, default_settings, vm};
+use support::{
+    FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, WholeAnswer, chat, default_settings, plain_service, vm,
+};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// How many requests a test sends, one after the other.
@@ -95,15 +96,7 @@
         script: impl Fn(&ScriptedRequest) -> ScriptedAnswer + Send + Sync + 'static,
     ) -> LateFleet {
         let mut settings = default_settings();
-        settings.services.push(ServiceSettings {
-            name: "late".to_owned(),
-            kind: ServiceKind::Plain {
-                prefix: "/late".to_owned(),
-            },
-            group: "late".to_owned(),
-            timeout_ms: 20_000,
-            checks_fencing: false,
-        });
+        settings.services.push(plain_service("late"));
         let plan = FleetPlan {
             engines: Vec::new(),
             settings: Some(settings),
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -120,19 +120,24 @@
                 timeout_ms: 20_000,
                 checks_fencing: false,
             },
-            ServiceSettings {
-                name: "proofs".to_owned(),
-                kind: ServiceKind::Plain {
-                    prefix: "/proofs".to_owned(),
-                },
-                group: "proofs".to_owned(),
-                timeout_ms: 20_000,
-                checks_fencing: false,
-            },
+            plain_service("proofs"),
         ],
     }
 }
 
+/// Returns a plain service whose prefix and group have its name.
+pub(crate) fn plain_service(name: &str) -> ServiceSettings {
+    ServiceSettings {
+        name: name.to_owned(),
+        kind: ServiceKind::Plain {
+            prefix: format!("/{name}"),
+        },
+        group: name.to_owned(),
+        timeout_ms: 20_000,
+        checks_fencing: false,
+    }
+}
+
 /// Returns a customer with one key and a rate that no test reaches.
 pub(crate) fn customer(name: &str, key: &str) -> CustomerSettings {
     CustomerSettings {
--- a/crates/daemon/tests/unknown_codings.rs
+++ b/crates/daemon/tests/unknown_codings.rs
@@ -14,7 +14,7 @@
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use lot_calls::{LotCaller, input};
 use serde_json::{Value, json};
-use support::{FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, chat, vm};
+use support::{FleetPlan, KEY, TestFleet, WAIT_TIMEOUT, chat, default_settings, plain_service, vm};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
 /// Framings by which a body in chunks can't be read.
@@ -66,12 +66,14 @@
 
 impl SpoilingFleet {
     async fn start(group: &str) -> SpoilingFleet {
+        let mut settings = default_settings();
+        settings.services.push(plain_service("texts"));
         let plan = FleetPlan {
             engines: Vec::new(),
+            settings: Some(settings),
             ..FleetPlan::default()
         };
         let fleet = TestFleet::start(plan).await;
-        fleet.platform.remove_vm("service-1");
         let framing = Arc::new(AtomicUsize::new(VALID));
         let shared = framing.clone();
         let script = move |it: &ScriptedRequest| {
@@ -130,11 +132,11 @@
 async fn an_answer_with_an_unknown_framing_is_not_passed_to_callers() {
     let completion = ("/v1/chat/completions", chat("a", 4, false).to_string());
     let stream = ("/v1/chat/completions", chat("a", 4, true).to_string());
-    let plain = ("/proofs/a", String::new());
+    let plain = ("/texts/a", String::new());
     for (group, (path, body)) in [
         ("engines", completion),
         ("engines", stream),
-        ("proofs", plain),
+        ("texts", plain),
     ] {
         let fleet = SpoilingFleet::start(group).await;
         for (number, framing) in FRAMINGS.iter().enumerate() {
