comfreyrampd: statuses that HTTP doesn't know aren't passed on

Callers of `comfreyrampd` saw answers of status 101, 600, 700 and 999, completions and plain ones. Numbers below 100 and what is no number, 000 among them, were refused already.

Cause: the HTTP library takes any number from 100 on.

What `comfreyramp-node` does with such an answer stays as it was.

--- a/crates/http/src/body_framing.rs
+++ b/crates/http/src/body_framing.rs
@@ -14,9 +14,13 @@
     ConnectionClose,
 }
 
-/// The reason why a head doesn't determine the end of its body.
+/// The reason why a head isn't one of a final response, or doesn't determine the end of its
+/// body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum FramingError {
+pub enum HeadError {
+    /// The status is one of an interim response, or of no class that HTTP knows.
+    #[error("no final answer has the status {0}")]
+    UnknownStatus(u16),
     /// The transfer coding isn't `chunked`, the only one that is decoded. The body would hold
     /// bytes of the coding.
     #[error("the transfer coding of the body is unknown")]
@@ -34,16 +38,19 @@
     ///
     /// # Errors
     ///
-    /// Fails if the head doesn't say how the end of the body is determined. Nothing in such a
-    /// response can be relied on.
-    pub fn of(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
+    /// Fails if no final response has such a head, or if it doesn't say how the end of the body
+    /// is determined. Nothing in such a response can be relied on.
+    pub fn of(method: &Method, head: &response::Parts) -> Result<Self, HeadError> {
+        if !(200..600).contains(&head.status.as_u16()) {
+            return Err(HeadError::UnknownStatus(head.status.as_u16()));
+        }
         let has_coding = head.headers.contains_key(header::TRANSFER_ENCODING);
         let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
         if has_coding && !is_chunked(&head.headers) {
-            return Err(FramingError::UnknownCoding);
+            return Err(HeadError::UnknownCoding);
         }
         if has_coding && has_length {
-            return Err(FramingError::LengthBesideCoding);
+            return Err(HeadError::LengthBesideCoding);
         }
         let has_no_body = method == Method::HEAD
             || matches!(
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,7 +13,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::{BodyFraming, FramingError, MessageBody, collect_limited};
+use crate::{BodyFraming, HeadError, MessageBody, collect_limited};
 
 /// The default limit on the time that a connection takes to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,9 +46,9 @@
     /// What arrived isn't the answer to this request, as far as its id shows.
     #[error("the answer is one to another request")]
     OtherRequest,
-    /// The head of the answer doesn't determine the end of its body.
+    /// No final answer has such a head, or it doesn't determine the end of its body.
     #[error("the answer is invalid: {0}")]
-    InvalidHead(#[from] FramingError),
+    InvalidHead(#[from] HeadError),
 }
 
 impl CallError {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -31,7 +31,7 @@
 pub use answer_guard::{AnswerGuard, AnswerNotes};
 pub use answer_progress::{AnswerEnd, AnswerProgress};
 pub use body::{BodyError, BodySender, MessageBody, collect_limited, json_body};
-pub use body_framing::{BodyFraming, FramingError};
+pub use body_framing::{BodyFraming, HeadError};
 pub use chunk_scanner::ChunkScanner;
 pub use client::{CallError, HttpClient};
 pub use error_answer::{ErrorAnswer, ErrorDetail, RunState};
--- a/crates/http/tests/body_framing.rs
+++ b/crates/http/tests/body_framing.rs
@@ -2,9 +2,9 @@
 
 #![allow(clippy::unwrap_used, reason = "the heads are valid")]
 
-use comfreyramp_http::{BodyFraming, FramingError, Method, Response, StatusCode};
+use comfreyramp_http::{BodyFraming, HeadError, Method, Response, StatusCode};
 
-type Framing = Result<BodyFraming, FramingError>;
+type Framing = Result<BodyFraming, HeadError>;
 
 fn framing(method: &Method, status: StatusCode, headers: &[(&str, &str)]) -> Framing {
     let mut head = Response::builder().status(status);
@@ -89,7 +89,7 @@
         for _ in 0..2 {
             for method in [Method::POST, Method::HEAD] {
                 let unknown = framing(&method, StatusCode::OK, &headers);
-                assert_eq!(unknown, Err(FramingError::UnknownCoding), "{headers:?}");
+                assert_eq!(unknown, Err(HeadError::UnknownCoding), "{headers:?}");
             }
             headers.push(("content-length", "30"));
         }
@@ -101,5 +101,15 @@
 fn a_length_beside_chunks_determines_no_framing() {
     let headers = [("transfer-encoding", "chunked"), ("content-length", "30")];
     let both = framing(&Method::POST, StatusCode::OK, &headers);
-    assert_eq!(both, Err(FramingError::LengthBesideCoding));
+    assert_eq!(both, Err(HeadError::LengthBesideCoding));
+}
+
+/// A change of protocols, or a status of no class that HTTP knows, must not be passed on.
+#[test]
+fn a_status_of_no_final_response_determines_no_framing() {
+    for number in [100, 101, 199, 600, 700, 999] {
+        let status = StatusCode::from_u16(number).unwrap();
+        let unknown = framing(&Method::GET, status, &[("content-length", "0")]);
+        assert_eq!(unknown, Err(HeadError::UnknownStatus(number)));
+    }
 }
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -11,7 +11,7 @@
     ServerId, Timestamp,
     placement::{ServerOutcomeKind, WorkKind},
 };
-use http::{HeaderValue, Request, StatusCode, header, response};
+use http::{HeaderValue, Request, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 
@@ -307,13 +307,6 @@
         );
         return Err(AttemptFailure::ForeignAnswer);
     }
-    if !is_final_status(head.status) {
-        log::warn!(
-            request = request_id, status = head.status.as_u16();
-            "attempt: an answer with an invalid status"
-        );
-        return Err(AttemptFailure::NoAnswer);
-    }
     let framing = BodyFraming::of(&method, &head).map_err(|error| {
         log::warn!(
             request = request_id, error:% = error;
@@ -411,12 +404,6 @@
     }
 }
 
-/// Returns whether a final answer may have a status. HTTP has five classes of them, and the
-/// first is that of interim answers, among them a change of protocols that nobody asked for.
-fn is_final_status(status: StatusCode) -> bool {
-    (200..600).contains(&status.as_u16())
-}
-
 /// Returns whether a stream of events begins with the size of a chunk.
 fn begins_with_chunk(mut progress: AnswerProgress, first: Option<&[u8]>) -> bool {
     progress.push_events(first.unwrap_or_default());
