Tests: chunks that are spoilt themselves are refused

Handled already: of 23 bodies whose sizes, ends of chunks, last chunks or trailers are spoilt, on each kind of route, none was given as complete unless it was the server's. A body in which the size of a later chunk is spoilt to 0 was, without the rest. By HTTP it has ended there, and what follows are trailers, so that it isn't among them.

--- a/crates/node/tests/spoilt_heads.rs
+++ b/crates/node/tests/spoilt_heads.rs
@@ -63,6 +63,33 @@
     "chunked\r\ntransfer-encoding:",
 ];
 
+/// Bodies in chunks that are spoilt in a size, the end of a chunk, the last one or a trailer.
+const SPOILT_CHUNKS: [&[u8]; 23] = [
+    b"z\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"-f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"0xf\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"f f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"fffffffffffffffff\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"e\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"10\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"1f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"24\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"ff\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\n\r\nz\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\nxyf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
+    b"f\nid: 1\ndata: a\n\n\nf\nid: 2\ndata: b\n\n\n0\n\n",
+    b"f\rid: 1\ndata: a\n\n\rf\rid: 2\ndata: b\n\n\r0\r\r",
+    b"f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\nz\r\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n1\r\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\nx y: a\r\n\r\n",
+    b"f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\nx\x01: a\r\n\r\n",
+    b"f;\x01\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\nline\r\n\r\n",
+];
+
 /// Names of fields that stand in place of `transfer-encoding`.
 const MISSPELT_NAMES: [&str; 4] = [
     "transfer-encodin",
@@ -128,6 +155,8 @@
     body: &'static [u8],
     /// Whether the first byte of the body is sent apart from the others.
     is_split: bool,
+    /// Whether the answer may be given as complete if its body is the server's.
+    may_be_whole: bool,
 }
 
 impl SpoiltHead {
@@ -136,6 +165,7 @@
             lines: lines.into(),
             body,
             is_split: false,
+            may_be_whole: false,
         }
     }
 
@@ -275,6 +305,7 @@
             let answered = self.send(path, &format!("spoilt-{number}")).await;
             if let Ok(answer) = answered
                 && !answer.status().is_server_error()
+                && !(head.may_be_whole && answer.body().as_ref() == EVENTS)
             {
                 let lines = head.lines.escape_ascii();
                 let (status, body) = (answer.status(), answer.body());
@@ -304,6 +335,16 @@
     assert_refused(&other_heads()).await;
 }
 
+/// Guards against bodies that aren't the server's where a head is sound and a chunk is not.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunks_that_are_spoilt_are_not_passed_to_callers() {
+    let heads = SPOILT_CHUNKS.map(|body| SpoiltHead {
+        may_be_whole: true,
+        ..SpoiltHead::new("transfer-encoding: chunked", body)
+    });
+    assert_refused(&heads).await;
+}
+
 /// Guards against the sizes of chunks in a body whose head doesn't tell that there are any: its
 /// fields may have any names, and the body may end with its connection.
 #[tokio::test(flavor = "multi_thread")]
