HTTP client: a body with chunks of which its head doesn't tell is refused

Daemons took the sizes of chunks for a part of another daemon's or the store's answer where the field that tells of the chunks was misspelt. JSON with sizes in it can't be parsed, but daemons send each other a binary encoding, in which any bytes may mean something. Callers weren't seen to be hit.

Cause: as for servers' answers; `HttpClient::exchange` looked at the length only.

It asks `ChunkScanner` where a body ends with its connection, by the function that the answers of plain routes are checked with, and fails with `UntoldChunks`.

--- a/crates/http/src/chunk_scanner.rs
+++ b/crates/http/src/chunk_scanner.rs
@@ -1,5 +1,7 @@
 //! Recognizes the chunks of a body whose head doesn't tell that it is sent in chunks.
 
+use crate::BodyFraming;
+
 /// The length in bytes up to which the first line of a chunk is read.
 const MAX_SIZE_LINE_BYTES: usize = 32;
 
@@ -42,6 +44,16 @@
 }
 
 impl ChunkScanner {
+    /// Returns whether a complete body with this framing begins with a whole chunk of which
+    /// its head doesn't tell. A body with a length is what the length says.
+    pub fn finds_chunk(framing: BodyFraming, body: &[u8]) -> bool {
+        let mut scanner = ChunkScanner::default();
+        if framing == BodyFraming::ConnectionClose {
+            scanner.push(body);
+        }
+        scanner.has_chunk()
+    }
+
     /// Appends received bytes.
     pub fn push(&mut self, mut bytes: &[u8]) {
         while let Some((&byte, rest)) = bytes.split_first() {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -13,7 +13,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
-use crate::{BodyFraming, HeadError, MessageBody, collect_limited};
+use crate::{BodyFraming, ChunkScanner, HeadError, MessageBody, collect_limited};
 
 /// The default limit on the time that a connection takes to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -144,10 +144,14 @@
         limit: Duration,
         body_limit: usize,
     ) -> Result<Response<Bytes>, CallError> {
+        let method = request.method().clone();
         let whole = async {
             let (head, body) = self.send(request).await?.into_parts();
             let body = collect_limited(body, body_limit).await;
             let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
+            if ChunkScanner::finds_chunk(BodyFraming::of(&method, &head)?, &body) {
+                return Err(HeadError::UntoldChunks.into());
+            }
             Ok(Response::from_parts(head, body))
         };
         within(limit, whole).await
--- a/crates/node/tests/spoilt_heads.rs
+++ b/crates/node/tests/spoilt_heads.rs
@@ -16,7 +16,9 @@
 };
 
 use comfreyramp_http::{Bytes, Response, StatusCode};
-use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
+use comfreyramp_standins::runner::{
+    NO_FIELDS, SPOILT_LENGTHS, ScriptedAnswer, ScriptedRequest, ScriptedServer, UNKNOWN_CODINGS,
+};
 use fleet::{CallerRequest, Fleet};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -37,32 +39,6 @@
 /// How often a request is sent until it reaches the server.
 const MAX_TRIES: usize = 40;
 
-/// Values of `transfer-encoding` by which a body can't be decoded.
-const UNKNOWN_CODINGS: [&str; 22] = [
-    "chunke",
-    "xchunked",
-    "chunkedx",
-    "chunked x",
-    "chunk ed",
-    "chunked;q=1",
-    "chunked;",
-    "\"chunked\"",
-    "chunk\u{e9}d",
-    "identity",
-    "gzip",
-    "chunked, gzip",
-    "chunked, identity",
-    "gzip, chunked",
-    "identity, chunked",
-    "chunked,",
-    "chunked, ,",
-    "",
-    ",",
-    "chunked\r\ntransfer-encoding: gzip",
-    "gzip\r\ntransfer-encoding: chunked",
-    "chunked\r\ntransfer-encoding:",
-];
-
 /// Bodies in chunks that are spoilt in a size, the end of a chunk, the last one or a trailer.
 const SPOILT_CHUNKS: [&[u8]; 23] = [
     b"z\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
@@ -98,56 +74,6 @@
     "transfer-encoding!",
 ];
 
-/// Values of `content-length` that are none, also as lists, fields and folded lines.
-const SPOILT_LENGTHS: [&str; 20] = [
-    "",
-    "x",
-    "3O",
-    "30x",
-    "3 0",
-    "+30",
-    "-30",
-    "-1",
-    "0x1e",
-    "30.0",
-    "3e1",
-    "30;",
-    "\"30\"",
-    "18446744073709551616",
-    "99999999999999999999999",
-    "30, 31",
-    "31, 30",
-    "30,",
-    "30\r\ncontent-length: 15",
-    "30\r\n 0",
-];
-
-/// Lines that are no field, or fields whose names hold what no name does.
-const NO_FIELDS: [&[u8]; 22] = [
-    b"x",
-    b"scripted line",
-    b": value",
-    b":",
-    b" : value",
-    b"x-a : value",
-    b"x-a\t: value",
-    b"x a: value",
-    b"x\ta: value",
-    b" x-a: value",
-    b"\tx-a: value",
-    b"x-a\0: value",
-    b"x\x01a: value",
-    b"x\x1ba: value",
-    b"\x7fx-a: value",
-    b"x(a): value",
-    b"x,a: value",
-    b"x/a: value",
-    b"\"x-a\": value",
-    b"x\xe9a: value",
-    b"content-length 30",
-    b"transfer-encoding chunked",
-];
-
 /// A head with a line that is spoilt, and its body.
 #[derive(Clone, Debug)]
 struct SpoiltHead {
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -495,13 +495,9 @@
             }
             Err(ReservedBodyError::Refused(never)) => match never {},
         };
-        if self.progress.framing == BodyFraming::ConnectionClose {
-            let mut scanner = ChunkScanner::default();
-            scanner.push(&whole);
-            if scanner.has_chunk() {
-                self.guard.record_outcome(ServerOutcomeKind::Broken);
-                return Err(AttemptFailure::NoAnswer);
-            }
+        if ChunkScanner::finds_chunk(self.progress.framing, &whole) {
+            self.guard.record_outcome(ServerOutcomeKind::Broken);
+            return Err(AttemptFailure::NoAnswer);
         }
         // A server that fails at once would seem to hold its slots for no time.
         if !self.head.status.is_server_error() {
--- a/crates/serving/tests/unknown_codings.rs
+++ b/crates/serving/tests/spoilt_heads.rs
@@ -1,4 +1,4 @@
-//! Answers of other daemons whose heads don't determine the end of their bodies.
+//! Answers of other daemons, or of the store, whose heads are spoilt.
 
 #![allow(
     clippy::unwrap_used,
@@ -6,12 +6,14 @@
     reason = "a test fails where something is missing"
 )]
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
 use comfreyramp_http::{CallError, HttpClient, MessageBody};
-use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
+use comfreyramp_standins::runner::{
+    NO_FIELDS, SPOILT_LENGTHS, ScriptedAnswer, ScriptedRequest, ScriptedServer, UNKNOWN_CODINGS,
+};
 use http::{Request, Response};
 use tokio_util::sync::CancellationToken;
 
@@ -69,3 +71,44 @@
     }
     drop(stop.drop_guard());
 }
+
+/// Guards against a body of another daemon, or of the store, that isn't what was sent.
+#[tokio::test]
+async fn a_call_whose_answers_head_is_spoilt_has_no_answer() {
+    const BODY: &[u8] = b"a\r\n0123456789\r\n0\r\n\r\n";
+    let line = |name: &str, value: &&str| format!("{name}: {value}").into_bytes();
+    let codings = UNKNOWN_CODINGS
+        .iter()
+        .map(|it| line("transfer-encoding", it));
+    let lengths = SPOILT_LENGTHS.iter().map(|it| line("content-length", it));
+    let mut heads: Vec<_> = codings.chain(lengths).collect();
+    for framing in [
+        "content-length: 20",
+        "transfer-encoding: chunked",
+        "x-framing: none",
+    ] {
+        let framing = framing.as_bytes();
+        for line in NO_FIELDS {
+            heads.push([framing, b"\r\n", line].concat());
+            heads.push([line, b"\r\n", framing].concat());
+        }
+    }
+    heads.push(b"transfer-encodin: chunked".to_vec());
+    let heads = Arc::new(heads);
+    let shared = heads.clone();
+    let script = move |it: &ScriptedRequest| {
+        let head = &shared[it.request.path[1..].parse::<usize>().unwrap()];
+        let bytes = [b"HTTP/1.1 200 OK\r\n", head.as_slice(), b"\r\n\r\n", BODY].concat();
+        ScriptedAnswer::cut_bytes(&bytes, false)
+    };
+    let stop = CancellationToken::new();
+    let server = ScriptedServer::start("spoiling-1", script, stop.clone());
+    let server = server.await.unwrap();
+    let client = HttpClient::default();
+    for (number, head) in heads.iter().enumerate() {
+        let answer = call(&client, &server, &number.to_string()).await;
+        assert!(answer.is_err(), "{}: {answer:?}", head.escape_ascii());
+    }
+    assert_eq!(server.requests().len(), heads.len());
+    drop(stop.drop_guard());
+}
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -8,6 +8,7 @@
 mod requested_stream;
 mod resetting_server;
 mod scripted_server;
+mod spoilt_lines;
 mod state_report;
 
 pub use backend_server::{
@@ -18,3 +19,4 @@
 pub use requested_stream::RequestedStream;
 pub use resetting_server::{EarlyAnswer, ResettingServer};
 pub use scripted_server::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
+pub use spoilt_lines::{NO_FIELDS, SPOILT_LENGTHS, UNKNOWN_CODINGS};
