Streams: the size of a chunk before any event is found, not before the first only

Callers of a resumable stream saw the size of a chunk between two events of a complete answer: where a server states too large a size for a chunk, the next one becomes a part of the body, the decoder fails behind it, and the stream goes on at another server. Such a size also stands before a later event where an empty line ends a head early.

Cause: only the first line of a stream was looked at.

`EventScanner` looks at the first line of each event, and takes it for a size only if it has both bytes of a line end, so that text with bare line feeds in it, which some servers send, stays an event.

--- a/crates/daemon/src/callers/body_check.rs
+++ b/crates/daemon/src/callers/body_check.rs
@@ -29,7 +29,7 @@
         let mut has_chunk = false;
         if let Some(events) = &mut self.events {
             events.push(bytes);
-            has_chunk |= events.begins_with_chunk();
+            has_chunk |= events.has_chunk_size();
         }
         if let Some(chunks) = &mut self.chunks {
             chunks.push(bytes);
--- a/crates/daemon/src/callers/engine_stream.rs
+++ b/crates/daemon/src/callers/engine_stream.rs
@@ -180,7 +180,7 @@
                 continue;
             };
             scanner.push(&data);
-            if scanner.begins_with_chunk() || splitter.push(&data).is_err() {
+            if scanner.has_chunk_size() || splitter.push(&data).is_err() {
                 return self.broken(server);
             }
             while let Some(event) = splitter.next_event() {
--- a/crates/http/src/event_scanner.rs
+++ b/crates/http/src/event_scanner.rs
@@ -24,8 +24,11 @@
     /// The highest id of a complete event.
     last_id: Option<u64>,
     advances: u64,
-    /// Whether the first line is the size of a chunk; `None` until it has ended.
-    begins_with_chunk: Option<bool>,
+    /// Whether a line of the event so far has ended.
+    has_line: bool,
+    /// Whether the last byte is a carriage return.
+    follows_return: bool,
+    has_chunk_size: bool,
 }
 
 /// The length in bytes up to which a line may give an id or the size of a chunk.
@@ -67,6 +70,7 @@
                     self.line.push(*byte);
                 }
             }
+            self.follows_return = *byte == b'\r';
         }
     }
 
@@ -74,12 +78,16 @@
         self.is_inside_line = false;
         let line = std::mem::take(&mut self.line);
         self.event_id = self.event_id.or(line.text().and_then(line_id));
-        self.begins_with_chunk
-            .get_or_insert_with(|| line.text().and_then(chunk_size).is_some());
+        // A size ends with both bytes of a line end, other than text with bare line feeds in it.
+        if !self.has_line && self.follows_return {
+            self.has_chunk_size |= line.text().and_then(chunk_size).is_some();
+        }
+        self.has_line = true;
     }
 
     fn end_event(&mut self) {
         self.is_inside_event = false;
+        self.has_line = false;
         self.events += 1;
         let id = self.event_id.take();
         if id > self.last_id {
@@ -99,10 +107,10 @@
         self.advances
     }
 
-    /// Returns whether the first line, which should be a field of an event, is the size of a
-    /// chunk instead: the body is sent in chunks of which its head doesn't tell.
-    pub fn begins_with_chunk(&self) -> bool {
-        self.begins_with_chunk == Some(true)
+    /// Returns whether an event begins with the size of a chunk in place of a field: the body is
+    /// sent in chunks that weren't decoded.
+    pub fn has_chunk_size(&self) -> bool {
+        self.has_chunk_size
     }
 
     /// Returns whether an event has begun and isn't complete. A stream that ends here has
--- a/crates/serving/src/lots/item_run.rs
+++ b/crates/serving/src/lots/item_run.rs
@@ -301,7 +301,7 @@
             let now = node.clock.now();
             let advances = progress.push_events(&data);
             let is_paced = pace.receive(data.len(), advances, now).is_ok();
-            let is_answer = is_paced && !progress.events.begins_with_chunk();
+            let is_answer = is_paced && !progress.events.has_chunk_size();
             if !is_answer || splitter.push(&data).is_err() {
                 return no_answer(&open, run, &progress);
             }
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -330,8 +330,8 @@
         guard.record_first_event();
     }
     let has_events = terms.kind == AnswerKind::Events && head.status.is_success();
-    if has_events && begins_with_chunk(progress, first.as_deref()) {
-        log::warn!(request = request_id; "attempt: a stream that begins with the size of a chunk");
+    if has_events && has_chunk_size(progress, first.as_deref()) {
+        log::warn!(request = request_id; "attempt: a stream with sizes of chunks between its events");
         return Err(AttemptFailure::NoAnswer);
     }
     if has_events && first.is_none() && progress.is_broken_off() {
@@ -404,10 +404,10 @@
     }
 }
 
-/// Returns whether a stream of events begins with the size of a chunk.
-fn begins_with_chunk(mut progress: AnswerProgress, first: Option<&[u8]>) -> bool {
+/// Returns whether the first bytes of a stream of events hold the size of a chunk.
+fn has_chunk_size(mut progress: AnswerProgress, first: Option<&[u8]>) -> bool {
     progress.push_events(first.unwrap_or_default());
-    progress.events.begins_with_chunk()
+    progress.events.has_chunk_size()
 }
 
 pub(super) fn address_of<D: Dialect>(
--- a/crates/serving/src/path/stream_relay.rs
+++ b/crates/serving/src/path/stream_relay.rs
@@ -300,7 +300,7 @@
         let now = self.request.node.clock.now();
         let advances = self.progress.push_events(&data);
         let is_paced = self.pace.receive(data.len(), advances, now).is_ok();
-        if !is_paced || self.progress.events.begins_with_chunk() {
+        if !is_paced || self.progress.events.has_chunk_size() {
             self.request
                 .record_stream_end(self.progress, AnswerEnd::NoAnswer);
             return ReadStep::Failed(AttemptFailure::NoAnswer);
