--- a/crates/daemon/src/callers/body_check.rs
+++ b/crates/daemon/src/callers/body_check.rs
@@ -35,7 +35,7 @@
             chunks.push(bytes);
             has_chunk |= chunks.has_chunk();
         }
-        has_chunk.then_some("the backend server sent chunks of which its head doesn't tell")
+        has_chunk.then_some("the backend server sent chunks that its head doesn't declare")
     }
 
     /// Returns what is wrong with a body that ends here, if anything is.
--- a/crates/daemon/tests/unknown_codings.rs
+++ b/crates/daemon/tests/unknown_codings.rs
@@ -25,7 +25,7 @@
     "transfer-encoding: chunked, identity",
     "transfer-encoding: chunked\r\ncontent-length: 30",
 ];
-/// The index for which the head doesn't tell of any chunks.
+/// The index for which the head declares no chunks.
 const MISSPELT: usize = FRAMINGS.len();
 /// The index for which the answer is valid.
 const VALID: usize = usize::MAX;
@@ -60,15 +60,15 @@
 }
 
 /// A fleet whose only server answers with the framing of an index.
-struct SpoilingFleet {
+struct ScriptedFleet {
     fleet: TestFleet,
     server: Arc<ScriptedServer>,
     framing: Arc<AtomicUsize>,
     _stop: DropGuard,
 }
 
-impl SpoilingFleet {
-    async fn start(group: &str) -> SpoilingFleet {
+impl ScriptedFleet {
+    async fn start(group: &str) -> ScriptedFleet {
         let mut settings = default_settings();
         settings.services.push(plain_service("texts"));
         let plan = FleetPlan {
@@ -95,11 +95,11 @@
             in_chunks(framing, id, &body_of(it))
         };
         let stop = CancellationToken::new();
-        let server = ScriptedServer::start("spoiling-1", script, stop.clone());
+        let server = ScriptedServer::start("malformed-1", script, stop.clone());
         let server = server.await.unwrap();
-        let listed = vm("spoiling-1", "zone-1", group, server.address);
+        let listed = vm("malformed-1", "zone-1", group, server.address);
         fleet.platform.put_vm(listed);
-        SpoilingFleet {
+        ScriptedFleet {
             fleet,
             server,
             framing,
@@ -134,7 +134,7 @@
 
 /// Sends a request that is answered with a framing, to a server that hasn't failed before.
 async fn assert_refused(framing: usize, group: &str, path: &str, body: &str) {
-    let fleet = SpoilingFleet::start(group).await;
+    let fleet = ScriptedFleet::start(group).await;
     let (status, text) = fleet.send(VALID, path, body).await.unwrap();
     assert_eq!(status, StatusCode::OK);
     assert!(text.contains(TEXT), "{text}");
@@ -160,7 +160,7 @@
     }
 }
 
-/// Guards against the sizes of chunks in a body whose head doesn't tell that there are any.
+/// Guards against the sizes of chunks in a body whose head declares none.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunks_under_a_misspelt_name_are_not_passed_to_callers() {
     let stream = chat("a", 4, true).to_string();
@@ -171,7 +171,7 @@
 /// Guards against items that are completed with such an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_item_whose_answer_has_an_unknown_framing_runs_again() {
-    let fleet = SpoilingFleet::start("engines").await;
+    let fleet = ScriptedFleet::start("engines").await;
     for (number, framing) in FRAMINGS.iter().enumerate() {
         let body = chat("a", 4, false).to_string();
         fleet.send(VALID, MODEL_PATH, &body).await;
--- a/crates/http/src/body_framing.rs
+++ b/crates/http/src/body_framing.rs
@@ -28,9 +28,9 @@
     /// The head states a length beside a transfer coding, and nothing says which one is wrong.
     #[error("a length is stated beside the transfer coding")]
     LengthBesideCoding,
-    /// The body begins with a chunk, and the head doesn't tell of any.
-    #[error("the body holds chunks of which the head doesn't tell")]
-    UntoldChunks,
+    /// The body begins with a chunk, and the head declares none.
+    #[error("the body holds chunks that the head doesn't declare")]
+    UndeclaredChunks,
 }
 
 impl BodyFraming {
--- a/crates/http/src/chunk_scanner.rs
+++ b/crates/http/src/chunk_scanner.rs
@@ -1,4 +1,4 @@
-//! Recognizes the chunks of a body whose head doesn't tell that it is sent in chunks.
+//! Recognizes chunks that the head of a message doesn't declare.
 
 use crate::BodyFraming;
 
@@ -44,8 +44,8 @@
 }
 
 impl ChunkScanner {
-    /// Returns whether a complete body with this framing begins with a whole chunk of which
-    /// its head doesn't tell. A body with a length is what the length says.
+    /// Returns whether a complete body with this framing begins with a whole chunk that its
+    /// head doesn't declare. Only a body that ends with its connection can.
     pub fn finds_chunk(framing: BodyFraming, body: &[u8]) -> bool {
         let mut scanner = ChunkScanner::default();
         if framing == BodyFraming::ConnectionClose {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -150,7 +150,7 @@
             let body = collect_limited(body, body_limit).await;
             let body = body.map_err(|error| CallError::Broken(error.to_string()))?;
             if ChunkScanner::finds_chunk(BodyFraming::of(&method, &head)?, &body) {
-                return Err(HeadError::UntoldChunks.into());
+                return Err(HeadError::UndeclaredChunks.into());
             }
             Ok(Response::from_parts(head, body))
         };
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,7 +9,7 @@
 //! - [`collect_reserved`] reads a body whose bytes are reserved before they are stored.
 //! - [`BodyFraming`] says how the end of a body is determined, [`EventScanner`] where its
 //!   events end, and [`AnswerProgress`] from both whether an answer has been broken off.
-//!   [`ChunkScanner`] recognizes chunks that the head doesn't tell of.
+//!   [`ChunkScanner`] recognizes chunks that the head doesn't declare.
 //! - [`GuardedSocket`] closes a socket as its [`CloseGuard`] decides; [`AnswerGuard`]
 //!   resets callers' sockets under broken answers that have no other mark of their end.
 //! - [`ErrorAnswer`] is the error format of the API for callers.
--- a/crates/node/tests/spoilt_heads.rs
+++ b/crates/node/tests/malformed_heads.rs
@@ -1,4 +1,4 @@
-//! Answers whose heads are spoilt where they tell the length of the body, or hold a line that
+//! Answers whose heads are malformed where they tell the length of the body, or hold a line that
 //! is no field.
 
 #![allow(
@@ -17,7 +17,7 @@
 
 use comfreyramp_http::{Bytes, Response, StatusCode};
 use comfreyramp_standins::runner::{
-    NO_FIELDS, SPOILT_LENGTHS, ScriptedAnswer, ScriptedRequest, ScriptedServer, UNKNOWN_CODINGS,
+    MALFORMED_LENGTHS, NO_FIELDS, ScriptedAnswer, ScriptedRequest, ScriptedServer, UNKNOWN_CODINGS,
 };
 use fleet::{CallerRequest, Fleet};
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -39,8 +39,8 @@
 /// How often a request is sent until it reaches the server.
 const MAX_TRIES: usize = 40;
 
-/// Bodies in chunks that are spoilt in a size, the end of a chunk, the last one or a trailer.
-const SPOILT_CHUNKS: [&[u8]; 23] = [
+/// Bodies in chunks that are malformed in a size, the end of a chunk, the last one or a trailer.
+const MALFORMED_CHUNKS: [&[u8]; 23] = [
     b"z\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
     b"\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
     b"-f\r\nid: 1\ndata: a\n\n\r\nf\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n",
@@ -74,9 +74,9 @@
     "transfer-encoding!",
 ];
 
-/// A head with a line that is spoilt, and its body.
+/// A head with a line that is malformed, and its body.
 #[derive(Clone, Debug)]
-struct SpoiltHead {
+struct MalformedHead {
     lines: Vec<u8>,
     body: &'static [u8],
     /// Whether the first byte of the body is sent apart from the others.
@@ -85,9 +85,9 @@
     may_be_whole: bool,
 }
 
-impl SpoiltHead {
+impl MalformedHead {
     fn new(lines: impl Into<Vec<u8>>, body: &'static [u8]) -> Self {
-        SpoiltHead {
+        MalformedHead {
             lines: lines.into(),
             body,
             is_split: false,
@@ -114,20 +114,20 @@
 
 /// Returns heads with an unknown transfer coding, alone and beside a length, and with chunks
 /// beside a length.
-fn unknown_codings() -> Vec<SpoiltHead> {
+fn unknown_codings() -> Vec<MalformedHead> {
     let mut heads = Vec::new();
     for coding in UNKNOWN_CODINGS {
         let line = format!("transfer-encoding: {coding}");
         let beside = format!("content-length: 30\r\n{line}");
-        heads.push(SpoiltHead::new(line, CHUNKS));
-        heads.push(SpoiltHead::new(beside, CHUNKS));
+        heads.push(MalformedHead::new(line, CHUNKS));
+        heads.push(MalformedHead::new(beside, CHUNKS));
     }
     for length in [0, 15, 30, CHUNKS.len(), 1_000] {
         for lines in [
             format!("content-length: {length}\r\ntransfer-encoding: chunked"),
             format!("transfer-encoding: chunked\r\ncontent-length: {length}"),
         ] {
-            heads.push(SpoiltHead::new(lines, CHUNKS));
+            heads.push(MalformedHead::new(lines, CHUNKS));
         }
     }
     heads
@@ -135,11 +135,11 @@
 
 /// Returns heads with names that HTTP allows in place of those that tell the body's end, for
 /// chunks that end within an event and between two.
-fn misspelt_names() -> Vec<SpoiltHead> {
+fn misspelt_names() -> Vec<MalformedHead> {
     let mut heads = Vec::new();
     for name in MISSPELT_NAMES {
         for body in [CHUNKS, EVENT_CHUNKS, EXTENDED_CHUNKS, CUT_CHUNKS] {
-            let mut head = SpoiltHead::new(format!("{name}: chunked"), body);
+            let mut head = MalformedHead::new(format!("{name}: chunked"), body);
             heads.push(head.clone());
             head.is_split = true;
             heads.push(head);
@@ -150,10 +150,12 @@
 
 /// Returns heads with a length that is none, and with a line that is no field before and
 /// behind each framing.
-fn other_heads() -> Vec<SpoiltHead> {
-    let lengths = SPOILT_LENGTHS.iter().chain(&["30 \r\ncontent-length : 15"]);
+fn malformed_lines() -> Vec<MalformedHead> {
+    let lengths = MALFORMED_LENGTHS
+        .iter()
+        .chain(&["30 \r\ncontent-length : 15"]);
     let mut heads: Vec<_> = lengths
-        .map(|it| SpoiltHead::new(format!("content-length: {it}"), EVENTS))
+        .map(|it| MalformedHead::new(format!("content-length: {it}"), EVENTS))
         .collect();
     for line in NO_FIELDS {
         for (framing, body) in [
@@ -162,28 +164,31 @@
             ("x-framing: none", EVENTS),
         ] {
             let framing = framing.as_bytes();
-            heads.push(SpoiltHead::new([framing, b"\r\n", line].concat(), body));
-            heads.push(SpoiltHead::new([line, b"\r\n", framing].concat(), body));
+            heads.push(MalformedHead::new([framing, b"\r\n", line].concat(), body));
+            heads.push(MalformedHead::new([line, b"\r\n", framing].concat(), body));
         }
     }
     heads
 }
 
-/// A fleet whose servers answer requests whose ids begin with `spoilt` with the head of the
+/// A fleet whose servers answer requests whose ids begin with `malformed` with the head of the
 /// number that follows, and all others with whole answers.
-struct SpoilingFleet {
+struct ScriptedFleet {
     fleet: Fleet,
     servers: [Arc<ScriptedServer>; 2],
     _stop: DropGuard,
 }
 
-impl SpoilingFleet {
-    async fn start(heads: &[SpoiltHead]) -> SpoilingFleet {
+impl ScriptedFleet {
+    async fn start(heads: &[MalformedHead]) -> ScriptedFleet {
         let fleet = Fleet::started().await;
         let heads = Arc::new(heads.to_vec());
         let script = move |it: &ScriptedRequest| {
             let id = it.request.id();
-            match id.strip_prefix("spoilt-").and_then(|it| it.split_once('-')) {
+            match id
+                .strip_prefix("malformed-")
+                .and_then(|it| it.split_once('-'))
+            {
                 Some((number, _)) => heads[number.parse::<usize>().unwrap()].answer(id),
                 None => ScriptedAnswer::stream(id, EVENTS),
             }
@@ -194,7 +199,7 @@
         plain.register("proofs", "zone-1", &fleet.store);
         fleet.servers[2].register(&fleet.store, "draining");
         let engine = fleet.add_scripted_engine(2, script).await;
-        SpoilingFleet {
+        ScriptedFleet {
             fleet,
             servers: [engine, plain],
             _stop: stop.drop_guard(),
@@ -222,13 +227,13 @@
 
     /// Sends requests of a kind that are answered with each head. Returns the heads whose
     /// answers were given as complete.
-    async fn complete_answers(&self, heads: &[SpoiltHead], path: &str) -> Vec<String> {
+    async fn complete_answers(&self, heads: &[MalformedHead], path: &str) -> Vec<String> {
         let mut complete = Vec::new();
         for (number, head) in heads.iter().enumerate() {
             // Whole answers keep the server from being ejected.
             let valid = self.send(path, &format!("valid-{number}")).await.unwrap();
             assert_eq!(valid.body().as_ref(), EVENTS);
-            let answered = self.send(path, &format!("spoilt-{number}")).await;
+            let answered = self.send(path, &format!("malformed-{number}")).await;
             if let Ok(answer) = answered
                 && !answer.status().is_server_error()
                 && !(head.may_be_whole && answer.body().as_ref() == EVENTS)
@@ -242,8 +247,8 @@
     }
 }
 
-async fn assert_refused(heads: &[SpoiltHead]) {
-    let fleet = SpoilingFleet::start(heads).await;
+async fn assert_refused(heads: &[MalformedHead]) {
+    let fleet = ScriptedFleet::start(heads).await;
     let sending = PATHS.map(|it| fleet.complete_answers(heads, it));
     let complete = futures::future::join_all(sending).await.concat();
     assert!(complete.is_empty(), "given as complete: {complete:#?}");
@@ -257,22 +262,22 @@
 
 /// Guards against bodies of which some bytes are taken for the head, or the other way around.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_answer_with_a_spoilt_length_or_a_line_that_is_no_field_is_not_passed_to_callers() {
-    assert_refused(&other_heads()).await;
+async fn an_answer_with_a_malformed_length_or_a_line_that_is_no_field_is_not_passed_to_callers() {
+    assert_refused(&malformed_lines()).await;
 }
 
 /// Guards against bodies that aren't the server's where a head is sound and a chunk is not.
 #[tokio::test(flavor = "multi_thread")]
-async fn chunks_that_are_spoilt_are_not_passed_to_callers() {
-    let heads = SPOILT_CHUNKS.map(|body| SpoiltHead {
+async fn malformed_chunks_are_not_passed_to_callers() {
+    let heads = MALFORMED_CHUNKS.map(|body| MalformedHead {
         may_be_whole: true,
-        ..SpoiltHead::new("transfer-encoding: chunked", body)
+        ..MalformedHead::new("transfer-encoding: chunked", body)
     });
     assert_refused(&heads).await;
 }
 
-/// Guards against the sizes of chunks in a body whose head doesn't tell that there are any: its
-/// fields may have any names, and the body may end with its connection.
+/// Guards against the sizes of chunks in a body whose head declares none: its fields may have
+/// any names, and the body may end with its connection.
 #[tokio::test(flavor = "multi_thread")]
 async fn chunks_under_a_misspelt_name_are_not_passed_to_callers() {
     assert_refused(&misspelt_names()).await;
@@ -292,15 +297,16 @@
         ("content-length: 030", EVENTS),
         ("content-length: 30, 30", EVENTS),
         ("content-length: 30\r\ncontent-length: 30", EVENTS),
+        ("content-lengh: 30", EVENTS),
         ("x-empty:", EVENTS),
         ("x!#$%&'*+-.^_`|~0: \u{e9}", EVENTS),
     ]
-    .map(|(lines, body)| SpoiltHead::new(lines, body))
+    .map(|(lines, body)| MalformedHead::new(lines, body))
     .to_vec();
-    let fleet = SpoilingFleet::start(&heads).await;
+    let fleet = ScriptedFleet::start(&heads).await;
     for path in PATHS {
         for (number, head) in heads.iter().enumerate() {
-            let answer = fleet.send(path, &format!("spoilt-{number}")).await;
+            let answer = fleet.send(path, &format!("malformed-{number}")).await;
             let body = answer.map(|it| it.into_body());
             let lines = head.lines.escape_ascii();
             assert_eq!(body.as_deref(), Ok(EVENTS), "{path}, {lines}");
@@ -309,7 +315,7 @@
 }
 
 /// Runs items each of which is answered with one of the heads first.
-async fn assert_run_again(heads: Vec<SpoiltHead>) {
+async fn assert_run_again(heads: Vec<MalformedHead>) {
     let fleet = Fleet::started().await;
     let bodies = vec!["one"; heads.len()];
     let seen = Arc::<Mutex<BTreeSet<String>>>::default();
@@ -350,8 +356,8 @@
 
 /// Guards against items whose outputs aren't their servers'.
 #[tokio::test(flavor = "multi_thread")]
-async fn an_item_whose_answers_head_is_spoilt_runs_again() {
-    assert_run_again(other_heads().into_iter().step_by(3).collect()).await;
+async fn an_item_whose_answers_head_is_malformed_runs_again() {
+    assert_run_again(malformed_lines().into_iter().step_by(3).collect()).await;
 }
 
 /// Guards against items that go on at a server by a report that can't be relied on.
--- a/crates/node/tests/soak/faulty_engine.rs
+++ b/crates/node/tests/soak/faulty_engine.rs
@@ -1,6 +1,6 @@
 //! Engines that answer some requests as no sound server would: with a late second answer to
 //! the request before, with a failure that is cut off, under another request's id, or with a
-//! head that is spoilt where it tells of the chunks of the body.
+//! head that is malformed where it tells of the chunks of the body.
 
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -38,13 +38,13 @@
 const SAME_FAULT_RATE: f64 = 0.2;
 /// How often an engine answers in another wrong way, or with a failure.
 const FAULT_RATE: f64 = 0.15;
-/// How often an engine answers with a spoilt head, in a soak with such heads.
-const SPOILT_RATE: f64 = 0.2;
-/// The line of a head that is spoilt.
+/// How often an engine answers with a malformed head, in a soak with such heads.
+const MALFORMED_RATE: f64 = 0.2;
+/// The line of a head that is malformed.
 const CHUNKED_LINE: &[u8] = b"transfer-encoding: chunked";
 /// What a byte of that line is replaced by, or what is put before it. A line feed would make
 /// another head of it that HTTP allows.
-const SPOILING_BYTES: &[u8] = b" \t\r\0\x01\x7f\xe9:;,=\"/!-_0azCX";
+const DAMAGING_BYTES: &[u8] = b" \t\r\0\x01\x7f\xe9:;,=\"/!-_0azCX";
 /// The id of a request that nobody sent.
 const UNKNOWN_ID: &str = "unknown-request";
 
@@ -65,8 +65,8 @@
     CutFailure(u16),
     /// The whole stream of another request, which may lack its id.
     OfAnother { has_id: bool },
-    /// The whole stream, behind a head that is spoilt as the seed says.
-    SpoiltHead(u8),
+    /// The whole stream, behind a head that is malformed as the seed says.
+    MalformedHead(u8),
 }
 
 /// A request that an engine received.
@@ -83,16 +83,16 @@
     seed: u64,
     arrivals: Mutex<Vec<EngineArrival>>,
     is_full: AtomicBool,
-    spoils_heads: bool,
+    damages_heads: bool,
     /// Cancelled once the engines answer all requests rightly.
     stop_faults: CancellationToken,
 }
 
 impl EngineState {
-    pub(crate) fn new(seed: u64, spoils_heads: bool, stop_faults: CancellationToken) -> Self {
+    pub(crate) fn new(seed: u64, damages_heads: bool, stop_faults: CancellationToken) -> Self {
         EngineState {
             seed,
-            spoils_heads,
+            damages_heads,
             arrivals: Mutex::default(),
             is_full: AtomicBool::new(false),
             stop_faults,
@@ -147,7 +147,7 @@
         let mut counts: Vec<(EngineAnswer, usize)> = Vec::new();
         for arrival in self.arrivals().iter() {
             let kind = match arrival.answer {
-                EngineAnswer::SpoiltHead(_) => EngineAnswer::SpoiltHead(0),
+                EngineAnswer::MalformedHead(_) => EngineAnswer::MalformedHead(0),
                 answer => answer,
             };
             match counts.iter_mut().find(|it| it.0 == kind) {
@@ -158,7 +158,7 @@
         counts
     }
 
-    /// Returns whether there was a late answer, one that was cut off, and, if heads are spoilt,
+    /// Returns whether there was a late answer, one that was cut off, and, if heads are malformed,
     /// one with such a head.
     pub(crate) fn sent_wrong_answers(&self) -> bool {
         let arrivals = self.arrivals();
@@ -168,7 +168,7 @@
         };
         has(|it| matches!(it, EngineAnswer::AfterLate { .. }))
             && has(|it| matches!(it, EngineAnswer::CutFailure(_)))
-            && (!self.spoils_heads || has(|it| matches!(it, EngineAnswer::SpoiltHead(_))))
+            && (!self.damages_heads || has(|it| matches!(it, EngineAnswer::MalformedHead(_))))
     }
 
     fn answer(&self, engine: &str, received: &ScriptedRequest) -> ScriptedAnswer {
@@ -201,8 +201,8 @@
             .filter(|it| it.request_id == id)
             .count();
         let mut random = self.random_of(&(id, times, "head"));
-        if self.spoils_heads && random.random_bool(SPOILT_RATE) {
-            return EngineAnswer::SpoiltHead(random.random());
+        if self.damages_heads && random.random_bool(MALFORMED_RATE) {
+            return EngineAnswer::MalformedHead(random.random());
         }
         let mut random = self.random_of(&(id, "each time"));
         if random.random_bool(SAME_FAULT_RATE) {
@@ -279,7 +279,7 @@
             EngineAnswer::OfAnother { has_id } => {
                 stream_of_another(if has_id { another } else { "" }, another)
             }
-            EngineAnswer::SpoiltHead(seed) => spoilt_stream(received, seed),
+            EngineAnswer::MalformedHead(seed) => malformed_stream(received, seed),
         }
     }
 }
@@ -309,12 +309,12 @@
     ScriptedAnswer::paced_stream(request.id(), events, interval.unwrap_or(EVENT_INTERVAL))
 }
 
-/// Returns the whole stream in two chunks, behind a head one of whose lines is spoilt in a byte.
-fn spoilt_stream(received: &ScriptedRequest, seed: u8) -> ScriptedAnswer {
+/// Returns the whole stream in two chunks, behind a head one of whose lines is malformed in a byte.
+fn malformed_stream(received: &ScriptedRequest, seed: u8) -> ScriptedAnswer {
     let mut random = StdRng::seed_from_u64(seed.into());
     let mut line = CHUNKED_LINE.to_vec();
     let place = random.random_range(0..line.len());
-    let byte = SPOILING_BYTES[random.random_range(0..SPOILING_BYTES.len())];
+    let byte = DAMAGING_BYTES[random.random_range(0..DAMAGING_BYTES.len())];
     match random.random_range(0..3) {
         0 => line[place] = byte,
         1 => line.insert(place, byte),
--- a/crates/node/tests/soak/main.rs
+++ b/crates/node/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! - a request that may run once runs at most once, and never if it was refused;
 //! - each caller gets the answer to its own request, also from engines that answer twice, cut
-//!   failures off, name another request or spoil their heads;
+//!   failures off, name another request or damage their heads;
 //! - an item is given up only if its servers' answers, its retention or the end of its lot
 //!   permit it;
 //! - no part of a stream looks complete, also where the server's answers end with their
@@ -74,7 +74,7 @@
 const SETTINGS_SEEDS: [u64; 2] = [500, 501];
 /// The seeds of the check script for the test in which engines answer wrongly.
 const ENGINES_SEEDS: [u64; 3] = [700, 701, 702];
-/// The seeds of the check script for the test in which heads are spoilt.
+/// The seeds of the check script for the test in which heads are malformed.
 const HEADS_SEEDS: [u64; 2] = [950, 951];
 /// The seeds of the check script for the test in which engines of two versions serve.
 const VERSIONS_SEEDS: [u64; 2] = [900, 901];
@@ -111,8 +111,8 @@
     Changes,
     /// Some engines answer wrongly, and items are kept for a short time.
     FaultyEngines,
-    /// As above, and some heads are spoilt.
-    SpoiltHeads,
+    /// As above, and some heads are malformed.
+    MalformedHeads,
     /// Engines of two versions serve, and callers take their streams up at other daemons.
     Versions,
 }
@@ -122,14 +122,14 @@
         match self {
             SoakKind::Faults | SoakKind::Versions => FAULT_DURATION,
             SoakKind::Changes => settings_changes::CHANGES_DURATION,
-            SoakKind::FaultyEngines | SoakKind::SpoiltHeads => ENGINES_DURATION,
+            SoakKind::FaultyEngines | SoakKind::MalformedHeads => ENGINES_DURATION,
         }
     }
 
     fn retention(self) -> Duration {
         match self {
             SoakKind::Faults | SoakKind::Changes | SoakKind::Versions => RETENTION,
-            SoakKind::FaultyEngines | SoakKind::SpoiltHeads => SHORT_RETENTION,
+            SoakKind::FaultyEngines | SoakKind::MalformedHeads => SHORT_RETENTION,
         }
     }
 
@@ -137,7 +137,7 @@
     fn senders(self) -> usize {
         match self {
             SoakKind::Faults | SoakKind::Changes | SoakKind::Versions => 1,
-            SoakKind::FaultyEngines | SoakKind::SpoiltHeads => 6,
+            SoakKind::FaultyEngines | SoakKind::MalformedHeads => 6,
         }
     }
 }
@@ -177,7 +177,7 @@
     match kind {
         SoakKind::Faults | SoakKind::Versions => {}
         SoakKind::Changes => faults.extend(settings_changes::draw_changes(&mut random)),
-        SoakKind::FaultyEngines | SoakKind::SpoiltHeads => {
+        SoakKind::FaultyEngines | SoakKind::MalformedHeads => {
             faults.extend(faulty_engine::draw_full_period(&mut random));
         }
     }
@@ -190,11 +190,11 @@
     let stop = CancellationToken::new();
     let engines = Arc::new(EngineState::new(
         seed,
-        kind == SoakKind::SpoiltHeads,
+        kind == SoakKind::MalformedHeads,
         stop.clone(),
     ));
     let _engines_guard = match kind {
-        SoakKind::FaultyEngines | SoakKind::SpoiltHeads => {
+        SoakKind::FaultyEngines | SoakKind::MalformedHeads => {
             Some(start_faulty_engines(&mut fleet, &engines).await)
         }
         SoakKind::Faults | SoakKind::Changes | SoakKind::Versions => None,
@@ -253,12 +253,12 @@
     checks::check_ends(&fleet, &context);
     checks::check_refused(&fleet, &context);
     eprintln!("soak: seed {seed}: {:?}", context.ledger().counts);
-    if matches!(kind, SoakKind::FaultyEngines | SoakKind::SpoiltHeads) {
+    if matches!(kind, SoakKind::FaultyEngines | SoakKind::MalformedHeads) {
         eprintln!("soak: seed {seed}: {:?}", context.engines.counts());
         let is_tried = context.engines.sent_wrong_answers();
         assert!(
             is_tried,
-            "seed {seed}: no late answer, none that is cut off or none with a spoilt head"
+            "seed {seed}: no late answer, none that is cut off or none with a malformed head"
         );
     }
     let violations = context.ledger().violations.clone();
@@ -324,12 +324,12 @@
     }
 }
 
-/// As above, while engines also spoil the line of a head that tells of the chunks of the body.
+/// As above, while engines also damage the line of a head that tells of the chunks of the body.
 /// Sizes of chunks used to be passed on as parts of bodies.
 #[tokio::test(flavor = "multi_thread")]
 async fn bodies_are_their_servers_under_random_faults() {
     for seed in selected_seeds(&HEADS_SEEDS) {
-        run_soak(seed, SoakKind::SpoiltHeads).await;
+        run_soak(seed, SoakKind::MalformedHeads).await;
     }
 }
 
--- a/crates/serving/src/path/server_attempt.rs
+++ b/crates/serving/src/path/server_attempt.rs
@@ -473,8 +473,8 @@
     /// # Errors
     ///
     /// Returns [`AttemptFailure::Broken`] if the answer breaks off, and
-    /// [`AttemptFailure::NoAnswer`] if it is too long, or sent in chunks of which its head
-    /// doesn't tell.
+    /// [`AttemptFailure::NoAnswer`] if it is too long, or holds chunks that its head doesn't
+    /// declare.
     pub async fn read_whole(
         mut self,
         held: &mut HeldBytes,
--- a/crates/serving/tests/spoilt_heads.rs
+++ b/crates/serving/tests/malformed_heads.rs
@@ -1,4 +1,4 @@
-//! Answers of other daemons, or of the store, whose heads are spoilt.
+//! Answers of other daemons, or of the store, whose heads are malformed.
 
 #![allow(
     clippy::unwrap_used,
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use comfreyramp_http::{CallError, HttpClient, MessageBody};
 use comfreyramp_standins::runner::{
-    NO_FIELDS, SPOILT_LENGTHS, ScriptedAnswer, ScriptedRequest, ScriptedServer, UNKNOWN_CODINGS,
+    MALFORMED_LENGTHS, NO_FIELDS, ScriptedAnswer, ScriptedRequest, ScriptedServer, UNKNOWN_CODINGS,
 };
 use http::{Request, Response};
 use tokio_util::sync::CancellationToken;
@@ -57,7 +57,7 @@
 #[tokio::test]
 async fn a_call_whose_answer_has_an_unknown_framing_is_refused_with_its_connection() {
     let stop = CancellationToken::new();
-    let server = ScriptedServer::start("spoiling-1", framed_by_path, stop.clone());
+    let server = ScriptedServer::start("malformed-1", framed_by_path, stop.clone());
     let server = server.await.unwrap();
     let client = HttpClient::default();
     for (number, framing) in FRAMINGS.iter().enumerate() {
@@ -74,13 +74,15 @@
 
 /// Guards against a body of another daemon, or of the store, that isn't what was sent.
 #[tokio::test]
-async fn a_call_whose_answers_head_is_spoilt_has_no_answer() {
+async fn a_call_whose_answers_head_is_malformed_has_no_answer() {
     const BODY: &[u8] = b"a\r\n0123456789\r\n0\r\n\r\n";
     let line = |name: &str, value: &&str| format!("{name}: {value}").into_bytes();
     let codings = UNKNOWN_CODINGS
         .iter()
         .map(|it| line("transfer-encoding", it));
-    let lengths = SPOILT_LENGTHS.iter().map(|it| line("content-length", it));
+    let lengths = MALFORMED_LENGTHS
+        .iter()
+        .map(|it| line("content-length", it));
     let mut heads: Vec<_> = codings.chain(lengths).collect();
     for framing in [
         "content-length: 20",
@@ -102,7 +104,7 @@
         ScriptedAnswer::cut_bytes(&bytes, false)
     };
     let stop = CancellationToken::new();
-    let server = ScriptedServer::start("spoiling-1", script, stop.clone());
+    let server = ScriptedServer::start("malformed-1", script, stop.clone());
     let server = server.await.unwrap();
     let client = HttpClient::default();
     for (number, head) in heads.iter().enumerate() {
--- a/crates/standins/src/runner/spoilt_lines.rs
+++ b/crates/standins/src/runner/malformed_lines.rs
@@ -1,4 +1,4 @@
-//! Parts of heads that are spoilt, for tests that send them in answers.
+//! Parts of heads that are malformed, for tests that send them in answers.
 
 /// Values of `transfer-encoding` by which a body can't be decoded.
 pub const UNKNOWN_CODINGS: [&str; 22] = [
@@ -27,7 +27,7 @@
 ];
 
 /// Values of `content-length` that are none, also as lists, fields and folded lines.
-pub const SPOILT_LENGTHS: [&str; 20] = [
+pub const MALFORMED_LENGTHS: [&str; 20] = [
     "",
     "x",
     "3O",
--- a/crates/standins/src/runner/mod.rs
+++ b/crates/standins/src/runner/mod.rs
@@ -4,19 +4,19 @@
 
 mod backend_server;
 mod closing_server;
+mod malformed_lines;
 mod raw_request;
 mod requested_stream;
 mod resetting_server;
 mod scripted_server;
-mod spoilt_lines;
 mod state_report;
 
 pub use backend_server::{
     BackendArrival, BackendKind, BackendOptions, BackendServer, ServerIdentity,
 };
 pub use closing_server::{ClosingAnswer, ClosingServer};
+pub use malformed_lines::{MALFORMED_LENGTHS, NO_FIELDS, UNKNOWN_CODINGS};
 pub use raw_request::RawRequest;
 pub use requested_stream::RequestedStream;
 pub use resetting_server::{EarlyAnswer, ResettingServer};
 pub use scripted_server::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
-pub use spoilt_lines::{NO_FIELDS, SPOILT_LENGTHS, UNKNOWN_CODINGS};
