--- a/crates/daemon/src/server_pool.rs
+++ b/crates/daemon/src/server_pool.rs
@@ -462,10 +462,11 @@
     /// Records that an answer came that isn't one to the request. The connection didn't break,
     /// so it is no sign that the server died.
     pub fn note_refused_answer(&self, request_id: &str, error: &CallError) {
-        log::warn!(
-            "servers: {} gave no answer to {request_id}: {error}",
-            self.name
-        );
+        let what = match error {
+            CallError::OtherRequest => "answered another request in place of",
+            _ => "gave an invalid answer to",
+        };
+        log::warn!("servers: {} {what} {request_id}: {error}", self.name);
         self.note_outcome(ServerOutcome::Broken);
     }
 
