Tests, HTTP: one short line, one plain service of a test, one list of early answers

The scanners of events and of chunks kept the beginning of a line each, five tests of `comfreyrampd` added the same service, and two the same kinds of early answers.

--- a/crates/http/src/chunk_scanner.rs
+++ b/crates/http/src/chunk_scanner.rs
@@ -1,9 +1,6 @@
 //! Recognizes chunks that the head of a message doesn't declare.
 
-use crate::BodyFraming;
-
-/// The length in bytes up to which the first line of a chunk is read.
-const MAX_SIZE_LINE_BYTES: usize = 32;
+use crate::{BodyFraming, short_line::ShortLine};
 
 /// Looks for a whole chunk, by section 7.1 of RFC 9112, at the beginning of a body that ends
 /// with its connection.
@@ -29,7 +26,7 @@
 /// What is read next of the first chunk.
 #[derive(Clone, Copy, Debug)]
 enum ChunkPlace {
-    SizeLine(SizeLine),
+    SizeLine(ShortLine),
     /// The number of bytes before the line end behind the data.
     Data(u64),
     LineFeed,
@@ -39,7 +36,7 @@
 
 impl Default for ChunkPlace {
     fn default() -> Self {
-        ChunkPlace::SizeLine(SizeLine::default())
+        ChunkPlace::SizeLine(ShortLine::default())
     }
 }
 
@@ -70,12 +67,12 @@
                 ChunkPlace::Data(0) => ChunkPlace::Known(false),
                 ChunkPlace::SizeLine(mut line) => {
                     line.push(byte);
-                    match line.text().strip_suffix(b"\r\n") {
-                        Some(text) => {
+                    match line.text().map(|it| it.strip_suffix(b"\r\n")) {
+                        Some(Some(text)) => {
                             chunk_size(text).map_or(ChunkPlace::Known(false), ChunkPlace::Data)
                         }
-                        None if line.is_full() => ChunkPlace::Known(false),
-                        None => ChunkPlace::SizeLine(line),
+                        Some(None) => ChunkPlace::SizeLine(line),
+                        None => ChunkPlace::Known(false),
                     }
                 }
             };
@@ -89,29 +86,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct SizeLine {
-    bytes: [u8; MAX_SIZE_LINE_BYTES],
-    length: usize,
-}
-
-impl SizeLine {
-    fn push(&mut self, byte: u8) {
-        if let Some(place) = self.bytes.get_mut(self.length) {
-            *place = byte;
-            self.length += 1;
-        }
-    }
-
-    fn text(&self) -> &[u8] {
-        &self.bytes[..self.length]
-    }
-
-    fn is_full(&self) -> bool {
-        self.length == MAX_SIZE_LINE_BYTES
-    }
-}
-
 /// Returns the size that the first line of a chunk states, without its line end and extensions.
 pub(crate) fn chunk_size(line: &[u8]) -> Option<u64> {
     let size = line.split(|it| *it == b';').next()?.trim_ascii_end();
--- a/crates/http/src/event_scanner.rs
+++ b/crates/http/src/event_scanner.rs
@@ -1,6 +1,6 @@
 //! Finds the ends of server-sent events in a stream that is passed on unchanged.
 
-use crate::{chunk_scanner::chunk_size, event_splitter::line_id};
+use crate::{chunk_scanner::chunk_size, event_splitter::line_id, short_line::ShortLine};
 
 /// Counts the complete events of a stream, without buffering it. Lines end with LF or CRLF.
 ///
@@ -18,7 +18,8 @@
     events: u64,
     is_inside_event: bool,
     is_inside_line: bool,
-    line: ScannedLine,
+    /// The line that is being read.
+    line: ShortLine,
     /// The id of the event so far.
     event_id: Option<u64>,
     /// The highest id of a complete event.
@@ -31,31 +32,6 @@
     has_chunk_size: bool,
 }
 
-/// The length in bytes up to which a line may give an id or the size of a chunk.
-const MAX_SHORT_LINE_BYTES: usize = 32;
-
-/// The line of a stream that is being read, which may give the id of its event.
-#[derive(Clone, Copy, Debug, Default)]
-struct ScannedLine {
-    bytes: [u8; MAX_SHORT_LINE_BYTES],
-    /// The length so far, also of a line that is longer than `bytes`.
-    length: usize,
-}
-
-impl ScannedLine {
-    fn push(&mut self, byte: u8) {
-        if let Some(place) = self.bytes.get_mut(self.length) {
-            *place = byte;
-        }
-        self.length += 1;
-    }
-
-    /// Returns the line, unless it is too long.
-    fn text(&self) -> Option<&[u8]> {
-        self.bytes.get(..self.length)
-    }
-}
-
 impl EventScanner {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -27,6 +27,7 @@
 mod reserved_body;
 mod serve;
 mod server_client;
+mod short_line;
 
 pub use answer_guard::{AnswerGuard, AnswerNotes};
 pub use answer_progress::{AnswerEnd, AnswerProgress};
--- a/crates/standins/src/runner/resetting_server.rs
+++ b/crates/standins/src/runner/resetting_server.rs
@@ -28,6 +28,19 @@
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 64;
 
+/// How many bytes of a request a server reads before it answers.
+const READ_BYTES: [usize; 6] = [0, 6_000, 20_000, 200_000, 1_000_000, 4_000_000];
+/// How long it waits before it resets the connection.
+const PAUSES_MS: [u64; 4] = [0, 1, 10, 100];
+const VERSIONS: [&str; 2] = ["HTTP/1.1", "HTTP/1.0"];
+const CONTENT_TYPES: [Option<&str>; 3] = [
+    None,
+    Some("text/event-stream"),
+    Some("application/octet-stream"),
+];
+/// A part of an answer that looks whole: it ends with an event.
+const PART: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
 /// How far a server gets with a request.
 #[derive(Clone, Debug)]
 pub struct EarlyAnswer {
@@ -43,6 +56,19 @@
     pub pause: Duration,
 }
 
+impl EarlyAnswer {
+    /// Returns one answer of each kind after the other.
+    pub fn numbered(number: usize) -> Self {
+        EarlyAnswer {
+            read_bytes: READ_BYTES[number % READ_BYTES.len()],
+            pause: Duration::from_millis(PAUSES_MS[number / 2 % PAUSES_MS.len()]),
+            version: VERSIONS[number / 3 % VERSIONS.len()],
+            content_type: CONTENT_TYPES[number / 5 % CONTENT_TYPES.len()],
+            body: PART,
+        }
+    }
+}
+
 /// A running server.
 #[derive(Debug)]
 pub struct ResettingServer {
