Tests: only requests count as plays of comfreyrampd's malformed answers

A query of an engine's load counted as the request that was awaited, so that an answer might be judged that no server had sent, and of five framings only the first met an item: after a failure the only engine got no items for longer than the test waits. Each framing has a fleet of its own now.

--- a/crates/daemon/tests/unknown_codings.rs
+++ b/crates/daemon/tests/unknown_codings.rs
@@ -5,12 +5,15 @@
 mod lot_calls;
 mod support;
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
 };
 
-use comfreyramp_http::{Method, StatusCode};
+use comfreyramp_http::{Bytes, Method, StatusCode, collect_limited};
 use comfreyramp_standins::runner::{ScriptedAnswer, ScriptedRequest, ScriptedServer};
 use lot_calls::{LotCaller, input};
 use serde_json::{Value, json};
@@ -104,27 +107,33 @@
         }
     }
 
+    /// Returns the number of requests for a path that the server has received.
+    fn received(&self, path: &str) -> usize {
+        let requests = self.server.requests();
+        requests.iter().filter(|it| it.request.path == path).count()
+    }
+
     /// Sends requests until one has reached the server, and returns the status and the text of
     /// its answer; nothing if the answer was broken off.
     async fn send(&self, framing: usize, path: &str, body: &str) -> Option<(StatusCode, String)> {
         self.framing.store(framing, Ordering::SeqCst);
         let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
         loop {
-            let earlier = self.server.requests().len();
+            let earlier = self.received(path);
             let request = self
                 .fleet
                 .request(0, Method::POST, path, KEY, body.to_owned());
             let (head, body) = self.fleet.open(request).await.into_parts();
-            let body = comfreyramp_http::collect_limited(body, usize::MAX).await;
-            if self.server.requests().len() > earlier {
-                let text = |it: comfreyramp_http::Bytes| String::from_utf8_lossy(&it).into_owned();
+            let body = collect_limited(body, usize::MAX).await;
+            if self.received(path) > earlier {
+                let text = |it: Bytes| String::from_utf8_lossy(&it).into_owned();
                 return body.ok().map(|it| (head.status, text(it)));
             }
             assert!(
                 tokio::time::Instant::now() < deadline,
                 "the server isn't used"
             );
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+            tokio::time::sleep(Duration::from_millis(20)).await;
         }
     }
 }
@@ -165,28 +174,37 @@
     assert_refused(MISSPELT, "texts", "/texts/a", "").await;
 }
 
+/// Runs items whose server answers with a framing until it has received one of them.
+async fn assert_run_again(framing: usize) {
+    let fleet = ScriptedFleet::start("engines").await;
+    let body = chat("a", 4, false).to_string();
+    fleet.send(VALID, MODEL_PATH, &body).await.unwrap();
+    let earlier = fleet.received(MODEL_PATH);
+    fleet.framing.store(framing, Ordering::SeqCst);
+    let caller = LotCaller::new(&fleet.fleet, 0);
+    let file = caller.upload(&input(2, 4)).await;
+    let lot = caller.create(&file).await;
+    let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
+    while fleet.received(MODEL_PATH) == earlier {
+        assert!(tokio::time::Instant::now() < deadline, "no item is run");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    fleet.framing.store(VALID, Ordering::SeqCst);
+    let lot = caller.wait_for(lot["id"].as_str().unwrap(), "completed");
+    let results = caller.results(&lot.await).await;
+    assert_eq!(results.len(), 2);
+    for (_, body) in results {
+        let text = &body["choices"][0]["message"]["content"];
+        assert_eq!(text, TEXT, "{framing}: {body}");
+    }
+}
+
 /// Guards against items that are completed with such an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_item_whose_answer_has_an_unknown_framing_runs_again() {
-    let fleet = ScriptedFleet::start("engines").await;
-    for (number, framing) in FRAMINGS.iter().enumerate() {
-        let body = chat("a", 4, false).to_string();
-        fleet.send(VALID, MODEL_PATH, &body).await;
-        let earlier = fleet.server.requests().len();
-        fleet.framing.store(number, Ordering::SeqCst);
-        let caller = LotCaller::new(&fleet.fleet, 0);
-        let file = caller.upload(&input(2, 4)).await;
-        let lot = caller.create(&file).await;
-        let deadline = tokio::time::Instant::now() + WAIT_TIMEOUT;
-        while fleet.server.requests().len() == earlier {
-            assert!(tokio::time::Instant::now() < deadline, "no item is run");
-            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
-        }
-        fleet.framing.store(VALID, Ordering::SeqCst);
-        let lot = caller.wait_for(lot["id"].as_str().unwrap(), "completed");
-        for (_, body) in caller.results(&lot.await).await {
-            let text = &body["choices"][0]["message"]["content"];
-            assert_eq!(text, TEXT, "{framing}: {body}");
-        }
+    let mut running = tokio::task::JoinSet::new();
+    for framing in 0..=MISSPELT {
+        running.spawn(assert_run_again(framing));
     }
+    running.join_all().await;
 }
